--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,13 @@
+//! The configuration document: one schema and one validator for the daemon, the command and the
+//! console of forms.
+//!
+//! This crate is the base of the workspace. It holds what an operator writes down (callers, query
+//! routes, backend servers) and the few ids and shapes that every other crate shares. It does no
+//! input or output, so that the same checks run wherever a document turns up.
+
+pub mod document;
+pub mod id;
+pub mod range;
+
+pub use document::Document;
+pub use range::Range;
--- /dev/null
+++ b/crates/configuration/src/range.rs
@@ -0,0 +1,58 @@
+//! Half-open ranges of a route's key space.
+
+use crate::id::Key;
+use derive_more::Display;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// The keys from `start` up to, but without, `end`.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[display("{start}..{end}")]
+#[serde(deny_unknown_fields)]
+pub struct Range {
+    /// First key of the range.
+    pub start: Key,
+    /// First key after the range.
+    pub end: Key,
+}
+
+impl Range {
+    /// Makes a range; `end` at or before `start` gives an empty one.
+    pub fn new(start: Key, end: Key) -> Self {
+        Self { start, end }
+    }
+
+    /// Tells whether the range holds no key.
+    pub fn is_empty(&self) -> bool {
+        self.end <= self.start
+    }
+
+    /// Number of keys in the range.
+    pub fn len(&self) -> u64 {
+        self.end.saturating_sub(self.start)
+    }
+
+    /// Tells whether `key` lies in the range.
+    pub fn contains(&self, key: Key) -> bool {
+        self.start <= key && key < self.end
+    }
+
+    /// The keys that both ranges hold, or `None` where there are none.
+    pub fn intersection(&self, other: &Self) -> Option<Self> {
+        let common = Self::new(self.start.max(other.start), self.end.min(other.end));
+        (!common.is_empty()).then_some(common)
+    }
+}
