--- /dev/null
+++ b/crates/decision/src/attempt.rs
@@ -0,0 +1,63 @@
+//! One sending of (a part of) a request to one backend server.
+
+use crate::reply::Report;
+use monsoonring_configuration::id::IndexVersion;
+use std::time::Duration;
+
+/// Id of an attempt, unique within the incarnation of a daemon.
+pub type AttemptId = u64;
+
+/// Id of a connection to a backend server, unique within the incarnation of a daemon.
+pub type ConnectionId = u64;
+
+/// How an attempt ended without a usable reply.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The server itself said that the request did not run.
+    Refused {
+        /// Why it refused.
+        refusal: Refusal,
+        /// When to come back, where the server said so.
+        retry_after: Option<Duration>,
+        /// What the server said of itself.
+        report: Report,
+    },
+    /// No byte of the request left: the connection was found closed or could not be used.
+    NotSent,
+    /// The server ran the request and reported an error.
+    Ran {
+        /// What the server said of itself.
+        report: Report,
+    },
+    /// The connection ended after the request had left and before the whole reply arrived.
+    Lost,
+    /// The reply was truncated, undecodable or belongs to another attempt.
+    Mismatched,
+    /// The reply confirms that the attempt was cancelled.
+    Cancelled {
+        /// What the server said of itself.
+        report: Report,
+    },
+}
+
+/// Why a backend server refused to run a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It has more work than it wants.
+    Shedding,
+    /// It is leaving.
+    Draining,
+    /// It has not finished starting.
+    Starting,
+    /// The deadline had passed, or would have, before the work began.
+    Deadline,
+    /// It does not hold the pinned index version.
+    IndexVersion {
+        /// The versions that it does hold.
+        served: Vec<IndexVersion>,
+    },
+    /// Its connection limit is reached.
+    Connections,
+    /// It could not make sense of the request.
+    Malformed,
+}
--- /dev/null
+++ b/crates/decision/src/home/action.rs
@@ -0,0 +1,68 @@
+//! What a home wants done.
+
+use crate::attempt::{AttemptId, ConnectionId};
+use crate::outcome::Outcome;
+use crate::{Fingerprint, RequestId, Time};
+use monsoonring_configuration::Range;
+use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Something that the daemon does for a home.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Open a connection; answered by `Opened` or `Closed`.
+    Open(ConnectionId, BackendServerId),
+    /// Close a connection. An attempt on it ends without a further event.
+    Close(ConnectionId),
+    /// Send an attempt on an idle connection.
+    Send(Send),
+    /// Tell the backend server, on another connection, to cancel an attempt. The attempt's own
+    /// connection stays in use until its reply arrives.
+    Cancel(AttemptId, BackendServerId),
+    /// The one final result of a request.
+    Finish(RequestId, Outcome),
+    /// Tell the other homes that a backend server is leaving.
+    TellLeaving(BackendServerId, Option<Incarnation>),
+    /// Tell the other homes that requests with this fingerprint crash backend servers.
+    TellSuspect(Fingerprint, Duration),
+    /// Feed `Tick` at this time, or earlier.
+    Wake(Time),
+    /// Write a line to the log.
+    Log(Decision),
+}
+
+/// One attempt on its way to a backend server.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Send {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The idle connection it goes out on.
+    pub connection: ConnectionId,
+    /// The server at its other end.
+    pub backend_server: BackendServerId,
+    /// The request that it belongs to.
+    pub request: RequestId,
+    /// The keys asked for; empty for a non-idempotent request.
+    pub ranges: Vec<Range>,
+    /// The pinned version; `None` while nothing is known of the server's versions.
+    pub index_version: Option<IndexVersion>,
+    /// Time after which the reply is of no use. A driver that comes to send later than this must
+    /// not send, and reports `Failure::NotSent`.
+    pub deadline: Time,
+    /// JSON text of the request.
+    pub body: Arc<str>,
+}
+
+/// A routing or placement decision, for the log and for `explain`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The request decided on, if it is about one.
+    pub request: Option<RequestId>,
+    /// What was decided: `send`, `hedge`, `retry`, `refuse`, `discard`, `leave`, `pin`, …
+    pub what: &'static str,
+    /// The backend server concerned, if there is one.
+    pub backend_server: Option<BackendServerId>,
+    /// Why, in a few words with the numbers that decided.
+    pub why: String,
+}
--- /dev/null
+++ b/crates/decision/src/home/event.rs
@@ -0,0 +1,68 @@
+//! What happens to a home.
+
+use crate::attempt::{AttemptId, ConnectionId, Failure};
+use crate::reply::{Reply, Report};
+use crate::{Fingerprint, RequestId, Time};
+use monsoonring_configuration::document::{Class, Route};
+use monsoonring_configuration::id::{BackendServerId, CallerId, Incarnation};
+use std::sync::Arc;
+
+/// A request that reached its home.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Request {
+    /// Its id.
+    pub id: RequestId,
+    /// Who sent it.
+    pub caller: CallerId,
+    /// How much it counts.
+    pub class: Class,
+    /// Time by which the caller wants the answer, on this process's clock.
+    pub deadline: Time,
+    /// Hash of route and body.
+    pub fingerprint: Fingerprint,
+    /// JSON text that goes to the backend servers.
+    pub body: Arc<str>,
+}
+
+/// Something that a home has to react to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// A request arrived.
+    Request(Request),
+    /// The caller of a request went away.
+    Abandoned(RequestId),
+    /// A connection asked for by an action is ready.
+    Opened(ConnectionId),
+    /// A connection asked for could not be made, or an idle one has ended.
+    Closed(ConnectionId),
+    /// An attempt was answered; its connection is idle again.
+    Reply(AttemptId, Reply),
+    /// An attempt of a non-idempotent request was answered with its result, JSON text.
+    Executed(AttemptId, Box<str>, Report),
+    /// An attempt ended otherwise.
+    Failed(AttemptId, Failure),
+    /// The configuration of the route changed.
+    Route(Arc<Route>),
+    /// The number of homes of the route, this one included, changed.
+    Homes(usize),
+    /// A backend server is leaving; only a start number above `start` undoes it.
+    Leaving {
+        /// The server.
+        backend_server: BackendServerId,
+        /// The start number that is leaving, where it is known.
+        start: Option<Incarnation>,
+    },
+    /// Another home found that requests with this fingerprint crash backend servers.
+    Suspect {
+        /// The requests' fingerprint.
+        fingerprint: Fingerprint,
+        /// Time until which they are refused, on this process's clock.
+        until: Time,
+    },
+    /// The load endpoint of a backend server was read, `None` where it did not answer.
+    Polled(BackendServerId, Option<Report>),
+    /// The time of the earliest `Wake` has come.
+    Tick,
+    /// The daemon stops: finish what is in flight, refuse what is new.
+    Stop,
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,5 +5,16 @@
 //! generator. The daemon is a driver around this crate; golden sessions, property tests and a bench
 //! drive exactly the code that runs in production.
 
+pub mod attempt;
+pub mod home;
+pub mod outcome;
+pub mod reply;
+
 /// Monotonic time since the start of the process that decides.
 pub type Time = std::time::Duration;
+
+/// Id of a caller's request, unique over all daemons.
+pub type RequestId = u128;
+
+/// Hash of what a request asks, the same whoever sends it and however often.
+pub type Fingerprint = u64;
