--- /dev/null
+++ b/crates/daemon/src/backend/connection.rs
@@ -0,0 +1,180 @@
+//! One connection to a backend server.
+
+use super::codec::{self, Answer};
+use crate::clock::Clock;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use monsoonring_configuration::id::BackendServerId;
+use monsoonring_decision::attempt::{ConnectionId, Failure};
+use monsoonring_decision::home::Event;
+use monsoonring_decision::home::action::Send;
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+/// Largest reply of a backend server, in bytes. A longer one is a fault of the server and would
+/// otherwise fill the daemon's memory.
+const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Attempts that may wait for one connection: the home puts one at a time on it.
+const QUEUED_JOBS: usize = 1;
+
+/// Why a connection could not be made.
+#[derive(Debug, Snafu)]
+enum Error {
+    #[snafu(display("connecting to backend server {backend_server}: {source}"))]
+    Connect {
+        backend_server: BackendServerId,
+        source: std::io::Error,
+    },
+    #[snafu(display("HTTP handshake with backend server {backend_server}: {source}"))]
+    Handshake {
+        backend_server: BackendServerId,
+        source: hyper::Error,
+    },
+}
+
+type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// An attempt for the connection to carry out.
+pub(crate) type Job = Send;
+
+/// Where a connection reports what happens to it.
+pub(crate) type Report = mpsc::UnboundedSender<Event>;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
+/// Handle of a connection's task. Dropping it closes the connection at once.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    jobs: mpsc::Sender<Job>,
+    task: AbortHandle,
+}
+
+impl Connection {
+    /// Puts an attempt on the connection; gives it back where the connection has ended.
+    pub(crate) fn send(&self, job: Job) -> std::result::Result<(), Box<Job>> {
+        self.jobs
+            .try_send(job)
+            .map_err(|error| Box::new(error.into_inner()))
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Starts a connection; it reports `Opened`, or `Closed` where it can't be made.
+pub(crate) fn spawn(
+    id: ConnectionId,
+    backend_server: BackendServerId,
+    clock: Clock,
+    report: Report,
+) -> Connection {
+    let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
+    let task = tokio::spawn(async move {
+        if let Ok((sender, driver)) = open(backend_server).await {
+            let _ = report.send(Event::Opened(id));
+            serve(sender, driver, queue, clock, &report).await;
+        }
+        let _ = report.send(Event::Closed(id));
+    });
+    Connection {
+        jobs,
+        task: task.abort_handle(),
+    }
+}
+
+async fn open(backend_server: BackendServerId) -> Result<(Sender, Driver)> {
+    let stream = TcpStream::connect(backend_server).await;
+    let stream = stream.context(ConnectSnafu { backend_server })?;
+    stream
+        .set_nodelay(true)
+        .context(ConnectSnafu { backend_server })?;
+    let opened = http1::handshake(TokioIo::new(stream)).await;
+    opened.context(HandshakeSnafu { backend_server })
+}
+
+/// Carries out one attempt after the other until the connection ends.
+async fn serve(
+    mut sender: Sender,
+    driver: Driver,
+    mut queue: mpsc::Receiver<Job>,
+    clock: Clock,
+    report: &Report,
+) {
+    let mut driver = std::pin::pin!(driver);
+    loop {
+        let job = tokio::select! {
+            biased;
+            _ = &mut driver => return refuse(&mut queue, report),
+            job = queue.recv() => job,
+        };
+        let Some(job) = job else { return };
+        let attempt = job.attempt;
+        let exchange = exchange(&mut sender, &job, clock);
+        tokio::pin!(exchange);
+        let (answer, open) = tokio::select! {
+            answer = &mut exchange => (answer, true),
+            // The driver ends with the connection; the exchange then ends by itself, and knows
+            // better how far the request got.
+            _ = &mut driver => (exchange.await, false),
+        };
+        let reusable = open && is_reusable(&answer);
+        let _ = report.send(event(attempt, answer));
+        if !reusable {
+            return;
+        }
+    }
+}
+
+/// Reports attempts that were put on a connection which had ended: none of their bytes left.
+fn refuse(queue: &mut mpsc::Receiver<Job>, report: &Report) {
+    queue.close();
+    while let Ok(job) = queue.try_recv() {
+        let _ = report.send(Event::Failed(job.attempt, Failure::NotSent));
+    }
+}
+
+fn is_reusable(answer: &Answer) -> bool {
+    !matches!(answer, Answer::Failed(Failure::Lost | Failure::Mismatched))
+}
+
+fn event(attempt: u64, answer: Answer) -> Event {
+    match answer {
+        Answer::Reply(reply) => Event::Reply(attempt, reply),
+        Answer::Executed(value, report) => Event::Executed(attempt, value, report),
+        Answer::Failed(failure) => Event::Failed(attempt, failure),
+    }
+}
+
+async fn exchange(sender: &mut Sender, job: &Job, clock: Clock) -> Answer {
+    if sender.ready().await.is_err() {
+        return Answer::Failed(Failure::NotSent);
+    }
+    // A process that was paused here wakes up with a request whose time is over. Sending it could
+    // run it after its caller was told that it did not run.
+    let Some(remaining) = job.deadline.checked_sub(clock.now()) else {
+        return Answer::Failed(Failure::NotSent);
+    };
+    let Ok(request) = codec::request(job, remaining) else {
+        return Answer::Failed(Failure::NotSent);
+    };
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        // The library hands the request back only where it has not written any of it.
+        Err(error) if error.message().is_some() => return Answer::Failed(Failure::NotSent),
+        Err(_) => return Answer::Failed(Failure::Lost),
+    };
+    let (head, body) = response.into_parts();
+    match Limited::new(body, MAX_REPLY_BYTES).collect().await {
+        Ok(body) => codec::answer(job, &head, &body.to_bytes()),
+        Err(_) => Answer::Failed(Failure::Mismatched),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/backend/mod.rs
@@ -0,0 +1,13 @@
+//! Connections to backend servers.
+//!
+//! A connection is one task that owns one HTTP/1.1 connection and takes one attempt at a time. Which
+//! attempt goes where is decided in [`monsoonring_decision::home`]; the tasks here only carry it out
+//! and report truthfully how far the request got, because "not run" rests on that report.
+
+mod codec;
+mod connection;
+mod endpoint;
+mod header;
+
+pub(crate) use connection::{Connection, Report, spawn};
+pub(crate) use endpoint::Endpoint;
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,36 @@
+//! The one clock of the process.
+//!
+//! Decisions take the time as a duration since the start; this is where that duration comes from.
+
+use monsoonring_decision::Time;
+use std::time::Instant;
+
+/// Monotonic clock that starts with the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts the clock.
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// Returns the time since the start.
+    pub fn now(&self) -> Time {
+        self.start.elapsed()
+    }
+
+    /// Returns the time at which `instant` lies; instants before the start are the start.
+    pub fn time(&self, instant: Instant) -> Time {
+        instant.saturating_duration_since(self.start)
+    }
+
+    /// Returns the instant of a time.
+    pub fn instant(&self, time: Time) -> Instant {
+        self.start + time
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,4 @@
-//! placeholder
+//! The daemon.
+
+mod backend;
+pub mod clock;
--- /dev/null
+++ b/crates/daemon/src/route/controller.rs
@@ -0,0 +1,196 @@
+//! The task of one route.
+
+use super::handle::{Handle, Input};
+use super::poll;
+use crate::backend::{self, Connection, Endpoint};
+use crate::clock::Clock;
+use crate::log;
+use crate::metrics::Metrics;
+use monsoonring_configuration::document::Route;
+use monsoonring_configuration::id::{BackendServerId, Incarnation, RouteId};
+use monsoonring_decision::attempt::{ConnectionId, Failure};
+use monsoonring_decision::home::action::Send;
+use monsoonring_decision::home::{Action, Event, Home};
+use monsoonring_decision::outcome::Outcome;
+use monsoonring_decision::{Fingerprint, RequestId, Time};
+use slog::Logger;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep_until;
+
+/// Something that a home found out and that the other homes should know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Fact {
+    /// A backend server is leaving.
+    Leaving(BackendServerId, Option<Incarnation>),
+    /// Requests with this fingerprint crash backend servers; refused for that long.
+    Suspect(Fingerprint, Duration),
+}
+
+/// Where facts go.
+pub(crate) type Facts = mpsc::UnboundedSender<Fact>;
+
+/// What a route's task is started with.
+pub(crate) struct Settings {
+    pub(crate) route: Arc<Route>,
+    pub(crate) homes: usize,
+    pub(crate) seed: u64,
+    pub(crate) clock: Clock,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) facts: Facts,
+}
+
+/// Starts the task of a route. It ends when the last handle is gone and nothing is in flight.
+pub(crate) fn spawn(settings: Settings) -> Handle {
+    let (inputs, queue) = mpsc::unbounded_channel();
+    tokio::spawn(run(settings, queue));
+    Handle::new(inputs)
+}
+
+async fn run(settings: Settings, mut queue: mpsc::UnboundedReceiver<Input>) {
+    let (report, mut reports) = mpsc::unbounded_channel();
+    let now = settings.clock.now();
+    let (home, actions) = Home::new(settings.route.clone(), settings.homes, settings.seed, now);
+    let servers = poll::Servers::of(&settings.route);
+    let poller = poll::spawn(servers.clone(), report.clone());
+    let mut controller = Controller::new(settings, home, report, servers);
+    controller.perform(actions);
+    loop {
+        let wake = controller.clock.instant(controller.wake.unwrap_or(controller.clock.now() + IDLE));
+        tokio::select! {
+            input = queue.recv() => match input {
+                Some(input) => controller.input(input),
+                None => break,
+            },
+            Some(event) = reports.recv() => controller.event(event),
+            () = sleep_until(wake.into()) => controller.tick(),
+        }
+    }
+    poller.abort();
+}
+
+/// Longest time without a tick.
+const IDLE: Duration = Duration::from_millis(200);
+
+struct Controller {
+    home: Home,
+    clock: Clock,
+    log: Logger,
+    metrics: Arc<Metrics>,
+    facts: Facts,
+    route: RouteId,
+    report: backend::Report,
+    endpoint: Endpoint,
+    servers: poll::Servers,
+    connections: HashMap<ConnectionId, Connection>,
+    waiting: HashMap<RequestId, oneshot::Sender<Outcome>>,
+    wake: Option<Time>,
+}
+
+impl Controller {
+    fn new(
+        settings: Settings,
+        home: Home,
+        report: backend::Report,
+        servers: poll::Servers,
+    ) -> Self {
+        Self {
+            home,
+            clock: settings.clock,
+            log: settings.log,
+            metrics: settings.metrics,
+            facts: settings.facts,
+            route: settings.route.name.clone(),
+            report,
+            endpoint: Endpoint::new(),
+            servers,
+            connections: HashMap::new(),
+            waiting: HashMap::new(),
+            wake: None,
+        }
+    }
+
+    fn input(&mut self, input: Input) {
+        match input {
+            Input::Request(request, sender) => {
+                self.waiting.insert(request.id, sender);
+                self.event(Event::Request(request));
+            }
+            Input::Event(event) => self.event(event),
+            Input::State(sender) => {
+                let _ = sender.send(self.home.state(self.clock.now()));
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match &event {
+            Event::Abandoned(request) => drop(self.waiting.remove(request)),
+            Event::Closed(connection) => drop(self.connections.remove(connection)),
+            Event::Route(route) => self.servers.replace(route),
+            _ => {}
+        }
+        let actions = self.home.on(event, self.clock.now());
+        self.perform(actions);
+    }
+
+    fn tick(&mut self) {
+        self.wake = None;
+        self.event(Event::Tick);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Open(id, backend_server) => {
+                let report = self.report.clone();
+                let connection = backend::spawn(id, backend_server, self.clock, report);
+                self.connections.insert(id, connection);
+            }
+            Action::Close(id) => drop(self.connections.remove(&id)),
+            Action::Send(send) => self.send(send),
+            Action::Cancel(attempt, backend_server) => {
+                let endpoint = self.endpoint.clone();
+                self.metrics.cancelled(&self.route);
+                tokio::spawn(async move { endpoint.cancel(backend_server, attempt).await });
+            }
+            Action::Finish(request, outcome) => self.finish(request, outcome),
+            Action::TellLeaving(backend_server, start) => {
+                let _ = self.facts.send(Fact::Leaving(backend_server, start));
+            }
+            Action::TellSuspect(fingerprint, life) => {
+                let _ = self.facts.send(Fact::Suspect(fingerprint, life));
+            }
+            Action::Wake(at) => self.wake = Some(self.wake.map_or(at, |wake| wake.min(at))),
+            Action::Log(decision) => {
+                self.metrics.decision(&self.route, decision.what);
+                log::decision(&self.log, &self.route, &decision);
+            }
+        }
+    }
+
+    fn send(&mut self, send: Send) {
+        let unsent = match self.connections.get(&send.connection) {
+            Some(connection) => connection.send(send).err().map(|send| send.attempt),
+            None => Some(send.attempt),
+        };
+        // Through the queue and not at once: the home must see it after the actions of this event.
+        if let Some(attempt) = unsent {
+            let _ = self.report.send(Event::Failed(attempt, Failure::NotSent));
+        }
+    }
+
+    fn finish(&mut self, request: RequestId, outcome: Outcome) {
+        if let Some(sender) = self.waiting.remove(&request) {
+            let _ = sender.send(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/route/handle.rs
@@ -0,0 +1,69 @@
+//! The other end of a route's queue.
+
+use monsoonring_decision::RequestId;
+use monsoonring_decision::home::Event;
+use monsoonring_decision::home::event::Request;
+use monsoonring_decision::outcome::{Outcome, Reason};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+
+/// Something for the route's task.
+pub(crate) enum Input {
+    /// A request and where its outcome goes.
+    Request(Request, oneshot::Sender<Outcome>),
+    /// Anything else that happened.
+    Event(Event),
+    /// Somebody wants to see the state.
+    State(oneshot::Sender<Value>),
+}
+
+/// Gives a route's task its work.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    inputs: mpsc::UnboundedSender<Input>,
+}
+
+impl Handle {
+    pub(crate) fn new(inputs: mpsc::UnboundedSender<Input>) -> Self {
+        Self { inputs }
+    }
+
+    /// Runs a request. Dropping the future tells the home that the caller went away.
+    pub(crate) async fn run(&self, request: Request) -> Outcome {
+        let (sender, receiver) = oneshot::channel();
+        let mut guard = Guard { handle: self, request: Some(request.id) };
+        if self.inputs.send(Input::Request(request, sender)).is_err() {
+            guard.request = None;
+            return Outcome::NotRun { reason: Reason::Stopping, retry_after: None };
+        }
+        let outcome = receiver.await;
+        guard.request = None;
+        outcome.unwrap_or(Outcome::Unknown { reason: Reason::Stopping })
+    }
+
+    /// Tells the home of an event. A home that has ended does not need it any more.
+    pub(crate) fn tell(&self, event: Event) {
+        let _ = self.inputs.send(Input::Event(event));
+    }
+
+    /// Returns the state for operators, `None` where the home has ended.
+    pub(crate) async fn state(&self) -> Option<Value> {
+        let (sender, receiver) = oneshot::channel();
+        self.inputs.send(Input::State(sender)).ok()?;
+        receiver.await.ok()
+    }
+}
+
+/// Reports a request as abandoned if the future that waits for it is dropped.
+struct Guard<'a> {
+    handle: &'a Handle,
+    request: Option<RequestId>,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            self.handle.tell(Event::Abandoned(request));
+        }
+    }
+}
--- a/crates/decision/src/home/action.rs
+++ b/crates/decision/src/home/action.rs
@@ -52,6 +52,8 @@
     pub deadline: Time,
     /// JSON text of the request.
     pub body: Arc<str>,
+    /// Idempotency key of a non-idempotent request; `None` for a search.
+    pub execute_key: Option<Arc<str>>,
 }
 
 /// A routing or placement decision, for the log and for `explain`.
--- a/crates/decision/src/home/event.rs
+++ b/crates/decision/src/home/event.rs
@@ -22,6 +22,8 @@
     pub fingerprint: Fingerprint,
     /// JSON text that goes to the backend servers.
     pub body: Arc<str>,
+    /// Idempotency key of a non-idempotent request; `None` for a search.
+    pub execute_key: Option<Arc<str>>,
 }
 
 /// Something that a home has to react to.
