--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,5 @@
+//! Calls to and from other daemons.
+
+mod pool;
+
+pub(crate) use pool::Pool;
--- /dev/null
+++ b/crates/daemon/src/peer/pool.rs
@@ -0,0 +1,59 @@
+//! Open clients to peers.
+//!
+//! One stream to a peer carries all calls to it. A stream that fails is thrown away and opened anew
+//! at the next call; whoever called decides whether the call may be made again.
+
+use monsoonring_wire::channel;
+use monsoonring_wire::key::Ring;
+use monsoonring_wire::peer::{self, PeerClient};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::OnceCell;
+
+/// A client, or the place where the first caller is opening one.
+type Slot = Arc<OnceCell<PeerClient>>;
+
+/// Clients by peer.
+#[derive(Clone, Debug)]
+pub(crate) struct Pool {
+    ring: Ring,
+    slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
+}
+
+impl Pool {
+    pub(crate) fn new(ring: Ring) -> Self {
+        Self { ring, slots: Arc::default() }
+    }
+
+    /// Returns the client for a peer, opening it where there is none.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer can't be reached or does not hold a key.
+    pub(crate) async fn client(&self, peer: SocketAddr) -> channel::Result<PeerClient> {
+        let slot = self.slot(peer);
+        // Callers that come at the same time wait for the one who opens, so that a restart of a peer
+        // does not meet as many connections as there are queries.
+        let client = slot.get_or_try_init(|| peer::connect(peer, &self.ring)).await?;
+        Ok(client.clone())
+    }
+
+    /// Throws a failed client away.
+    pub(crate) fn forget(&self, peer: SocketAddr) {
+        self.lock().remove(&peer);
+    }
+
+    /// Keeps only the clients of the given peers.
+    pub(crate) fn retain(&self, keep: impl Fn(&SocketAddr) -> bool) {
+        self.lock().retain(|peer, _| keep(peer));
+    }
+
+    fn slot(&self, peer: SocketAddr) -> Slot {
+        self.lock().entry(peer).or_default().clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Slot>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/platform/mod.rs
@@ -0,0 +1,9 @@
+//! What the platform gives: the configuration service and the host list. Both can only be read.
+
+mod client;
+mod configuration;
+mod hosts;
+
+pub(crate) use client::Error;
+pub(crate) use configuration::{Service, Value};
+pub(crate) use hosts::{Host, List, State};
