Check a whole document and list every fault at once

Cause: the daemon, the command and the forms need one validator, and an operator who is told of one fault at a time loses a round trip for each. Weighed: deserialize first and check the typed document (stops at the first fault of structure, and hides all others behind it); checks on the JSON value that pass over what can't be read (taken). Two example documents at the sizes of today. Shown: 36 single faults in tests/faults.rs and the examples in tests/examples.rs. Left: golden list, properties, sections, difference, reference.

--- /dev/null
+++ b/crates/configuration/src/check/node.rs
@@ -0,0 +1,57 @@
+//! A part of a JSON document, together with the way to it.
+//!
+//! The rules read documents that may have faults of structure. A node that isn't there or has
+//! another type reads as `None`: the schema has already reported it, and a rule that needs it has
+//! nothing to say.
+
+use super::{Fault, Path};
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Node<'a> {
+    pub(crate) path: Path,
+    pub(crate) value: &'a Value,
+}
+
+impl<'a> Node<'a> {
+    pub(crate) fn root(value: &'a Value) -> Self {
+        Self {
+            path: Path::default(),
+            value,
+        }
+    }
+
+    pub(crate) fn field(&self, name: &str) -> Option<Self> {
+        let value = self.value.get(name)?;
+        let path = self.path.field(name);
+        Some(Self { path, value })
+    }
+
+    /// The items of the array in the field `name`; none if there is no such array.
+    pub(crate) fn items(&self, name: &str) -> Vec<Self> {
+        let array = self.value.get(name).and_then(Value::as_array);
+        let path = self.path.field(name);
+        array
+            .into_iter()
+            .flatten()
+            .enumerate()
+            .map(|(index, value)| Self {
+                path: path.index(index),
+                value,
+            })
+            .collect()
+    }
+
+    pub(crate) fn read<T: Deserialize<'a>>(&self) -> Option<T> {
+        T::deserialize(self.value).ok()
+    }
+
+    pub(crate) fn read_field<T: Deserialize<'a>>(&self, name: &str) -> Option<T> {
+        self.field(name)?.read()
+    }
+
+    pub(crate) fn fault(&self, wrong: impl Into<String>, right: impl Into<String>) -> Fault {
+        Fault::new(self.path.clone(), wrong, right)
+    }
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,9 +5,13 @@
 //! routes, backend servers) and the few ids and shapes that every other crate shares. It does no
 //! input or output, so that the same checks run wherever a document turns up.
 
+pub mod check;
 pub mod document;
+pub mod example;
 pub mod id;
+pub mod limit;
 pub mod range;
+pub mod schema;
 
 pub use document::Document;
 pub use range::Range;
--- a/crates/configuration/src/range.rs
+++ b/crates/configuration/src/range.rs
@@ -24,8 +24,10 @@
 #[serde(deny_unknown_fields)]
 pub struct Range {
     /// First key of the range.
+    #[schemars(range(max = u64::MAX))]
     pub start: Key,
     /// First key after the range.
+    #[schemars(range(max = u64::MAX))]
     pub end: Key,
 }
 
--- /dev/null
+++ b/crates/configuration/tests/faults.rs
@@ -0,0 +1,101 @@
+//! Each fault alone: a valid document with one edit, and the faults that must come of it.
+
+use monsoonring_configuration::check;
+use serde_json::{Value, json};
+use test_case::test_case;
+
+/// Three callers, one without a route, a search over two groups, an execute route.
+fn valid() -> Value {
+    json!({
+        "callers": [
+            {"name": "desk", "class": "urgent"},
+            {"name": "office", "class": "normal", "token_sha256": "ab".repeat(32)},
+            {"name": "unused", "class": "background"},
+        ],
+        "routes": [
+            {
+                "name": "map", "kind": "search", "callers": ["desk", "office"],
+                "deadline_ms": 500, "soft_deadline": {"after_ms": 200, "coverage": 0.9},
+                "hedge": {"budget_percent": 5.0, "quantile": 0.95},
+                "retry": {"budget_percent": 10.0, "attempts": 2}, "max_body_bytes": 1024,
+                "capacity": {"slots": 3, "connections": 30, "connect_ms": 6},
+                "keys": {"start": 0, "end": 100},
+                "groups": [
+                    {"name": "a", "keys": {"start": 0, "end": 50}, "weight": 1.0,
+                     "backend_servers": ["10.0.0.1:1", "10.0.0.2:1"]},
+                    {"name": "b", "keys": {"start": 50, "end": 100}, "weight": 2.0,
+                     "backend_servers": ["10.0.0.3:1"]},
+                ],
+            },
+            {
+                "name": "ticket", "kind": "execute", "callers": ["desk"], "deadline_ms": 500,
+                "capacity": {"slots": 1, "connections": 1},
+                "keys": {"start": 0, "end": 10},
+                "groups": [
+                    {"name": "a", "keys": {"start": 0, "end": 10}, "backend_servers": ["10.0.1.1:1"]},
+                ],
+            },
+        ],
+    })
+}
+
+fn faults(value: &Value) -> Vec<(String, String)> {
+    let bytes = serde_json::to_vec(value).expect("a value is JSON");
+    let error = check::parse(&bytes).expect_err("the edit is a fault");
+    error
+        .faults
+        .iter()
+        .map(|fault| (fault.path.to_string(), fault.wrong.clone()))
+        .collect()
+}
+
+#[test]
+fn parse_valid_is_accepted() {
+    let bytes = serde_json::to_vec(&valid()).expect("a value is JSON");
+    check::parse(&bytes).expect("it is valid");
+}
+
+#[test_case("/callers/2/name", json!("a/b"), "callers[2].name", "wrong form"; "name_with_slash")]
+#[test_case("/callers/2/name", json!(".."), "callers[2].name", "wrong form"; "name_is_parent_directory")]
+#[test_case("/callers/0/class", json!("vip"), "callers[0].class", "known values"; "unknown_class")]
+#[test_case("/callers/2/name", json!("desk"), "callers[2].name", "already"; "caller_twice")]
+#[test_case("/callers/1/token_sha256", json!("abc"), "callers[1].token_sha256", "wrong form"; "short_token_digest")]
+#[test_case("/routes/1/name", json!("map"), "routes[1].name", "already"; "route_twice")]
+#[test_case("/routes/0/callers/1", json!("ghost"), "routes[0].callers[1]", "no caller `ghost`"; "unknown_caller")]
+#[test_case("/routes/0/callers/1", json!("desk"), "routes[0].callers[1]", "already"; "caller_listed_twice")]
+#[test_case("/routes/1/deadline_ms", json!(0), "routes[1].deadline_ms", "too low"; "deadline_zero")]
+#[test_case("/routes/0/deadline_ms", json!(600_001), "routes[0].deadline_ms", "too high"; "deadline_unbounded")]
+#[test_case("/routes/0/deadline_ms", json!(1.5), "routes[0].deadline_ms", "wrong type"; "deadline_fraction")]
+#[test_case("/routes/0/soft_deadline/after_ms", json!(500), "routes[0].soft_deadline.after_ms", "isn't before the deadline"; "soft_deadline_at_deadline")]
+#[test_case("/routes/0/soft_deadline/coverage", json!(1.01), "routes[0].soft_deadline.coverage", "too high"; "coverage_above_one")]
+#[test_case("/routes/0/soft_deadline", json!(null), "routes[0].soft_deadline", "wrong type"; "soft_deadline_null")]
+#[test_case("/routes/0/hedge/budget_percent", json!(101), "routes[0].hedge.budget_percent", "too high"; "hedge_budget_above_hundred")]
+#[test_case("/routes/0/hedge/quantile", json!(-0.1), "routes[0].hedge.quantile", "too low"; "quantile_negative")]
+#[test_case("/routes/0/retry/attempts", json!(0), "routes[0].retry.attempts", "too low"; "attempts_zero")]
+#[test_case("/routes/0/capacity/slots", json!(0), "routes[0].capacity.slots", "too low"; "slots_zero")]
+#[test_case("/routes/0/capacity/connections", json!(-1), "routes[0].capacity.connections", "too low"; "connections_negative")]
+#[test_case("/routes/0/capacity/connect_ms", json!(500), "routes[0].capacity.connect_ms", "isn't before the deadline"; "connect_takes_the_deadline")]
+#[test_case("/routes/0/max_body_bytes", json!(0), "routes[0].max_body_bytes", "too low"; "body_zero")]
+#[test_case("/routes/0/groups", json!([]), "routes[0].groups", "too few"; "no_group")]
+#[test_case("/routes/0/groups/1/name", json!("a"), "routes[0].groups[1].name", "already"; "group_twice")]
+#[test_case("/routes/0/groups/1/weight", json!(0), "routes[0].groups[1].weight", "too low"; "weight_zero")]
+#[test_case("/routes/0/groups/1/weight", json!(1e13), "routes[0].groups[1].weight", "too high"; "weight_huge")]
+#[test_case("/routes/0/groups/1/keys/start", json!(51), "routes[0].keys", "no group holds the keys 50..51"; "hole_between")]
+#[test_case("/routes/0/groups/0/keys/start", json!(1), "routes[0].keys", "no group holds the keys 0..1"; "hole_at_the_start")]
+#[test_case("/routes/0/groups/1/keys/end", json!(99), "routes[0].keys", "no group holds the keys 99..100"; "hole_at_the_end")]
+#[test_case("/routes/0/groups/1/keys/start", json!(49), "routes[0].groups[1].keys", "overlaps 0..50 (routes[0].groups[0].keys) in 49..50"; "overlap")]
+#[test_case("/routes/0/groups/1/keys/end", json!(101), "routes[0].groups[1].keys", "reaches out"; "out_of_the_route")]
+#[test_case("/routes/1/keys/end", json!(0), "routes[1].keys.end", "holds no key"; "empty_key_space")]
+#[test_case("/routes/0/groups/1/backend_servers", json!([]), "routes[0].groups[1].backend_servers", "too few"; "no_backend_server")]
+#[test_case("/routes/0/groups/1/backend_servers/0", json!("10.0.0.1:1"), "routes[0].groups[1].backend_servers[0]", "already stands at routes[0].groups[0].backend_servers[0]"; "backend_server_twice")]
+#[test_case("/routes/0/groups/1/backend_servers/0", json!("db.local:1"), "routes[0].groups[1].backend_servers[0]", "isn't an IP"; "backend_server_by_name")]
+#[test_case("/routes/0/groups/1/backend_servers/0", json!("10.0.0.3:0"), "routes[0].groups[1].backend_servers[0]", "nothing can be connected"; "port_zero")]
+#[test_case("/routes/1/kind", json!("write"), "routes[1].kind", "known values"; "unknown_kind")]
+fn parse_fault_is_the_only_one(pointer: &str, value: Value, path: &str, wrong: &str) {
+    let mut edited = valid();
+    *edited.pointer_mut(pointer).expect("the place exists") = value;
+    let found = faults(&edited);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].0, path);
+    assert!(found[0].1.contains(wrong), "{found:?}");
+}
