--- /dev/null
+++ b/crates/daemon/src/settings/check.rs
@@ -0,0 +1,108 @@
+//! Checks that concern more than the form of one setting.
+
+use super::error::{Problem, Result, WrongSnafu};
+use super::{Limits, Settings};
+use snafu::ensure;
+use std::net::SocketAddr;
+
+/// The library that reads request heads takes no smaller buffer.
+const MIN_HEADER_BYTES: usize = 8 * 1_024;
+
+/// Names of data centres travel in every exchange between daemons.
+const MAX_DATA_CENTRE_BYTES: usize = 64;
+
+/// Finds everything that is wrong, so that an operator needs one round and not one for each.
+pub(super) fn check(settings: &Settings) -> Result<()> {
+    let mut problems = Vec::new();
+    addresses(settings, &mut problems);
+    platform(settings, &mut problems);
+    identity(settings, &mut problems);
+    stop(settings, &mut problems);
+    limits(&settings.limits, &mut problems);
+    ensure!(problems.is_empty(), WrongSnafu { problems });
+    Ok(())
+}
+
+fn addresses(settings: &Settings, problems: &mut Vec<Problem>) {
+    let listeners = [
+        ("--listen", settings.listen),
+        ("--operator-listen", settings.operator_listen),
+        ("--peer-listen", settings.peer_listen),
+    ];
+    for (index, (flag, address)) in listeners.iter().enumerate() {
+        let earlier = listeners
+            .iter()
+            .take(index)
+            .find(|(_, other)| address.port() != 0 && other == address);
+        if let Some((other, _)) = earlier {
+            problems.push(Problem::new(flag, format!("is the same as {other}")));
+        }
+    }
+    if settings.advertise.is_none() && settings.peer_listen.ip().is_unspecified() {
+        let detail = "is required where --peer-listen is not one address";
+        problems.push(Problem::new("--advertise", detail));
+    }
+    if let Some(address) = settings.advertise {
+        reachable("--advertise", address, problems);
+    }
+}
+
+fn platform(settings: &Settings, problems: &mut Vec<Problem>) {
+    reachable(
+        "--configuration-service",
+        settings.configuration_service,
+        problems,
+    );
+    reachable("--host-list", settings.host_list, problems);
+    for peer in &settings.peers {
+        reachable("--peers", *peer, problems);
+    }
+}
+
+fn reachable(flag: &str, address: SocketAddr, problems: &mut Vec<Problem>) {
+    if address.ip().is_unspecified() || address.port() == 0 {
+        problems.push(Problem::new(
+            flag,
+            format!("`{address}` cannot be connected to"),
+        ));
+    }
+}
+
+fn identity(settings: &Settings, problems: &mut Vec<Problem>) {
+    let name = &settings.data_centre;
+    if name.is_empty() || name.len() > MAX_DATA_CENTRE_BYTES {
+        let detail = format!("must have 1 to {MAX_DATA_CENTRE_BYTES} bytes");
+        problems.push(Problem::new("--data-centre", detail));
+    }
+    if settings.previous_key.as_ref() == Some(&settings.key) {
+        problems.push(Problem::new("--previous-key", "is the same as --key"));
+    }
+}
+
+fn stop(settings: &Settings, problems: &mut Vec<Problem>) {
+    if settings.stop_bound_ms <= settings.drain_wait_ms {
+        let detail = "must be above --drain-wait-ms";
+        problems.push(Problem::new("--stop-bound-ms", detail));
+    }
+}
+
+fn limits(limits: &Limits, problems: &mut Vec<Problem>) {
+    let positive = [
+        ("--header-timeout-ms", limits.header_timeout_ms),
+        ("--body-timeout-ms", limits.body_timeout_ms),
+        ("--idle-timeout-ms", limits.idle_timeout_ms),
+        ("--write-timeout-ms", limits.write_timeout_ms),
+    ];
+    for (flag, value) in positive {
+        if value == 0 {
+            problems.push(Problem::new(flag, "must be above 0"));
+        }
+    }
+    if limits.max_connections == 0 {
+        problems.push(Problem::new("--max-connections", "must be above 0"));
+    }
+    if limits.max_header_bytes < MIN_HEADER_BYTES {
+        let detail = format!("must be at least {MIN_HEADER_BYTES}");
+        problems.push(Problem::new("--max-header-bytes", detail));
+    }
+}
