--- /dev/null
+++ b/crates/decision/src/backend/mod.rs
@@ -0,0 +1,20 @@
+//! What a home knows of its backend servers and decides about them.
+//!
+//! Three machines share the work, because they change for different reasons. [`Fleet`] knows how
+//! loaded and how fast each server is and chooses between replicas. [`pool::Pool`] keeps the
+//! connections inside the home's share of each server's limit. [`suspect::Table`] finds requests
+//! that crash the servers that run them. The home wires them together: it tells the fleet when the
+//! pool finds a server unreachable, and asks the table before it sends.
+
+mod choice;
+mod fleet;
+pub mod pool;
+mod room;
+pub mod share;
+pub mod suspect;
+mod verdict;
+
+pub use choice::Choice;
+pub use fleet::{Fleet, Snapshot};
+pub use room::Room;
+pub use verdict::{News, Verdict};
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,7 +5,10 @@
 //! generator. The daemon is a driver around this crate; golden sessions, property tests and a bench
 //! drive exactly the code that runs in production.
 
+pub mod admission;
 pub mod attempt;
+pub mod backend;
+pub mod budget;
 pub mod home;
 pub mod outcome;
 pub mod reply;
