Add the ledger of at-most-once requests and the graceful stop

Cause: a non-idempotent request must run at most once though hosts vanish, nothing is stored and the balancer lands a re-send anywhere.

Ruled out: letting a key be used again after "not run". A delayed copy of an earlier send would run after its caller was told "not run" and had begun anew. The outcome of a key is final; the refusal offers a fresh key instead. Also ruled out: refusing a send for want of room, for the same reason; every issued key has a place kept for its record.

Change: idempotency (key, seal, record, permit, ledger, handover, lookup) and stop, as state machines without input or output.

--- /dev/null
+++ b/crates/decision/src/idempotency/seal.rs
@@ -0,0 +1,71 @@
+//! The secret of an incarnation, and the MAC that it puts into the keys it issues.
+//!
+//! A key without a record is run, so a made-up key must be told from one that was issued. The
+//! MAC also covers caller and route: a key is of no use to another caller, who could otherwise
+//! read the outcome, and cannot be carried to another route.
+
+use super::key::{Fence, Fenced, MAC_BYTES, Serial};
+use crate::Time;
+use hmac::digest::KeyInit;
+use hmac::{Hmac, Mac};
+use monsoonring_configuration::id::{CallerId, RouteId};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use std::fmt;
+
+/// Random bytes that only the holders of a fence know.
+#[derive(Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Secret([u8; 32]);
+
+impl From<[u8; 32]> for Secret {
+    fn from(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+}
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Secret(..)")
+    }
+}
+
+/// Whom and what a key was issued for.
+#[derive(Clone, Copy)]
+pub(crate) struct Scope<'a> {
+    pub(crate) caller: &'a CallerId,
+    pub(crate) route: &'a RouteId,
+}
+
+impl Secret {
+    pub(crate) fn issue(&self, fence: Fence, serial: Serial, expiry: Time, to: Scope) -> Fenced {
+        let mut key = Fenced {
+            fence,
+            serial,
+            expiry,
+            mac: [0; MAC_BYTES],
+        };
+        if let Some(mac) = self.mac(&key, to) {
+            let bytes = mac.finalize().into_bytes();
+            key.mac.copy_from_slice(&bytes[..MAC_BYTES]);
+        }
+        key
+    }
+
+    /// Tells, in constant time, whether the key was issued with this secret and for this scope.
+    pub(crate) fn issued(&self, key: &Fenced, to: Scope) -> bool {
+        self.mac(key, to)
+            .is_some_and(|mac| mac.verify_truncated_left(&key.mac).is_ok())
+    }
+
+    fn mac(&self, key: &Fenced, to: Scope) -> Option<Hmac<Sha256>> {
+        let mut mac = <Hmac<Sha256> as KeyInit>::new_from_slice(&self.0).ok()?;
+        mac.update(&key.serial.to_be_bytes());
+        mac.update(&key.expiry.as_millis().to_be_bytes());
+        mac.update(&key.fence.start.to_be_bytes());
+        for text in [&*key.fence.member.to_string(), to.caller, to.route] {
+            mac.update(&text.len().to_be_bytes());
+            mac.update(text.as_bytes());
+        }
+        Some(mac)
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod attempt;
 pub mod home;
+pub mod idempotency;
 pub mod outcome;
 pub mod reply;
+pub mod stop;
 
 /// Monotonic time since the start of the process that decides.
 pub type Time = std::time::Duration;
