--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -10,8 +10,10 @@
 pub mod backend;
 pub mod budget;
 pub mod home;
+pub mod idempotency;
 pub mod outcome;
 pub mod reply;
+pub mod stop;
 
 /// Monotonic time since the start of the process that decides.
 pub type Time = std::time::Duration;
