--- /dev/null
+++ b/crates/daemon/src/control/handle.rs
@@ -0,0 +1,97 @@
+//! The other end of the control task's queue.
+
+use super::view::View;
+use monsoonring_configuration::id::{BackendServerId, Incarnation};
+use monsoonring_decision::configuration::{Event as ConfigurationEvent, Version};
+use monsoonring_decision::fact;
+use monsoonring_decision::member::{Event as MemberEvent, MemberId, Message, Page, Span};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Something for the control task.
+pub(crate) enum Input {
+    /// A peer probes; the answer goes back to it.
+    Probed(Message, oneshot::Sender<Message>),
+    /// A message to a member is wanted, for a probe on behalf of another.
+    Message(MemberId, oneshot::Sender<Message>),
+    /// A peer wants a page of the table.
+    Page(Span, oneshot::Sender<Page>),
+    /// A peer wants the document of a version.
+    Document(Version, oneshot::Sender<Option<Vec<u8>>>),
+    /// Something happened to members.
+    Member(MemberEvent),
+    /// Something happened to the configuration; a document comes along if one was read.
+    Configuration(ConfigurationEvent, Option<Vec<u8>>),
+    /// The host list says that these backend servers are leaving.
+    Listed(Vec<BackendServerId>),
+    /// This daemon found something out: key, version and life.
+    Fact(fact::Key, u64, Duration),
+}
+
+/// Gives the control task its work, and shows its view.
+#[derive(Clone, Debug)]
+pub(crate) struct Handle {
+    inputs: mpsc::UnboundedSender<Input>,
+    view: watch::Receiver<View>,
+}
+
+impl Handle {
+    pub(crate) fn new(
+        inputs: mpsc::UnboundedSender<Input>,
+        view: watch::Receiver<View>,
+    ) -> Self {
+        Self { inputs, view }
+    }
+
+    /// Returns what is known now.
+    pub(crate) fn view(&self) -> View {
+        self.view.borrow().clone()
+    }
+
+    /// Returns the channel on which each change of the view shows.
+    pub(crate) fn changes(&self) -> watch::Receiver<View> {
+        self.view.clone()
+    }
+
+    /// Tells the control task something. A task that has ended does not need it any more.
+    pub(crate) fn tell(&self, input: Input) {
+        let _ = self.inputs.send(input);
+    }
+
+    /// Answers a probe.
+    pub(crate) async fn probed(&self, message: Message) -> Option<Message> {
+        self.ask(|sender| Input::Probed(message, sender)).await
+    }
+
+    /// Returns a message to a member.
+    pub(crate) async fn message(&self, to: MemberId) -> Option<Message> {
+        self.ask(|sender| Input::Message(to, sender)).await
+    }
+
+    /// Returns a page of the member table.
+    pub(crate) async fn page(&self, span: Span) -> Option<Page> {
+        self.ask(|sender| Input::Page(span, sender)).await
+    }
+
+    /// Returns the document of a version, if that is the one in force.
+    pub(crate) async fn document(&self, version: Version) -> Option<Vec<u8>> {
+        self.ask(|sender| Input::Document(version, sender)).await?
+    }
+
+    /// Tells the members that this daemon stops.
+    pub(crate) fn leave(&self, successor: Option<MemberId>) {
+        self.tell(Input::Member(MemberEvent::Leave { successor }));
+    }
+
+    /// Tells the members that a backend server is leaving.
+    pub(crate) fn leaving(&self, server: BackendServerId, start: Option<Incarnation>, life: Duration) {
+        let key = fact::Key::Leaving(server);
+        self.tell(Input::Fact(key, start.unwrap_or_default(), life));
+    }
+
+    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.inputs.send(input(sender)).ok()?;
+        receiver.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,17 @@
+//! What the daemons know of each other, of the configuration and of facts.
+//!
+//! One task owns the member table, the configuration's holder and the fact table. They belong
+//! together because they share the messages: each probe carries changes of members, the version of
+//! the configuration and facts. What the rest of the daemon needs is published as a [`View`], which
+//! is replaced as a whole, so that nobody ever sees members of one moment with the configuration of
+//! another.
+
+mod controller;
+mod document;
+mod handle;
+mod probe;
+mod view;
+
+pub(crate) use controller::{Settings, spawn};
+pub(crate) use handle::Handle;
+pub(crate) use view::View;
--- a/crates/daemon/src/platform/configuration.rs
+++ b/crates/daemon/src/platform/configuration.rs
@@ -16,9 +16,6 @@
 /// Time that a read may take; the service answers in milliseconds when it is well.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Time that the service holds a watch back when nothing changes.
-const WATCH: Duration = Duration::from_secs(10);
-
 /// A value as the service gave it.
 #[derive(Clone, Debug)]
 pub(crate) struct Value {
@@ -45,10 +42,10 @@
         value.ok_or_else(|| self.client.unreadable(VALUE, "no value"))
     }
 
-    /// Waits for a revision above `after`; `None` where none came.
-    pub(crate) async fn watch(&self, after: Revision) -> Result<Option<Value>> {
-        let path = format!("{VALUE}?after={after}&wait_ms={}", WATCH.as_millis());
-        self.call(&path, WATCH + READ_TIMEOUT).await
+    /// Waits as long as `wait` for a revision above `after`; `None` where none came.
+    pub(crate) async fn watch(&self, after: Revision, wait: Duration) -> Result<Option<Value>> {
+        let path = format!("{VALUE}?after={after}&wait_ms={}", wait.as_millis());
+        self.call(&path, wait + READ_TIMEOUT).await
     }
 
     async fn call(&self, path: &str, limit: Duration) -> Result<Option<Value>> {
--- a/crates/daemon/src/platform/mod.rs
+++ b/crates/daemon/src/platform/mod.rs
@@ -4,6 +4,6 @@
 mod configuration;
 mod hosts;
 
-pub(crate) use client::Error;
+pub(crate) use client::Result;
 pub(crate) use configuration::{Service, Value};
-pub(crate) use hosts::{Host, List, State};
+pub(crate) use hosts::{List, State};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,7 +1,9 @@
-//! Requests on their way to a home.
+//! What daemons pass on to each other.
 
 use monsoonring_configuration::document::Class;
 use monsoonring_configuration::id::{CallerId, Revision, RouteId};
+use monsoonring_decision::idempotency::{Key, Refusal};
+use monsoonring_decision::outcome::Outcome;
 use monsoonring_decision::{Fingerprint, RequestId};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -24,3 +26,34 @@
     /// JSON text that goes to the backend servers.
     pub body: Arc<str>,
 }
+
+/// A send of a non-idempotent request on its way to the incarnation that may run it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Send {
+    /// The request.
+    pub request: Request,
+    /// The key that it came with.
+    pub key: Key,
+    /// The caller's count of its sends, where it gave one.
+    pub send: Option<u32>,
+}
+
+/// Why a daemon did not do what it was asked to; none of it ran there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Declined {
+    /// It is no home of the route.
+    NotHome,
+    /// Its ledger refuses.
+    Ledger(Refusal),
+}
+
+/// What a send came to at another daemon.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Sent {
+    /// It has this outcome.
+    Ended(Outcome),
+    /// The key was used for another request before; this one did not run.
+    Conflict,
+    /// The ledger there refuses it.
+    Refused(Refusal),
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -2,7 +2,11 @@
 
 use crate::channel::{self, Stream};
 use crate::key::Ring;
-use crate::message::Request;
+use crate::message::{Declined, Request, Send, Sent};
+use monsoonring_decision::configuration::Version;
+use monsoonring_decision::idempotency::lookup::{Answer, Question};
+use monsoonring_decision::idempotency::{Handover, Key, Receipt};
+use monsoonring_decision::member::{MemberId, Message, Page, Span};
 use monsoonring_decision::outcome::Outcome;
 use std::net::SocketAddr;
 use tarpc::serde_transport::Transport;
@@ -15,8 +19,35 @@
 /// What a daemon does for another.
 #[tarpc::service]
 pub trait Peer {
-    /// Runs a search at this home; `None` where this daemon does not serve the route.
-    async fn search(request: Request) -> Option<Outcome>;
+    /// Answers a probe, which carries what the sender passes on; `None` from a daemon that starts.
+    async fn probe(message: Message) -> Option<Message>;
+
+    /// Probes a third member for the sender; `None` where it did not answer.
+    async fn probe_for(target: MemberId) -> Option<Message>;
+
+    /// Returns a page of the member table.
+    async fn page(span: Span) -> Option<Page>;
+
+    /// Returns the document of a version, `None` where another one is in force.
+    async fn document(version: Version) -> Option<Vec<u8>>;
+
+    /// Runs a search at this home.
+    async fn search(request: Request) -> Result<Outcome, Declined>;
+
+    /// Issues a key at this home.
+    async fn mint(request: Request) -> Result<Key, Declined>;
+
+    /// Takes a send to the incarnation that its key names.
+    async fn send(send: Send) -> Sent;
+
+    /// Runs a non-idempotent request at this home, for the incarnation that holds its key's permit.
+    async fn run(request: Request, key: String) -> Result<Outcome, Declined>;
+
+    /// Tells what this daemon's ledger knows.
+    async fn ask(question: Question) -> Answer;
+
+    /// Takes the ledger of a daemon that stops.
+    async fn take_over(handover: Handover) -> Option<Receipt>;
 }
 
 /// The transport that calls go over.
@@ -40,8 +71,6 @@
     Item: for<'de> serde::Deserialize<'de>,
     SinkItem: serde::Serialize,
 {
-    let codec = LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME)
-        .new_framed(stream);
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_framed(stream);
     tarpc::serde_transport::new(codec, Bincode::default())
 }
