Add members, placement, facts and the configuration holder

Cause: the daemon's controllers need these decisions and their types. Change: first whole version of member::Table, placement, fact::Table and configuration::Holder. Conclusion: it builds; no test has been written or run yet.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -6,8 +6,13 @@
 //! drive exactly the code that runs in production.
 
 pub mod attempt;
+mod broadcast;
+pub mod configuration;
+pub mod fact;
 pub mod home;
+pub mod member;
 pub mod outcome;
+pub mod placement;
 pub mod reply;
 
 /// Monotonic time since the start of the process that decides.
--- /dev/null
+++ b/crates/decision/src/member/settings.rs
@@ -0,0 +1,66 @@
+//! The times and bounds of the membership protocol.
+
+use std::time::Duration;
+
+/// Times and bounds; [`Settings::default`] is what production uses.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Time between two probes of the round.
+    pub period: Duration,
+    /// Time that a probe, direct or through helpers, may take.
+    pub probe_timeout: Duration,
+    /// Number of members asked to probe in our place.
+    pub helpers: usize,
+    /// Time that a suspect has to refute, multiplied by the decimal logarithm of the members.
+    pub suspicion: Duration,
+    /// Time for which a dead or left member stays on record, so that late news can't revive it.
+    pub tombstone_life: Duration,
+    /// Time without flapping after which a member's earlier flaps are forgotten.
+    pub flap_life: Duration,
+    /// Gap between two ticks above which the process counts as having been paused.
+    pub pause: Duration,
+    /// Time without any peer's answer after which a starting or resumed member goes on alone.
+    pub patience: Duration,
+    /// Time without any answer after which failed probes are blamed on ourselves.
+    pub doubt: Duration,
+    /// Time between two probes of dead or unknown hosts that are still listed.
+    pub revival_period: Duration,
+    /// Shortest time between two bursts of extra probes.
+    pub hurry_period: Duration,
+    /// Number of members probed in a burst.
+    pub hurry_fanout: usize,
+    /// Bound of the changes in one message, in bytes.
+    pub message_bytes: usize,
+    /// Bound of one page of the whole table, in bytes.
+    pub page_bytes: usize,
+    /// A change is sent this many times the binary logarithm of the members.
+    pub retransmit_factor: u32,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(300),
+            helpers: 3,
+            suspicion: Duration::from_secs(3),
+            tombstone_life: Duration::from_secs(24 * 60 * 60),
+            flap_life: Duration::from_secs(10 * 60),
+            pause: Duration::from_secs(3),
+            patience: Duration::from_secs(10),
+            doubt: Duration::from_secs(3),
+            revival_period: Duration::from_secs(10),
+            hurry_period: Duration::from_millis(200),
+            hurry_fanout: 3,
+            message_bytes: 1_000,
+            page_bytes: 8 * 1_024,
+            retransmit_factor: 3,
+        }
+    }
+}
+
+/// Number of times that something is passed on among `members`, at least once.
+pub(crate) fn retransmits(factor: u32, members: usize) -> u32 {
+    let doublings = usize::BITS - members.max(1).leading_zeros();
+    (factor * doublings).max(1)
+}
--- /dev/null
+++ b/crates/decision/src/placement.rs
@@ -0,0 +1,153 @@
+//! Which members are the homes of a route, and what each may take of the backend servers.
+//!
+//! Every daemon computes this from its own view of the members, without a word to the others, so
+//! views may differ for a while. Rendezvous hashing keeps the difference small: a member that comes
+//! or goes moves few homes. The connection limit holds by construction: the homes of one view
+//! together take at most half of the limit ([`share`]), so that two views that have nothing in
+//! common, the two sides of a partition, still fit. Half is enough, because a backend server takes
+//! about ten connections for each request that it can work on.
+
+use crate::RequestId;
+use crate::member::MemberId;
+use monsoonring_configuration::document::Capacity;
+use monsoonring_configuration::id::DataCentreId;
+use std::collections::BTreeMap;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Views of the members that may be acted on at the same time without exceeding the limit.
+pub const VIEWS: u32 = 2;
+
+/// Groups that one home is meant to drive before a route gets more homes.
+pub const GROUPS_PER_HOME: usize = 16;
+
+/// Most homes of a route, whatever its backend servers would take.
+pub const MAX_HOMES: usize = 32;
+
+/// Outstanding queries by which a home in another data centre counts as busier than it is.
+pub const DISTANCE: u32 = 4;
+
+/// A serving member, as far as placement is concerned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Peer address.
+    pub id: MemberId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+}
+
+/// What a daemon knows of a home that it could pass a query on to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Standing {
+    /// The home.
+    pub id: MemberId,
+    /// Whether it is in the daemon's own data centre.
+    pub near: bool,
+    /// Whether it is suspected of being dead.
+    pub suspect: bool,
+    /// Queries passed on to it and not yet answered.
+    pub outstanding: u32,
+}
+
+/// Returns the number of homes of a route.
+///
+/// With room to spare each home can keep all slots of a backend server busy on its own, so that
+/// the slots are shared well whichever home the work lands on:
+/// `roomy = limit / VIEWS / slots`. A route with many groups gets more homes, down to one
+/// connection each: `wanted = groups / GROUPS_PER_HOME`, at most `limit / VIEWS`. Never more than
+/// [`MAX_HOMES`] or the members; all members when they are few.
+pub fn homes(capacity: &Capacity, groups: usize, members: usize) -> usize {
+    let usable = (capacity.connections / VIEWS).max(1) as usize;
+    let roomy = (usable / capacity.slots.max(1) as usize).max(1);
+    let wanted = groups.div_ceil(GROUPS_PER_HOME).min(usable);
+    roomy.max(wanted).min(MAX_HOMES).min(members)
+}
+
+/// Returns the connections that each of `homes` may hold to one backend server.
+///
+/// Bound: homes of one view hold at most `limit / VIEWS` together; hence the sum over any two
+/// views, whatever they differ by, is at most `limit`. With more views at once, any set of
+/// `2 * homes` distinct daemons fits, so views that moved at most `homes` homes in all do. Only a
+/// limit of 1 can't be halved: then the one home has one connection.
+pub fn share(limit: u32, homes: usize) -> u32 {
+    let homes = u32::try_from(homes).unwrap_or(u32::MAX).max(1);
+    (limit / VIEWS / homes).max(1)
+}
+
+/// Returns the homes of a route, best first: `count` members by rendezvous hashing, at most
+/// `count / data centres`, rounded up, in one data centre while there are enough elsewhere.
+pub fn select(route: &str, members: &[Member], count: usize) -> Vec<MemberId> {
+    let by_data_centre = best_by_data_centre(route, members, count);
+    let cap = count.div_ceil(by_data_centre.len().max(1));
+    let (mut chosen, mut rest) = (Vec::new(), Vec::new());
+    for ranked in by_data_centre.into_values() {
+        let (within, beyond) = ranked.split_at(cap.min(ranked.len()));
+        chosen.extend_from_slice(within);
+        rest.extend_from_slice(beyond);
+    }
+    chosen.sort_unstable_by(|a, b| b.cmp(a));
+    rest.sort_unstable_by(|a, b| b.cmp(a));
+    chosen.extend(rest);
+    chosen.truncate(count);
+    chosen.into_iter().map(|(_, id)| id).collect()
+}
+
+/// Returns the home that a query goes to: the daemon itself if it is one; else one that is not
+/// suspected, with the fewest outstanding queries, the near ones first. Ties are broken by the
+/// request, so that daemons without load don't all choose the same home.
+pub fn choose(own: MemberId, request: RequestId, homes: &[Standing]) -> Option<MemberId> {
+    if homes.iter().any(|home| home.id == own) {
+        return Some(own);
+    }
+    let seed = xxh3_64(&request.to_be_bytes());
+    homes
+        .iter()
+        .min_by_key(|home| {
+            let distance = if home.near { 0 } else { DISTANCE };
+            let busy = home.outstanding.saturating_add(distance);
+            (home.suspect, busy, hash(seed, home.id))
+        })
+        .map(|home| home.id)
+}
+
+/// Rendezvous score of a member for a name; the highest comes first.
+pub(crate) fn score(name: &str, id: MemberId) -> u64 {
+    hash(xxh3_64(name.as_bytes()), id)
+}
+
+fn hash(seed: u64, id: MemberId) -> u64 {
+    let mut bytes = [0; 18];
+    match id.ip() {
+        std::net::IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        std::net::IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..].copy_from_slice(&id.port().to_be_bytes());
+    xxh3_64_with_seed(&bytes, seed)
+}
+
+type Ranked = Vec<(u64, MemberId)>;
+
+/// The best `count` of each data centre, best first. One pass keeps the cost linear in the members.
+fn best_by_data_centre<'a>(
+    route: &str,
+    members: &'a [Member],
+    count: usize,
+) -> BTreeMap<&'a str, Ranked> {
+    let seed = xxh3_64(route.as_bytes());
+    let mut best: BTreeMap<&str, Ranked> = BTreeMap::new();
+    for member in members {
+        let ranked = best.entry(&member.data_centre).or_default();
+        ranked.push((hash(seed, member.id), member.id));
+        if ranked.len() >= 2 * count.max(1) {
+            keep_best(ranked, count);
+        }
+    }
+    for ranked in best.values_mut() {
+        keep_best(ranked, count);
+    }
+    best
+}
+
+fn keep_best(ranked: &mut Ranked, count: usize) {
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.truncate(count);
+}
