Add stand-ins for backend server, configuration service and host list

Cause: tests, demo and benchmarks need the interfaces of docs/protocols.md without the real machines behind them. Weighed: one mock crate of scripted replies was ruled out, since slots, queues, deadlines and cancellation have to interact as they do on a real server. A port is kept by a second bound socket across crash and restart, instead of hoping that nobody takes it meanwhile. Change: library types on hyper's server side, with run-time switches and counters.

--- /dev/null
+++ b/crates/fakes/src/backend_server/delay.rs
@@ -0,0 +1,106 @@
+//! Seeded service times.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::f64::consts::TAU;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// Distribution of service times.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Distribution {
+    /// Always the same.
+    Constant(Duration),
+    /// Exponential.
+    Exponential {
+        /// Mean of the distribution.
+        mean: Duration,
+    },
+    /// Lognormal.
+    Lognormal {
+        /// Median of the distribution.
+        median: Duration,
+        /// Standard deviation of the logarithm.
+        sigma: f64,
+    },
+    /// Two values, of which the slow one is a straggler.
+    Bimodal {
+        /// The usual value.
+        fast: Duration,
+        /// The straggler's value.
+        slow: Duration,
+        /// Share of slow ones, from 0 to 1.
+        slow_share: f64,
+    },
+}
+
+impl Distribution {
+    fn sample(self, random: &mut ChaCha8Rng) -> Duration {
+        match self {
+            Self::Constant(value) => value,
+            Self::Exponential { mean } => mean.mul_f64(-unit(random).ln()),
+            Self::Lognormal { median, sigma } => median.mul_f64((sigma * normal(random)).exp()),
+            Self::Bimodal {
+                fast,
+                slow,
+                slow_share,
+            } => {
+                let is_slow = random.random_bool(slow_share.clamp(0.0, 1.0));
+                if is_slow { slow } else { fast }
+            }
+        }
+    }
+}
+
+/// Uniform over `(0, 1]`, so that its logarithm is finite.
+fn unit(random: &mut ChaCha8Rng) -> f64 {
+    1.0 - random.random::<f64>()
+}
+
+/// Standard normal, by the method of Box and Muller.
+fn normal(random: &mut ChaCha8Rng) -> f64 {
+    let radius = (-2.0 * unit(random).ln()).sqrt();
+    radius * (TAU * unit(random)).cos()
+}
+
+/// Service times of one server, with the factor that slows it down at run time.
+pub(crate) struct Source {
+    state: Mutex<State>,
+}
+
+struct State {
+    random: ChaCha8Rng,
+    distribution: Distribution,
+    factor: f64,
+}
+
+impl Source {
+    pub(crate) fn new(distribution: Distribution, seed: u64) -> Self {
+        Self {
+            state: Mutex::new(State {
+                random: ChaCha8Rng::seed_from_u64(seed),
+                distribution,
+                factor: 1.0,
+            }),
+        }
+    }
+
+    pub(crate) fn set_factor(&self, factor: f64) {
+        self.lock().factor = factor.max(0.0);
+    }
+
+    pub(crate) fn set_distribution(&self, distribution: Distribution) {
+        self.lock().distribution = distribution;
+    }
+
+    pub(crate) fn next(&self) -> Duration {
+        let mut state = self.lock();
+        let distribution = state.distribution;
+        let time = distribution.sample(&mut state.random);
+        time.mul_f64(state.factor)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/configuration_service.rs
@@ -0,0 +1,323 @@
+//! The configuration service: named values with revisions that can be read and watched.
+//!
+//! What operators publish and what readers see are kept apart, so that a stale service goes on
+//! showing old copies while new values are published behind it.
+
+use crate::endpoint::{ConnectionId, Endpoint, Handler, Reservation};
+use crate::header;
+use crate::http::{self, Reply};
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use monsoonring_configuration::Document;
+use monsoonring_configuration::id::Revision;
+use std::collections::BTreeMap;
+use std::future;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::watch;
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Name of the value that holds the document.
+pub const DOCUMENT: &str = "monsoonring";
+
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// How the service behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    #[default]
+    Up,
+    /// Nobody listens; open connections are dropped.
+    Down,
+    /// It takes calls and never answers.
+    Hang,
+    /// It shows the values as they were when this mode was set.
+    Stale,
+}
+
+/// Numbers since the start of the stand-in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Calls received; a waiting one counts as one.
+    pub calls: u64,
+    /// Calls refused because of the limit of calls a second.
+    pub refused: u64,
+    /// Waiting calls that ended without a change.
+    pub unchanged: u64,
+}
+
+/// A configuration service on a port of the loopback interface; gone when dropped.
+pub struct Service {
+    shared: Arc<Shared>,
+    reservation: Reservation,
+    endpoint: tokio::sync::Mutex<Option<Endpoint>>,
+    life: CancellationToken,
+}
+
+/// A value as readers see it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Value {
+    revision: Revision,
+    content: Bytes,
+}
+
+type Values = BTreeMap<String, Value>;
+
+struct Shared {
+    published: Mutex<Values>,
+    view: watch::Sender<View>,
+    counters: Mutex<Counters>,
+    limit: Mutex<Limit>,
+}
+
+/// What readers see.
+#[derive(Clone, Default)]
+struct View {
+    mode: Mode,
+    values: Values,
+}
+
+/// Calls answered in the present second.
+#[derive(Default)]
+struct Limit {
+    calls_per_second: Option<u64>,
+    window: Option<Instant>,
+    calls: u64,
+}
+
+impl Service {
+    /// Starts a service without values on a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime and where the loopback interface has no free port.
+    pub fn start() -> Self {
+        let reservation = Reservation::new().expect("the loopback interface has a free port");
+        let shared = Arc::new(Shared {
+            published: Mutex::default(),
+            view: watch::Sender::new(View::default()),
+            counters: Mutex::default(),
+            limit: Mutex::default(),
+        });
+        let life = CancellationToken::new();
+        let endpoint = Endpoint::open(&reservation, &shared, life.child_token());
+        let endpoint = endpoint.expect("the reserved port can be listened on");
+        Self {
+            shared,
+            reservation,
+            endpoint: tokio::sync::Mutex::new(Some(endpoint)),
+            life,
+        }
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.reservation.address()
+    }
+
+    /// Publishes a value under the next revision, which is returned.
+    pub fn publish(&self, name: &str, content: impl Into<Bytes>) -> Revision {
+        let mut published = self.shared.published();
+        let last = published.get(name).map_or(0, |value| value.revision);
+        let revision = last + 1;
+        published.insert(name.to_owned(), Value::new(revision, content));
+        self.shared.show(&published);
+        revision
+    }
+
+    /// Publishes the document under the next revision, which is returned.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the document holds a number that JSON lacks.
+    pub fn publish_document(&self, document: &Document) -> Revision {
+        let text = serde_json::to_vec(document).expect("a document is plain JSON");
+        self.publish(DOCUMENT, text)
+    }
+
+    /// Puts a value at any revision: an older one as after a restore from a copy, or the present one
+    /// with other content as after a race of two operators.
+    pub fn publish_at(&self, name: &str, revision: Revision, content: impl Into<Bytes>) {
+        let mut published = self.shared.published();
+        published.insert(name.to_owned(), Value::new(revision, content));
+        self.shared.show(&published);
+    }
+
+    /// Changes how the service behaves; returns when it does.
+    ///
+    /// # Panics
+    ///
+    /// Panics where the address can't be listened on again.
+    pub async fn set_mode(&self, mode: Mode) {
+        let published = self.shared.published().clone();
+        self.shared.view.send_modify(|view| {
+            view.mode = mode;
+            if mode != Mode::Stale {
+                view.values = published;
+            }
+        });
+        let mut endpoint = self.endpoint.lock().await;
+        if mode == Mode::Down {
+            if let Some(endpoint) = endpoint.take() {
+                endpoint.close().await;
+            }
+        } else if endpoint.is_none() {
+            let life = self.life.child_token();
+            let opened = Endpoint::open(&self.reservation, &self.shared, life);
+            *endpoint = Some(opened.expect("the reserved port can be listened on"));
+        }
+    }
+
+    /// Limits the calls a second; those beyond are answered `429`. `None` lifts the limit.
+    pub fn set_limit(&self, calls_per_second: Option<u64>) {
+        self.shared.limit().calls_per_second = calls_per_second;
+    }
+
+    /// Returns the numbers so far.
+    pub fn counters(&self) -> Counters {
+        *self.shared.counters()
+    }
+}
+
+impl Drop for Service {
+    fn drop(&mut self) {
+        self.life.cancel();
+    }
+}
+
+impl Value {
+    fn new(revision: Revision, content: impl Into<Bytes>) -> Self {
+        let content = content.into();
+        Self { revision, content }
+    }
+
+    fn reply(self) -> Reply {
+        let mut reply = http::bytes(StatusCode::OK, self.content);
+        let json = HeaderValue::from_static("application/json");
+        reply.headers_mut().insert(CONTENT_TYPE, json);
+        http::set(&mut reply, header::REVISION, &self.revision);
+        reply
+    }
+}
+
+/// A call, read from its path and query.
+struct Call {
+    name: String,
+    after: Option<Revision>,
+    wait: Duration,
+}
+
+impl Call {
+    fn read(request: &Request<Incoming>) -> Option<Self> {
+        let name = request.uri().path().strip_prefix("/values/")?;
+        if request.method() != Method::GET || name.is_empty() {
+            return None;
+        }
+        let query = request.uri().query().unwrap_or_default();
+        let parameters: BTreeMap<_, _> = query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .collect();
+        let number = |name: &str| parameters.get(name)?.parse().ok();
+        Some(Self {
+            name: name.to_owned(),
+            after: number("after"),
+            wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
+        })
+    }
+}
+
+impl Shared {
+    /// Shows readers what is published, unless they are shown old copies.
+    fn show(&self, published: &Values) {
+        self.view.send_modify(|view| {
+            if view.mode != Mode::Stale {
+                view.values = published.clone();
+            }
+        });
+    }
+
+    async fn answer(self: Arc<Self>, call: Option<Call>) -> Option<Reply> {
+        self.counters().calls += 1;
+        let Some(call) = call else {
+            return Some(http::empty(StatusCode::NOT_FOUND));
+        };
+        if !self.limit().take(Instant::now()) {
+            self.counters().refused += 1;
+            return Some(http::empty(StatusCode::TOO_MANY_REQUESTS));
+        }
+        if self.view.borrow().mode == Mode::Hang {
+            return future::pending().await;
+        }
+        let Some(after) = call.after else {
+            let value = self.view.borrow().values.get(&call.name).cloned();
+            return Some(value.map_or_else(|| http::empty(StatusCode::NOT_FOUND), Value::reply));
+        };
+        Some(self.wait(&call, after).await)
+    }
+
+    async fn wait(&self, call: &Call, after: Revision) -> Reply {
+        let mut view = self.view.subscribe();
+        let newer = |view: &View| {
+            let value = view.values.get(&call.name);
+            let newer = value.is_some_and(|value| value.revision > after);
+            newer && view.mode != Mode::Hang
+        };
+        let changed = time::timeout(call.wait, view.wait_for(newer)).await;
+        let value = match changed {
+            Ok(Ok(view)) => view.values.get(&call.name).cloned(),
+            Ok(Err(_)) | Err(_) => None,
+        };
+        value.map_or_else(|| self.unchanged(), Value::reply)
+    }
+
+    fn unchanged(&self) -> Reply {
+        self.counters().unchanged += 1;
+        http::empty(StatusCode::NOT_MODIFIED)
+    }
+
+    fn published(&self) -> MutexGuard<'_, Values> {
+        self.published
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn counters(&self) -> MutexGuard<'_, Counters> {
+        self.counters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn limit(&self) -> MutexGuard<'_, Limit> {
+        self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Limit {
+    /// Takes one call of the present second; `false` where there is none left.
+    fn take(&mut self, now: Instant) -> bool {
+        let is_over = self.window.is_none_or(|start| now >= start + WINDOW);
+        if is_over {
+            self.window = Some(now);
+            self.calls = 0;
+        }
+        let left = self.calls_per_second.is_none_or(|limit| self.calls < limit);
+        self.calls += u64::from(left);
+        left
+    }
+}
+
+impl Handler for Shared {
+    fn handle(
+        self: Arc<Self>,
+        _connection: ConnectionId,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Option<Reply>> {
+        let call = Call::read(&request);
+        Box::pin(self.answer(call))
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/host_list.rs
@@ -0,0 +1,165 @@
+//! The platform's list of hosts, which lags.
+
+use crate::endpoint::{ConnectionId, Endpoint, Handler, Reservation};
+use crate::http::{self, Reply};
+use crate::lag::{Mode, View};
+use futures::future::BoxFuture;
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// State of a host in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum State {
+    /// It is there.
+    Live,
+    /// It is leaving.
+    Leaving,
+}
+
+type Hosts = BTreeMap<SocketAddr, State>;
+
+/// A host list on a port of the loopback interface; gone when dropped.
+pub struct List {
+    shared: Arc<Shared>,
+    reservation: Reservation,
+    endpoint: tokio::sync::Mutex<Option<Endpoint>>,
+    life: CancellationToken,
+}
+
+struct Shared {
+    hosts: Mutex<Hosts>,
+    view: View<Hosts>,
+    calls: AtomicU64,
+}
+
+#[derive(Serialize)]
+struct Host {
+    address: SocketAddr,
+    state: State,
+}
+
+#[derive(Serialize)]
+struct Reading {
+    hosts: Vec<Host>,
+}
+
+impl List {
+    /// Starts an empty list on a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime and where the loopback interface has no free port.
+    pub fn start() -> Self {
+        let reservation = Reservation::new().expect("the loopback interface has a free port");
+        let shared = Arc::new(Shared {
+            hosts: Mutex::default(),
+            view: View::new(Mode::True, Hosts::new()),
+            calls: AtomicU64::new(0),
+        });
+        let life = CancellationToken::new();
+        let endpoint = Endpoint::open(&reservation, &shared, life.child_token());
+        let endpoint = endpoint.expect("the reserved port can be listened on");
+        Self {
+            shared,
+            reservation,
+            endpoint: tokio::sync::Mutex::new(Some(endpoint)),
+            life,
+        }
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.reservation.address()
+    }
+
+    /// Puts a host into the list or changes its state.
+    pub fn set(&self, address: SocketAddr, state: State) {
+        self.shared.change(|hosts| hosts.insert(address, state));
+    }
+
+    /// Takes a host off the list.
+    pub fn remove(&self, address: SocketAddr) {
+        self.shared.change(|hosts| hosts.remove(&address));
+    }
+
+    /// Makes readers see the list as it was that long ago.
+    pub fn set_lag(&self, lag: Duration) {
+        self.shared.view.set_mode(Mode::Lag(lag));
+    }
+
+    /// Returns the number of readings so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::SeqCst)
+    }
+
+    /// Drops the listener and all connections; returns when they are gone.
+    pub async fn take_down(&self) {
+        let endpoint = self.endpoint.lock().await.take();
+        if let Some(endpoint) = endpoint {
+            endpoint.close().await;
+        }
+    }
+
+    /// Listens again after [`List::take_down`].
+    ///
+    /// # Panics
+    ///
+    /// Panics where the address can't be listened on again.
+    pub async fn bring_up(&self) {
+        let mut endpoint = self.endpoint.lock().await;
+        if endpoint.is_none() {
+            let life = self.life.child_token();
+            let opened = Endpoint::open(&self.reservation, &self.shared, life);
+            *endpoint = Some(opened.expect("the reserved port can be listened on"));
+        }
+    }
+}
+
+impl Drop for List {
+    fn drop(&mut self) {
+        self.life.cancel();
+    }
+}
+
+impl Shared {
+    fn change<T>(&self, act: impl FnOnce(&mut Hosts) -> T) {
+        let mut hosts = self.hosts.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut hosts);
+        self.view.record(hosts.clone());
+    }
+
+    fn read(&self) -> Reply {
+        let hosts = self.view.read().unwrap_or_default();
+        let hosts = hosts.into_iter();
+        let hosts = hosts.map(|(address, state)| Host { address, state });
+        let reading = Reading {
+            hosts: hosts.collect(),
+        };
+        http::json(StatusCode::OK, &reading)
+    }
+}
+
+impl Handler for Shared {
+    fn handle(
+        self: Arc<Self>,
+        _connection: ConnectionId,
+        request: Request<Incoming>,
+    ) -> BoxFuture<'static, Option<Reply>> {
+        self.calls.fetch_add(1, Ordering::SeqCst);
+        let is_reading = request.method() == Method::GET && request.uri().path() == "/hosts";
+        let reply = if is_reading {
+            self.read()
+        } else {
+            http::empty(StatusCode::NOT_FOUND)
+        };
+        Box::pin(async { Some(reply) })
+    }
+}
