--- /dev/null
+++ b/crates/decision/src/home/dispatch.rs
@@ -0,0 +1,239 @@
+//! Bringing attempts onto connections, and off them.
+//!
+//! An attempt counts as outstanding at its server from the moment that the server is chosen, also
+//! while it waits for a connection: otherwise a burst that finds no connection open would choose
+//! the same server again and again. The time that a caller sees includes that wait, so the learned
+//! latencies do too.
+
+use super::action::{Action, Send};
+use super::flight::{Flight, Owner};
+use super::state::{Home, Waiting};
+use super::timer::Timer;
+use crate::attempt::{AttemptId, ConnectionId};
+use crate::backend::pool::Command;
+use crate::query::coverage::Set;
+use crate::{RequestId, Time};
+use monsoonring_configuration::document::Kind;
+use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long after its request's deadline an attempt may still occupy a connection. A server gives
+/// up at the deadline and says so; without an answer the connection has gone silent, and would
+/// be lost from the home's share for good.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+
+/// What a new attempt is about.
+pub(super) struct Task<'a> {
+    pub(super) owner: Owner,
+    pub(super) request: &'a super::event::Request,
+    pub(super) server: BackendServerId,
+    pub(super) asked: Set,
+    pub(super) version: Option<IndexVersion>,
+    pub(super) is_hedge: bool,
+}
+
+impl Home {
+    /// Makes an attempt and puts it into the queue of its server.
+    pub(super) fn enqueue(&mut self, task: Task<'_>, now: Time) -> AttemptId {
+        let id = self.next_attempt;
+        self.next_attempt += 1;
+        let server = task.server;
+        let hedge_at = self.hedge_at(&task, now);
+        let flight = Flight {
+            id,
+            owner: task.owner,
+            server,
+            class: task.request.class,
+            fingerprint: task.request.fingerprint,
+            asked: task.asked,
+            version: task.version,
+            connection: None,
+            is_hedge: task.is_hedge,
+            deadline: task.request.deadline,
+            hedge_at,
+            silent_at: now + self.fleet.patience(server, now),
+            lost_at: task.request.deadline + ANSWER_GRACE,
+        };
+        self.timers.set(flight.next(), Timer::Attempt(id));
+        self.fleet.sent(server, id, now);
+        self.flights.queue(flight);
+        *self.callable.entry(server).or_default() += 1;
+        id
+    }
+
+    fn hedge_at(&self, task: &Task<'_>, now: Time) -> Option<Time> {
+        let hedge = self.route.hedge;
+        let may = hedge.budget_percent > 0.0 && !task.is_hedge && self.route.kind == Kind::Search;
+        may.then(|| now + self.fleet.hedge_delay(task.server, hedge.quantile, now))
+    }
+
+    /// Sends what waits for connections that are there. Each attempt asks for a connection once
+    /// when it is queued and each connection once when it is free: the pool counts every miss as
+    /// demand for one more.
+    pub(super) fn transmit(&mut self, now: Time) {
+        while let Some((server, asks)) = self.callable.pop_first() {
+            for _ in 0..asks {
+                self.transmit_first(server, now);
+            }
+        }
+    }
+
+    fn transmit_first(&mut self, server: BackendServerId, now: Time) {
+        let Some(id) = self.flights.first(server) else {
+            return;
+        };
+        let connection = match self.route.kind {
+            Kind::Search => self.pool.acquire(server, now),
+            Kind::Execute => self.pool.acquire_fresh(server, now),
+        };
+        let Some(connection) = connection else {
+            return;
+        };
+        let owner = self.flights.get(id).map(|flight| flight.owner);
+        if self.may_send(id, now) {
+            self.send(id, connection, now);
+            return;
+        }
+        self.pool.release(connection, now);
+        *self.callable.entry(server).or_default() += 1;
+        if let Some(owner) = owner {
+            self.hold(id, owner, now);
+        }
+    }
+
+    fn may_send(&self, id: AttemptId, now: Time) -> bool {
+        let flight = self.flights.get(id);
+        flight.is_some_and(|flight| self.suspects.may_send(flight.fingerprint, now))
+    }
+
+    /// Takes back an attempt whose fingerprint went into quarantine while it waited.
+    fn hold(&mut self, id: AttemptId, owner: Owner, now: Time) {
+        let Some(flight) = self.withdraw(id, now) else {
+            return;
+        };
+        let (request, part) = match owner {
+            Owner::Part(request, part) => (request, Some(part)),
+            Owner::Execution(request) => (request, None),
+            Owner::Nobody => return,
+        };
+        self.release_owner(&flight, owner);
+        let held = self.held.entry(flight.fingerprint).or_default();
+        held.insert((flight.class, now, request, part));
+    }
+
+    /// Makes the owner forget an attempt that was withdrawn before it was sent.
+    pub(super) fn release_owner(&mut self, flight: &Flight, owner: Owner) {
+        match owner {
+            Owner::Part(request, part) => {
+                let run = self.runs.get_mut(&request);
+                if let Some(part) = run.and_then(|run| run.parts.get_mut(&part)) {
+                    part.live.retain(|live| *live != flight.id);
+                    part.attempts = part.attempts.saturating_sub(1);
+                }
+            }
+            Owner::Execution(request) => self.withdraw_execution(request),
+            Owner::Nobody => {}
+        }
+    }
+
+    fn send(&mut self, id: AttemptId, connection: ConnectionId, now: Time) {
+        let Some(flight) = self.flights.board(id, connection) else {
+            return;
+        };
+        let flight = flight.clone();
+        let Some((request, body)) = self.depart(&flight) else {
+            return;
+        };
+        self.suspects
+            .sent(id, flight.fingerprint, flight.server, now);
+        self.actions.push(Action::Send(Send {
+            attempt: id,
+            connection,
+            backend_server: flight.server,
+            request,
+            ranges: flight.asked.ranges().to_vec(),
+            index_version: flight.version,
+            deadline: flight.deadline,
+            body,
+        }));
+    }
+
+    /// Tells the owner that its attempt may be running from now on.
+    fn depart(&mut self, flight: &Flight) -> Option<(RequestId, Arc<str>)> {
+        match flight.owner {
+            Owner::Part(request, _) => {
+                let run = self.runs.get_mut(&request)?;
+                run.fanout.send();
+                Some((request, Arc::clone(&run.request.body)))
+            }
+            Owner::Execution(request) => {
+                let body = self.depart_execution(request)?;
+                Some((request, body))
+            }
+            Owner::Nobody => None,
+        }
+    }
+
+    /// Takes an attempt out of the queue of its server; no byte of it has left.
+    pub(super) fn withdraw(&mut self, id: AttemptId, now: Time) -> Option<Flight> {
+        let is_sent = self.flights.get(id)?.connection.is_some();
+        if is_sent {
+            return None;
+        }
+        let flight = self.flights.remove(id)?;
+        self.timers.clear(flight.next(), Timer::Attempt(id));
+        self.fleet.forget(id, now);
+        if flight.is_hedge {
+            self.hedges.give_back();
+        }
+        self.touch(flight.server);
+        Some(flight)
+    }
+
+    /// Cancels an attempt that nobody needs any more. One that was sent stays on record until its
+    /// reply frees the connection.
+    pub(super) fn cancel(&mut self, id: AttemptId, now: Time) {
+        if self.withdraw(id, now).is_some() {
+            return;
+        }
+        let Some(flight) = self.flights.get_mut(id) else {
+            return;
+        };
+        flight.owner = Owner::Nobody;
+        let server = flight.server;
+        self.fleet.cancelling(id, now);
+        self.actions.push(Action::Cancel(id, server));
+    }
+
+    /// Lets those try again whose group has changed or whose turn may have come.
+    pub(super) fn serve(&mut self, now: Time) {
+        for fingerprint in std::mem::take(&mut self.freed) {
+            let held = self.held.remove(&fingerprint).unwrap_or_default();
+            self.resume(held, now);
+        }
+        for group in std::mem::take(&mut self.touched) {
+            let waiting = self.waiting.remove(&group).unwrap_or_default();
+            self.resume(waiting, now);
+        }
+    }
+
+    fn resume(&mut self, waiting: Waiting, now: Time) {
+        for (_, _, request, part) in waiting {
+            match part {
+                Some(part) => self.resume_part(request, part, now),
+                None => self.resume_execution(request, now),
+            }
+        }
+    }
+
+    /// Carries out what the pool wants.
+    pub(super) fn command(&mut self, now: Time) {
+        for command in self.pool.want(now) {
+            self.actions.push(match command {
+                Command::Open(id, server) => Action::Open(id, server),
+                Command::Close(id) => Action::Close(id),
+            });
+        }
+    }
+}
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -3,9 +3,23 @@
 //! A home owns everything that its queries share: the runs in progress, the state of the route's
 //! backend servers, their connections, the budgets and admission. The daemon feeds it [`Event`]s
 //! in the order in which they happen and carries out the [`Action`]s that it returns.
+//!
+//! [`Home`] is one state machine in several files, by what happens: `search` and `execute` start
+//! requests, choose servers and end requests; `dispatch` brings attempts onto connections; `ending`
+//! takes in how attempts end; `server` takes in what is learned of backend servers, and the route;
+//! `timer` keeps what is due.
 
 pub mod action;
+mod dispatch;
+mod ending;
 pub mod event;
+mod execute;
+mod flight;
+mod search;
+mod server;
+mod state;
+mod timer;
 
 pub use action::Action;
 pub use event::Event;
+pub use state::Home;
--- /dev/null
+++ b/crates/decision/src/home/search.rs
@@ -0,0 +1,272 @@
+//! Searches: who is asked for which keys, and when that ends.
+
+use super::dispatch::Task;
+use super::event::Request;
+use super::flight::Owner;
+use super::state::Home;
+use super::timer::Timer;
+use crate::attempt::AttemptId;
+use crate::backend::suspect::Standing;
+use crate::outcome::{Outcome, Reason};
+use crate::query::run::{Cause, Part, PartId, Run};
+use crate::{RequestId, Time};
+use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use std::time::Duration;
+
+/// Quantile of a server's latency that has to fit before the deadline for a search to begin again
+/// at a newer version.
+const RESTART_QUANTILE: f64 = 0.5;
+
+impl Home {
+    /// Starts a search: every group is asked at once.
+    pub(super) fn search(&mut self, request: Request, now: Time) {
+        let id = request.id;
+        let run = Run::new(request, self.pin.version(), &self.route, now);
+        if let Some(soft) = self.route.soft_deadline {
+            let at = now + Duration::from_millis(soft.after_ms);
+            self.timers.set(at, Timer::Soft(id));
+        }
+        self.runs.insert(id, run);
+        self.with_run(id, now, |home, run| home.assign_all(run, Cause::First, now));
+    }
+
+    /// Lets `act` change a run, and ends the run if that decided it.
+    pub(super) fn with_run(
+        &mut self,
+        id: RequestId,
+        now: Time,
+        act: impl FnOnce(&mut Self, &mut Run),
+    ) {
+        let Some(mut run) = self.runs.remove(&id) else {
+            return;
+        };
+        act(self, &mut run);
+        self.settle(run, now);
+    }
+
+    /// Ends a run as soon as nothing but the deadline would.
+    fn settle(&mut self, mut run: Run, now: Time) {
+        if let Some(version) = self.restart_version(&run, now) {
+            self.restart(&mut run, version, now);
+        }
+        if run.is_complete(&self.route) || !run.is_open() || self.is_enough(&run, now) {
+            let reason = run.reason();
+            self.finish_search(run, reason, now);
+            return;
+        }
+        self.runs.insert(run.request.id, run);
+    }
+
+    /// Tells whether waiting on is no longer worth it.
+    fn is_enough(&self, run: &Run, now: Time) -> bool {
+        self.route.soft_deadline.is_some_and(|soft| {
+            let at = run.started + Duration::from_millis(soft.after_ms);
+            now >= at && run.coverage(&self.route) >= soft.coverage
+        })
+    }
+
+    /// Returns the version at which a run begins again: once, if its own has vanished and there is
+    /// time for a reply at a newer one.
+    fn restart_version(&self, run: &Run, now: Time) -> Option<IndexVersion> {
+        let part = run.parts.values().find(|part| part.vanished)?;
+        let pinned = run.pin?;
+        let newer = self.pin.version().filter(|version| *version > pinned)?;
+        let server = self.route.groups.get(part.group)?.backend_servers.first()?;
+        let needed = self.fleet.hedge_delay(*server, RESTART_QUANTILE, now);
+        let in_time = now + needed < run.request.deadline;
+        (!run.restarted && in_time).then_some(newer)
+    }
+
+    fn restart(&mut self, run: &mut Run, version: IndexVersion, now: Time) {
+        let why = format!(
+            "version {} vanished, again at {version}",
+            run.pin.unwrap_or(0)
+        );
+        self.log(Some(run.request.id), "restart", None, why);
+        for attempt in run.restart(version, &self.route) {
+            self.cancel(attempt, now);
+        }
+        self.assign_all(run, Cause::First, now);
+    }
+
+    pub(super) fn assign_all(&mut self, run: &mut Run, cause: Cause, now: Time) {
+        for part in run.parts.keys().copied().collect::<Vec<_>>() {
+            self.assign(run, part, cause, now);
+        }
+    }
+
+    /// Tries again for a part that waited.
+    pub(super) fn resume_part(&mut self, request: RequestId, part: PartId, now: Time) {
+        self.with_run(request, now, |home, run| {
+            let waits = |part: &Part| part.live.is_empty() && part.given_up.is_none();
+            if run.parts.get(&part).is_some_and(waits) {
+                let cause = run.parts[&part].cause;
+                home.assign(run, part, cause, now);
+            }
+        });
+    }
+
+    /// Finds a server for a part. Without one the part waits if one is expected to have room before
+    /// the deadline, and is given up otherwise.
+    pub(super) fn assign(&mut self, run: &mut Run, id: PartId, cause: Cause, now: Time) {
+        let Some(part) = run.parts.get_mut(&id) else {
+            return;
+        };
+        part.cause = cause;
+        if cause == Cause::Retry && part.attempts >= self.route.retry.attempts {
+            part.give_up();
+            return;
+        }
+        if !self.suspects.may_send(run.request.fingerprint, now) {
+            let held = self.held.entry(run.request.fingerprint).or_default();
+            held.insert((run.request.class, run.started, run.request.id, Some(id)));
+            return;
+        }
+        match self.pick(run, id, now) {
+            Some((server, why)) if self.afford(cause, now) => {
+                self.log(Some(run.request.id), cause.what(), Some(server), why);
+                self.ask(run, id, server, cause == Cause::Hedge, now);
+            }
+            Some((server, _)) => self.deny(run, id, server),
+            None => self.park(run, id),
+        }
+    }
+
+    /// Chooses a server that was not tried for the part; if there is none, one that was.
+    fn pick(&mut self, run: &Run, id: PartId, now: Time) -> Option<(BackendServerId, String)> {
+        let part = run.parts.get(&id)?;
+        let candidates = self.candidates(part);
+        let version = run.pin;
+        let fleet = &mut self.fleet;
+        let fresh = fleet.choose(&candidates, &part.tried, version, now, &mut self.rng);
+        let choice = match fresh {
+            Some(choice) => Some(choice),
+            None if part.tried.is_empty() || !part.live.is_empty() => None,
+            None => fleet.choose(&candidates, &[], version, now, &mut self.rng),
+        };
+        choice.map(|choice| (choice.server, choice.why))
+    }
+
+    fn candidates(&self, part: &Part) -> Vec<BackendServerId> {
+        let group = self.route.groups.get(part.group);
+        let servers = group.into_iter().flat_map(|group| &group.backend_servers);
+        let able = servers.filter(|server| !part.unable.contains(server));
+        able.copied().collect()
+    }
+
+    /// Takes what an attempt costs out of the budgets. Returns whether it may be made.
+    pub(super) fn afford(&mut self, cause: Cause, now: Time) -> bool {
+        match cause {
+            Cause::First => {
+                self.hedges.deposit(now);
+                self.retries.deposit(now);
+                true
+            }
+            Cause::Rest => true,
+            Cause::Retry => self.retries.take(now),
+            Cause::Hedge => self.hedges.take(now),
+        }
+    }
+
+    fn deny(&mut self, run: &mut Run, id: PartId, server: BackendServerId) {
+        let Some(part) = run.parts.get_mut(&id) else {
+            return;
+        };
+        if part.live.is_empty() {
+            part.give_up();
+        }
+        let why = format!("budget spent, part {id}");
+        self.log(Some(run.request.id), "refuse", Some(server), why);
+    }
+
+    fn ask(&mut self, run: &mut Run, id: PartId, server: BackendServerId, hedge: bool, now: Time) {
+        let Some(part) = run.parts.get_mut(&id) else {
+            return;
+        };
+        let task = Task {
+            owner: Owner::Part(run.request.id, id),
+            request: &run.request,
+            server,
+            asked: part.wanted.clone(),
+            version: run.pin,
+            is_hedge: hedge,
+        };
+        part.attempts += 1;
+        part.tried.push(server);
+        part.live.push(self.enqueue(task, now));
+    }
+
+    /// Lets a part wait for room, or gives it up where none is to be expected in time.
+    fn park(&mut self, run: &mut Run, id: PartId) {
+        let (version, deadline) = (run.pin, run.request.deadline);
+        let Some(part) = run.parts.get_mut(&id) else {
+            return;
+        };
+        if !part.live.is_empty() {
+            return;
+        }
+        let candidates = self.candidates(part);
+        let hopeful = |server: &BackendServerId| self.is_hopeful(*server, version, deadline);
+        if candidates.iter().any(hopeful) {
+            let waiting = self.waiting.entry(part.group).or_default();
+            waiting.insert((run.request.class, run.started, run.request.id, Some(id)));
+            return;
+        }
+        part.vanished = self.has_vanished(part.group, version);
+        part.give_up();
+        let why = format!("no server for part {id}, group {}", part.group);
+        self.log(Some(run.request.id), "give_up", None, why);
+    }
+
+    /// Sends a second attempt for a part whose first is slow.
+    pub(super) fn hedge(&mut self, request: RequestId, part: PartId, now: Time) {
+        self.with_run(request, now, |home, run| {
+            let fingerprint = run.request.fingerprint;
+            let clear = home.suspects.standing(fingerprint, now) == Standing::Clear;
+            let single = |part: &Part| part.live.len() == 1;
+            if clear && run.parts.get(&part).is_some_and(single) {
+                home.assign(run, part, Cause::Hedge, now);
+            }
+        });
+    }
+
+    /// Ends a search with what it has, and cancels what is still being asked for.
+    pub(super) fn finish_search(&mut self, run: Run, reason: Reason, now: Time) {
+        for attempt in run.live() {
+            self.cancel(attempt, now);
+        }
+        if let Some(soft) = self.route.soft_deadline {
+            let at = run.started + Duration::from_millis(soft.after_ms);
+            self.timers.clear(at, Timer::Soft(run.request.id));
+        }
+        let request = run.request.clone();
+        let began = run.started;
+        let outcome = run.finish(&self.route, reason);
+        let why = summary(&outcome, reason);
+        self.log(Some(request.id), "finish", None, why);
+        self.finish(&request, began, outcome, now);
+    }
+
+    /// Cancels attempts that lost against another.
+    pub(super) fn cancel_losers(&mut self, losers: Vec<AttemptId>, winner: AttemptId, now: Time) {
+        for loser in losers {
+            if loser != winner {
+                self.cancel(loser, now);
+            }
+        }
+    }
+}
+
+fn summary(outcome: &Outcome, reason: Reason) -> String {
+    match outcome {
+        Outcome::Answered(answer) if answer.missing.is_empty() => {
+            format!("complete at version {}", answer.index_version)
+        }
+        Outcome::Answered(answer) => format!(
+            "coverage {:.4} at version {}: {reason}",
+            answer.coverage, answer.index_version
+        ),
+        Outcome::NotRun { .. } => format!("not run: {reason}"),
+        _ => format!("failed: {reason}"),
+    }
+}
--- /dev/null
+++ b/crates/decision/src/home/state.rs
@@ -0,0 +1,283 @@
+//! The state of a home, and the way of an event through it.
+
+use super::action::{Action, Decision};
+use super::event::{Event, Request};
+use super::flight;
+use super::server::Placement;
+use super::timer::{self, Timer};
+use crate::admission::{Admission, Gate};
+use crate::attempt::AttemptId;
+use crate::backend::pool::Pool;
+use crate::backend::suspect::{Standing, Table};
+use crate::backend::{Fleet, Room};
+use crate::budget::Budget;
+use crate::outcome::{Outcome, Reason};
+use crate::query::attempt::Unrun;
+use crate::query::execution::Execution;
+use crate::query::pin::Pin;
+use crate::query::run::{PartId, Run};
+use crate::{Fingerprint, RequestId, Time};
+use monsoonring_configuration::document::{Class, Kind, Route};
+use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Id of the first connection of a home.
+const FIRST_CONNECTION: u64 = 1;
+
+/// Something that waits for a server with room, in the order in which it is served.
+pub(super) type Waiting = BTreeSet<(Class, Time, RequestId, Option<PartId>)>;
+
+/// One route at one of its homes.
+pub struct Home {
+    pub(super) route: Arc<Route>,
+    pub(super) rng: ChaCha8Rng,
+    pub(super) fleet: Fleet,
+    pub(super) pool: Pool,
+    pub(super) gate: Gate,
+    pub(super) suspects: Table,
+    pub(super) hedges: Budget,
+    pub(super) retries: Budget,
+    pub(super) pin: Pin,
+    pub(super) placement: Placement,
+    pub(super) runs: BTreeMap<RequestId, Run>,
+    pub(super) executions: BTreeMap<RequestId, Execution>,
+    pub(super) flights: flight::Table,
+    /// By group: what waits for room at one of its servers.
+    pub(super) waiting: BTreeMap<usize, Waiting>,
+    /// By fingerprint in quarantine: what waits until its turn.
+    pub(super) held: BTreeMap<Fingerprint, Waiting>,
+    /// Groups whose servers changed in a way that those who wait have to see.
+    pub(super) touched: BTreeSet<usize>,
+    /// Fingerprints for which an attempt ended.
+    pub(super) freed: BTreeSet<Fingerprint>,
+    /// Servers, with the number of connections to be asked for.
+    pub(super) callable: BTreeMap<BackendServerId, usize>,
+    /// Until when a server asked for no work.
+    pub(super) back_offs: BTreeMap<BackendServerId, Time>,
+    pub(super) timers: timer::Queue,
+    pub(super) next_attempt: AttemptId,
+    pub(super) stopping: bool,
+    pub(super) actions: Vec<Action>,
+}
+
+impl Home {
+    /// Makes the home of a route that has `homes` homes, and returns what is to be done at once.
+    /// `seed` decides every random choice.
+    pub fn new(route: Arc<Route>, homes: usize, seed: u64, now: Time) -> (Self, Vec<Action>) {
+        let mut home = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            fleet: Fleet::new(&route, homes, now),
+            pool: Pool::new(&route, homes, FIRST_CONNECTION, now),
+            gate: Gate::new(&route),
+            suspects: Table::new(),
+            hedges: Budget::new(route.hedge.budget_percent),
+            retries: Budget::new(route.retry.budget_percent),
+            pin: Pin::default(),
+            placement: Placement::new(&route),
+            runs: BTreeMap::new(),
+            executions: BTreeMap::new(),
+            flights: flight::Table::default(),
+            waiting: BTreeMap::new(),
+            held: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            freed: BTreeSet::new(),
+            callable: BTreeMap::new(),
+            back_offs: BTreeMap::new(),
+            timers: timer::Queue::default(),
+            next_attempt: 1,
+            stopping: false,
+            actions: Vec::new(),
+            route,
+        };
+        let actions = home.conclude(now);
+        (home, actions)
+    }
+
+    /// Takes in what happened at `now` and returns what is to be done, in this order.
+    ///
+    /// What came due before is handled first: a process that was paused finds that a deadline has
+    /// passed before it finds the reply that waited.
+    pub fn on(&mut self, event: Event, now: Time) -> Vec<Action> {
+        self.fire(now);
+        self.handle(event, now);
+        self.conclude(now)
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.runs.len() + self.executions.len()
+    }
+
+    /// Returns the version that new queries pin, if one is known.
+    pub fn index_version(&self) -> Option<IndexVersion> {
+        self.pin.version()
+    }
+
+    /// Returns the state of the route's backend servers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Returns the room that the route's backend servers have for this home.
+    pub fn room(&self, now: Time) -> Room {
+        self.fleet.room(now)
+    }
+
+    fn handle(&mut self, event: Event, now: Time) {
+        match event {
+            Event::Request(request) => self.arrived(request, now),
+            Event::Abandoned(id) => self.abandoned(id, now),
+            Event::Opened(connection) => self.opened(connection, now),
+            Event::Closed(connection) => self.closed(connection, now),
+            Event::Reply(attempt, reply) => self.replied(attempt, reply, now),
+            Event::Executed(attempt, value, report) => {
+                self.executed(attempt, value, &report, now);
+            }
+            Event::Failed(attempt, failure) => self.failed(attempt, &failure, now),
+            Event::Route(route) => self.reroute(route, now),
+            Event::Homes(homes) => {
+                self.fleet.set_homes(homes, now);
+                self.pool.set_homes(homes, now);
+            }
+            Event::Leaving {
+                backend_server,
+                start,
+            } => self.told_leaving(backend_server, start, now),
+            Event::Suspect { fingerprint, until } => {
+                self.suspects.told(fingerprint, until, now);
+                self.condemn(fingerprint, now);
+            }
+            Event::Polled(server, report) => self.polled(server, report.as_ref(), now),
+            Event::Tick => {}
+            Event::Stop => self.stopping = true,
+        }
+    }
+
+    fn arrived(&mut self, request: Request, now: Time) {
+        let known = self.runs.contains_key(&request.id);
+        if known || self.executions.contains_key(&request.id) {
+            return;
+        }
+        if let Some((reason, retry_after)) = self.refusal(&request, now) {
+            let outcome = Unrun::arrived().outcome(reason, retry_after);
+            let why = format!("{reason} class={:?}", request.class);
+            self.log(Some(request.id), "refuse", None, why);
+            self.actions.push(Action::Finish(request.id, outcome));
+            return;
+        }
+        self.timers
+            .set(request.deadline, Timer::Deadline(request.id));
+        match self.route.kind {
+            Kind::Search => self.search(request, now),
+            Kind::Execute => self.execute(request, now),
+        }
+    }
+
+    /// Returns why a new request is not taken on. Admission comes last, as it counts those that it
+    /// admits.
+    fn refusal(&mut self, request: &Request, now: Time) -> Option<(Reason, Option<Duration>)> {
+        if self.stopping {
+            return Some((Reason::Stopping, Some(Duration::ZERO)));
+        }
+        if request.deadline <= now {
+            return Some((Reason::Deadline, None));
+        }
+        if let Standing::Refused(until) = self.suspects.standing(request.fingerprint, now) {
+            return Some((Reason::Suspect, Some(until.saturating_sub(now))));
+        }
+        let room = self.fleet.room(now);
+        match self.gate.admit(request.class, request.deadline, &room, now) {
+            Admission::Admit => None,
+            Admission::Refuse {
+                reason,
+                retry_after,
+            } => Some((reason, retry_after)),
+        }
+    }
+
+    fn abandoned(&mut self, id: RequestId, now: Time) {
+        if let Some(run) = self.runs.remove(&id) {
+            self.finish_search(run, Reason::Abandoned, now);
+        } else {
+            self.abandon_execution(id, now);
+        }
+    }
+
+    /// Ends every request of a fingerprint that was found to crash backend servers.
+    pub(super) fn condemn(&mut self, fingerprint: Fingerprint, now: Time) {
+        let runs = self.runs.values();
+        let like = runs.filter(|run| run.request.fingerprint == fingerprint);
+        let ids: Vec<RequestId> = like.map(|run| run.request.id).collect();
+        for id in ids {
+            if let Some(run) = self.runs.remove(&id) {
+                self.finish_search(run, Reason::Suspect, now);
+            }
+        }
+        self.condemn_executions(fingerprint, now);
+    }
+
+    /// Records the one final result of a request.
+    pub(super) fn finish(&mut self, request: &Request, began: Time, outcome: Outcome, now: Time) {
+        self.timers
+            .clear(request.deadline, Timer::Deadline(request.id));
+        let took = now.saturating_sub(began);
+        self.gate.finished(request.class, took, now);
+        self.actions.push(Action::Finish(request.id, outcome));
+    }
+
+    fn fire(&mut self, now: Time) {
+        while let Some(timer) = self.timers.pop(now) {
+            match timer {
+                Timer::Deadline(id) => self.expire(id, now),
+                Timer::Soft(id) => self.with_run(id, now, |_, _| {}),
+                Timer::Attempt(id) => self.overdue(id, now),
+            }
+        }
+        if self.fleet.next_wake().is_some_and(|at| at <= now) {
+            for server in self.fleet.tick(now) {
+                self.touch(server);
+            }
+            self.suspects.tick(now);
+        }
+    }
+
+    fn expire(&mut self, id: RequestId, now: Time) {
+        if let Some(run) = self.runs.remove(&id) {
+            self.finish_search(run, Reason::Deadline, now);
+        } else if let Some(execution) = self.executions.remove(&id) {
+            self.finish_execution(execution, Reason::Deadline, now);
+        }
+    }
+
+    /// Serves those who wait, brings attempts onto connections, and returns what is to be done.
+    fn conclude(&mut self, now: Time) -> Vec<Action> {
+        self.serve(now);
+        self.transmit(now);
+        self.command(now);
+        let fleet = self.fleet.next_wake();
+        let other = fleet.into_iter().chain(self.pool.next_wake()).min();
+        if let Some(at) = self.timers.wake(other, now) {
+            self.actions.push(Action::Wake(at));
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    pub(super) fn log(
+        &mut self,
+        request: Option<RequestId>,
+        what: &'static str,
+        backend_server: Option<BackendServerId>,
+        why: String,
+    ) {
+        self.actions.push(Action::Log(Decision {
+            request,
+            what,
+            backend_server,
+            why,
+        }));
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod budget;
 pub mod home;
 pub mod outcome;
+pub mod query;
 pub mod reply;
 
 /// Monotonic time since the start of the process that decides.
--- /dev/null
+++ b/crates/decision/src/query/attempt.rs
@@ -0,0 +1,127 @@
+//! The life of an attempt, as types.
+//!
+//! Symptom guarded against: a caller is told "not run", sends a repair ticket again, and two teams
+//! go to the same valve. It would come about when some path of failures ends in
+//! `Outcome::NotRun` although bytes had left. Here that outcome is built from an [`Unrun`] alone.
+//! There is one of them per request, it can't be copied, it goes into the attempt when the attempt
+//! is sent, and it comes back only with a failure that proves that nothing ran.
+
+use crate::attempt::{AttemptId, Failure};
+use crate::outcome::{Outcome, Reason};
+use std::time::Duration;
+
+/// Proof that nothing of a request has run.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unrun(());
+
+impl Unrun {
+    /// Makes the proof for a request that has just arrived. Called once per request.
+    pub(crate) fn arrived() -> Self {
+        Self(())
+    }
+
+    /// Ends the request as not run.
+    pub fn outcome(self, reason: Reason, retry_after: Option<Duration>) -> Outcome {
+        Outcome::NotRun {
+            reason,
+            retry_after,
+        }
+    }
+}
+
+/// An attempt of a non-idempotent request in the state `S`.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Attempt<S> {
+    id: AttemptId,
+    state: S,
+}
+
+/// State of an attempt that waits for a connection; no byte has left.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Queued(Unrun);
+
+/// State of an attempt that was handed over for sending; it may be running.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Sent(());
+
+/// How a sent attempt ended without a result.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It provably did not run.
+    Unrun(Unrun),
+    /// It ran and failed.
+    Ran,
+    /// It may have run.
+    Doubt,
+}
+
+impl<S> Attempt<S> {
+    /// Returns the attempt's id.
+    pub fn id(&self) -> AttemptId {
+        self.id
+    }
+}
+
+impl Attempt<Queued> {
+    /// Makes an attempt that waits for a connection.
+    pub fn new(id: AttemptId, unrun: Unrun) -> Self {
+        let state = Queued(unrun);
+        Self { id, state }
+    }
+
+    /// Takes the attempt back.
+    pub fn withdraw(self) -> Unrun {
+        self.state.0
+    }
+
+    /// Hands the attempt over for sending; the proof is gone from here on.
+    pub fn send(self) -> Attempt<Sent> {
+        Attempt {
+            id: self.id,
+            state: Sent(()),
+        }
+    }
+}
+
+impl Attempt<Sent> {
+    /// Ends the attempt. Only a refusal by the server itself, or the driver's word that no byte
+    /// left, gives the proof back.
+    pub fn fail(self, failure: &Failure) -> Ended {
+        match failure {
+            Failure::Refused { .. } | Failure::NotSent => Ended::Unrun(Unrun(())),
+            Failure::Ran { .. } => Ended::Ran,
+            Failure::Lost | Failure::Mismatched | Failure::Cancelled { .. } => Ended::Doubt,
+        }
+    }
+
+    /// Gives the attempt up while it may be running.
+    pub fn doubt(self, reason: Reason) -> Outcome {
+        Outcome::Unknown { reason }
+    }
+}
+
+/// The attempts of one search, which goes to many servers at once.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Fanout {
+    sent: u32,
+    unrun: u32,
+}
+
+impl Fanout {
+    /// Counts an attempt handed over for sending.
+    pub fn send(&mut self) {
+        self.sent += 1;
+    }
+
+    /// Counts the end of an attempt; called once per attempt.
+    pub fn fail(&mut self, failure: &Failure) {
+        if matches!(failure, Failure::Refused { .. } | Failure::NotSent) {
+            self.unrun += 1;
+        }
+    }
+
+    /// Returns the proof if each attempt sent has provably not run.
+    pub fn unrun(&self) -> Option<Unrun> {
+        (self.sent == self.unrun).then_some(Unrun(()))
+    }
+}
--- /dev/null
+++ b/crates/decision/src/query/mod.rs
@@ -0,0 +1,13 @@
+//! One request at its home: what it has, what it lacks, and how it may end.
+//!
+//! The parts are kept apart so that each of the promises of an answer has one place: [`coverage`]
+//! counts data and not answers, [`merge`] lets nothing in twice, [`pin`] holds the snapshot,
+//! [`attempt`] makes "not run" provable, [`run`] and [`execution`] are the two kinds of request in
+//! progress. Nothing here knows connections or chooses backend servers; `home` does.
+
+pub mod attempt;
+pub mod coverage;
+pub mod execution;
+pub mod merge;
+pub mod pin;
+pub mod run;
--- /dev/null
+++ b/crates/decision/src/query/run.rs
@@ -0,0 +1,342 @@
+//! A search in progress.
+//!
+//! A run is a set of parts, each a set of keys of one group that somebody has to look through. The
+//! parts' keys are disjoint and disjoint from what is merged; what is neither merged nor in a part
+//! does not exist, so a hole can't be hidden. A reply takes keys out of parts, wherever they stand
+//! after a repartitioning; a new route deals the missing keys out again.
+
+use super::attempt::Fanout;
+use super::coverage::{self, Set};
+use super::merge::Merge;
+use crate::Time;
+use crate::attempt::{AttemptId, Failure, Refusal};
+use crate::home::event::Request;
+use crate::outcome::{Answer, Outcome, Reason};
+use crate::reply::Reply;
+use monsoonring_configuration::document::Route;
+use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Id of a part, unique within its run.
+pub(crate) type PartId = u32;
+
+/// Why an attempt is made; it decides what the attempt costs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// Nobody has been asked for these keys.
+    #[default]
+    First,
+    /// An attempt failed after it had left: one more out of the retry budget.
+    Retry,
+    /// An attempt did not leave, or its reply covered a part: what remains costs no budget. It
+    /// can't go on for long, as each such server is not asked again for these keys.
+    Rest,
+    /// An attempt is slow: a second one out of the hedge budget.
+    Hedge,
+}
+
+impl Cause {
+    /// Returns the word for the log.
+    pub(crate) fn what(self) -> &'static str {
+        match self {
+            Self::First => "send",
+            Self::Retry => "retry",
+            Self::Rest => "rest",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
+/// Keys of one group that have not been merged yet.
+#[derive(Debug, Default)]
+pub(crate) struct Part {
+    /// Index of the group in the route in force.
+    pub(crate) group: usize,
+    /// The keys.
+    pub(crate) wanted: Set,
+    /// Attempts queued or sent for these keys.
+    pub(crate) live: Vec<AttemptId>,
+    /// Servers that had an attempt; another one is preferred.
+    pub(crate) tried: Vec<BackendServerId>,
+    /// Servers that can't serve these keys at the pinned version.
+    pub(crate) unable: Vec<BackendServerId>,
+    /// Attempts made, hedges included.
+    pub(crate) attempts: u32,
+    /// Why the next attempt is made.
+    pub(crate) cause: Cause,
+    /// How the last attempt ended.
+    pub(crate) last: Option<Reason>,
+    /// Why nobody will be asked any more.
+    pub(crate) given_up: Option<Reason>,
+    /// Whether every server in question has turned out not to serve the pinned version.
+    pub(crate) vanished: bool,
+}
+
+impl Part {
+    /// Stops asking for these keys.
+    pub(crate) fn give_up(&mut self) {
+        self.given_up = Some(self.last.unwrap_or(Reason::Unavailable));
+    }
+}
+
+/// What an accepted reply changed.
+#[derive(Debug, Default)]
+pub(crate) struct Change {
+    /// Attempts that nobody needs any more.
+    pub(crate) losers: Vec<AttemptId>,
+    /// Whether the reply added any key.
+    pub(crate) progress: bool,
+}
+
+/// A search in progress.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) request: Request,
+    pub(crate) started: Time,
+    /// The one version that is merged; `None` until the first reply of an unpinned run.
+    pub(crate) pin: Option<IndexVersion>,
+    pub(crate) parts: BTreeMap<PartId, Part>,
+    pub(crate) fanout: Fanout,
+    /// Whether the run has begun again at a newer version.
+    pub(crate) restarted: bool,
+    /// Attempts whose part was dealt out again; their replies are still welcome.
+    pub(crate) detached: Vec<AttemptId>,
+    merge: Merge,
+    previous: Option<(IndexVersion, Merge)>,
+    next_part: PartId,
+    retry_after: Option<Duration>,
+}
+
+impl Run {
+    pub(crate) fn new(
+        request: Request,
+        pin: Option<IndexVersion>,
+        route: &Route,
+        now: Time,
+    ) -> Self {
+        let mut run = Self {
+            request,
+            started: now,
+            pin,
+            parts: BTreeMap::new(),
+            fanout: Fanout::default(),
+            restarted: false,
+            detached: Vec::new(),
+            merge: Merge::default(),
+            previous: None,
+            next_part: 0,
+            retry_after: None,
+        };
+        run.deal(&Set::from(route.keys), route, &Part::default());
+        run
+    }
+
+    /// Makes parts of the keys by the groups that hold them now, and returns their ids. Their
+    /// history is that of `origin`.
+    pub(crate) fn deal(&mut self, keys: &Set, route: &Route, origin: &Part) -> Vec<PartId> {
+        let mut made = Vec::new();
+        for (group, placed) in route.groups.iter().enumerate() {
+            let wanted = keys.intersection(&Set::from(placed.keys));
+            if wanted.is_empty() {
+                continue;
+            }
+            let part = Part {
+                group,
+                wanted,
+                tried: origin.tried.clone(),
+                unable: origin.unable.clone(),
+                attempts: origin.attempts,
+                last: origin.last,
+                ..Part::default()
+            };
+            self.parts.insert(self.next_part, part);
+            made.push(self.next_part);
+            self.next_part += 1;
+        }
+        made
+    }
+
+    /// Takes a reply of the pinned version, and says who is not needed any more.
+    pub(crate) fn accept(&mut self, part: PartId, asked: &Set, reply: Reply) -> Change {
+        let new = self.merge.accept(asked, reply);
+        let mut change = Change {
+            progress: !new.is_empty(),
+            ..Change::default()
+        };
+        let whole = match self.parts.get(&part) {
+            Some(own) => new.difference(&own.wanted).is_empty(),
+            None => false,
+        };
+        if whole {
+            self.take(part, &new, &mut change);
+            return change;
+        }
+        for id in self.parts.keys().copied().collect::<Vec<_>>() {
+            self.take(id, &new, &mut change);
+        }
+        change
+    }
+
+    /// Tells whether a reply is from the pinned version. The first reply of an unpinned run pins
+    /// it.
+    pub(crate) fn agrees(&mut self, version: Option<IndexVersion>, minimum: IndexVersion) -> bool {
+        let Some(version) = version.filter(|version| *version >= minimum) else {
+            return false;
+        };
+        *self.pin.get_or_insert(version) == version
+    }
+
+    /// Notes that an attempt has ended.
+    pub(crate) fn land(&mut self, part: PartId, attempt: AttemptId) {
+        match self.parts.get_mut(&part) {
+            Some(part) => part.live.retain(|live| *live != attempt),
+            None => self.detached.retain(|live| *live != attempt),
+        }
+    }
+
+    /// Notes that a server can't serve what a part still lacks.
+    pub(crate) fn exclude(&mut self, part: PartId, server: BackendServerId) {
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.unable.push(server);
+        }
+    }
+
+    /// Stops asking for the keys of a part.
+    pub(crate) fn give_up(&mut self, part: PartId) {
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.give_up();
+        }
+    }
+
+    fn take(&mut self, id: PartId, new: &Set, change: &mut Change) {
+        let Some(part) = self.parts.get_mut(&id) else {
+            return;
+        };
+        part.wanted = part.wanted.difference(new);
+        if part.wanted.is_empty() {
+            change.losers.append(&mut part.live);
+            self.parts.remove(&id);
+        }
+    }
+
+    /// Begins again at a newer version; returns the attempts that are of no more use.
+    pub(crate) fn restart(&mut self, version: IndexVersion, route: &Route) -> Vec<AttemptId> {
+        let merge = std::mem::take(&mut self.merge);
+        if let Some(old) = self.pin.replace(version) {
+            self.previous = Some((old, merge));
+        }
+        self.restarted = true;
+        let live = self.live();
+        self.parts.clear();
+        self.detached.clear();
+        self.deal(&Set::from(route.keys), route, &Part::default());
+        live
+    }
+
+    /// Returns all attempts in progress.
+    pub(crate) fn live(&self) -> Vec<AttemptId> {
+        let parts = self.parts.values();
+        let live = parts.flat_map(|part| &part.live);
+        live.chain(&self.detached).copied().collect()
+    }
+
+    /// Notes how an attempt failed.
+    pub(crate) fn note(&mut self, part: PartId, failure: &Failure) {
+        self.fanout.fail(failure);
+        if let Some(part) = self.parts.get_mut(&part) {
+            part.last = Some(reason(failure));
+        }
+        if let Failure::Refused { retry_after, .. } = failure {
+            self.retry_after = self.retry_after.max(*retry_after);
+        }
+    }
+
+    /// Share of the data that the answer would cover now.
+    pub(crate) fn coverage(&self, route: &Route) -> f64 {
+        coverage::share(self.merge.covered(), route)
+    }
+
+    /// Tells whether every key of the route has been merged.
+    pub(crate) fn is_complete(&self, route: &Route) -> bool {
+        coverage::missing(self.merge.covered(), route).is_empty()
+    }
+
+    /// Returns the keys that are neither merged nor in a part.
+    pub(crate) fn unplanned(&self, route: &Route) -> Set {
+        let mut planned = self.merge.covered().clone();
+        for part in self.parts.values() {
+            planned.join(&part.wanted);
+        }
+        coverage::missing(&planned, route)
+    }
+
+    /// Tells whether somebody still works on the run, or is expected to.
+    pub(crate) fn is_open(&self) -> bool {
+        self.parts.values().any(|part| part.given_up.is_none())
+    }
+
+    /// Returns why parts were given up: the first of them speaks for all.
+    pub(crate) fn reason(&self) -> Reason {
+        let mut reasons = self.parts.values().filter_map(|part| part.given_up);
+        reasons.next().unwrap_or(Reason::Unavailable)
+    }
+
+    /// Ends the run with what it has. After a restart the better covered of the two versions is
+    /// given, the newer one if they are equal.
+    pub(crate) fn finish(self, route: &Route, reason: Reason) -> Outcome {
+        let here = coverage::share(self.merge.covered(), route);
+        let before = self
+            .previous
+            .filter(|(_, merge)| coverage::share(merge.covered(), route) > here);
+        let merged = before.or(self.pin.map(|version| (version, self.merge)));
+        match merged.filter(|(_, merge)| !merge.covered().is_empty()) {
+            Some((version, merge)) => Outcome::Answered(answer(version, merge, route)),
+            None => refusal(&self.fanout, reason, self.retry_after),
+        }
+    }
+}
+
+fn answer(index_version: IndexVersion, merge: Merge, route: &Route) -> Answer {
+    Answer {
+        index_version,
+        coverage: coverage::share(merge.covered(), route),
+        missing: coverage::missing(merge.covered(), route).ranges().to_vec(),
+        items: merge.into_items(),
+    }
+}
+
+fn refusal(fanout: &Fanout, reason: Reason, retry_after: Option<Duration>) -> Outcome {
+    match fanout.unrun() {
+        Some(unrun) => unrun.outcome(reason, retry_after),
+        None => Outcome::Failed {
+            reason,
+            retry_after,
+        },
+    }
+}
+
+/// Returns the reason that a failure gives for giving up.
+pub(crate) fn reason(failure: &Failure) -> Reason {
+    match failure {
+        Failure::Refused { refusal, .. } => refused(refusal),
+        Failure::NotSent => Reason::Unavailable,
+        Failure::Ran { .. } => Reason::BackendServer,
+        Failure::Lost | Failure::Mismatched | Failure::Cancelled { .. } => Reason::Lost,
+    }
+}
+
+fn refused(refusal: &Refusal) -> Reason {
+    match refusal {
+        Refusal::Shedding | Refusal::Connections => Reason::Overload,
+        Refusal::Draining | Refusal::Starting | Refusal::IndexVersion { .. } => Reason::Unavailable,
+        Refusal::Deadline => Reason::Deadline,
+        Refusal::Malformed => Reason::BackendServer,
+    }
+}
+
+/// Tells whether another server would answer the same.
+pub(crate) fn is_final(failure: &Failure) -> bool {
+    let malformed = Refusal::Malformed;
+    matches!(failure, Failure::Refused { refusal, .. } if *refusal == malformed)
+}
