Choose between replicas by own load and earned trust in reports

Verdict names the news of a report (first sign of leaving, restart, survival after a lost connection) in one field; Room gives the work time without waiting.

--- a/crates/decision/src/backend/choice.rs
+++ b/crates/decision/src/backend/choice.rs
@@ -1,6 +1,29 @@
 //! Choice between replicas.
+//!
+//! The candidate with the least expected load is chosen, ties at random. Own outstanding attempts
+//! are exact and count in full. What others have there is known from reports only, which are late
+//! and may be wrong: they count by the weight that the server has earned (`trust`) and by their
+//! age, and only as a deviation from the usual. A server whose recent latency is far above its
+//! group's counts as more loaded than it seems, less so the longer ago that was measured, so that
+//! it is tried again.
 
+use super::server::Server;
+use crate::Time;
 use monsoonring_configuration::id::BackendServerId;
+use rand::Rng;
+use std::time::Duration;
+
+/// Work times after which the deviation that a report shows has halved.
+const HALF_LIFE_IN_WORK: f64 = 4.0;
+
+/// Multiple of the group's usual latency from which a server counts as slow.
+const SLOW: f64 = 1.5;
+
+/// Time after which a slow server's extra load has halved.
+const SLOW_HALF_LIFE: Duration = Duration::from_secs(1);
+
+/// Scores closer than this are a tie.
+const TIE: f64 = 1e-9;
 
 /// The backend server chosen for an attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -10,3 +33,56 @@
     /// Why it was chosen, with the numbers that decided.
     pub why: String,
 }
+
+/// What is known of the group when its servers are compared.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usual {
+    /// Mean work time of an attempt.
+    pub(crate) work: Duration,
+    /// Median latency.
+    pub(crate) median: Duration,
+    /// Work slots of one server.
+    pub(crate) slots: f64,
+}
+
+/// Returns the load that others are believed to have at a server beyond the usual.
+pub(crate) fn others(server: &Server, usual: Usual, now: Time) -> f64 {
+    let Some(reported) = server.reported else {
+        return 0.0;
+    };
+    let weight = server.trust.weight(usual.work.div_f64(usual.slots));
+    let age = now.saturating_sub(reported.at);
+    let half_life = usual.work.mul_f64(HALF_LIFE_IN_WORK);
+    weight * fading(age, half_life) * (reported.others - server.trust.mean())
+}
+
+/// Returns the load to expect at a server, in attempts.
+pub(crate) fn score(server: &Server, usual: Usual, now: Time) -> f64 {
+    (server.own() + 1.0) * slowness(server, usual, now) + others(server, usual, now)
+}
+
+/// Returns the index of the least score; among equals each is as likely.
+pub(crate) fn least(scores: &[f64], rng: &mut impl Rng) -> Option<usize> {
+    let least = scores.iter().copied().reduce(f64::min)?;
+    let tied = |score: &f64| *score - least < TIE;
+    let ties = scores.iter().filter(|score| tied(score)).count();
+    let nth = rng.random_range(0..ties);
+    let mut equals = (0..scores.len()).filter(|index| tied(&scores[*index]));
+    equals.nth(nth)
+}
+
+fn slowness(server: &Server, usual: Usual, now: Time) -> f64 {
+    let Some((recent, at)) = server.recent else {
+        return 1.0;
+    };
+    let ratio = recent / usual.median.as_secs_f64().max(f64::MIN_POSITIVE);
+    let excess = (ratio / SLOW - 1.0).max(0.0);
+    1.0 + excess * fading(now.saturating_sub(at), SLOW_HALF_LIFE)
+}
+
+fn fading(age: Duration, half_life: Duration) -> f64 {
+    if half_life.is_zero() {
+        return 0.0;
+    }
+    (-age.as_secs_f64() / half_life.as_secs_f64()).exp2()
+}
--- /dev/null
+++ b/crates/decision/src/backend/events.rs
@@ -0,0 +1,328 @@
+//! What happens to the attempts and servers of a fleet.
+
+use super::choice;
+use super::fleet::{Attempt, Fleet};
+use super::ramp::Ramp;
+use super::verdict::{News, Verdict};
+use crate::Time;
+use crate::attempt::{AttemptId, Failure, Refusal};
+use crate::reply::Report;
+use monsoonring_configuration::id::{BackendServerId, Incarnation};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Back-off after a refusal that names no time; it doubles with each further one.
+const BACK_OFF: Duration = Duration::from_millis(50);
+const BACK_OFF_DOUBLINGS: u32 = 5;
+
+/// Longest back-off that a server may ask for: a wrong number must not take it out for good.
+const BACK_OFF_AT_MOST: Duration = Duration::from_secs(30);
+
+/// Largest part by which a back-off is lengthened, so that homes don't come back all at once.
+const JITTER: f64 = 0.5;
+
+/// Time after which a cancelled attempt that was never confirmed is forgotten.
+const CANCELLED_FORGOTTEN: Duration = Duration::from_secs(5);
+
+impl Fleet {
+    /// Records that an attempt was sent.
+    pub fn sent(&mut self, server: BackendServerId, attempt: AttemptId, now: Time) {
+        let Some(state) = self.servers.get(&server) else {
+            return;
+        };
+        let load = self.expected_load(state, now);
+        let reported = state.reported.map(|reported| reported.others);
+        if let Some(state) = self.servers.get_mut(&server) {
+            state.outstanding += 1;
+        }
+        let record = Attempt {
+            server,
+            sent: now,
+            cancelled: None,
+            reported,
+            load,
+        };
+        self.attempts.insert(attempt, record);
+    }
+
+    /// Records that an attempt is being cancelled; it stays outstanding until it ends.
+    ///
+    /// The time that it took so far is a lower bound of its latency. Without it a straggler whose
+    /// attempts always lose against their hedges would look as fast as the few that it wins.
+    pub fn cancelling(&mut self, attempt: AttemptId, now: Time) {
+        let Some(record) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        if record.cancelled.is_some() {
+            return;
+        }
+        record.cancelled = Some(now);
+        let (server, load) = (record.server, record.load);
+        let took = now.saturating_sub(record.sent);
+        if let Some(state) = self.servers.get_mut(&server) {
+            state.cancelling += 1;
+        }
+        if took > self.quantile(server, 0.5) {
+            self.measured(server, took, load, now);
+        }
+    }
+
+    /// Records a reply.
+    pub fn replied(&mut self, attempt: AttemptId, report: &Report, now: Time) -> News {
+        let Some(record) = self.end(attempt) else {
+            return News::default();
+        };
+        if record.cancelled.is_none() {
+            let took = now.saturating_sub(record.sent);
+            self.measured(record.server, took, record.load, now);
+            self.predicted(&record, took);
+        }
+        self.grow(record.server);
+        self.heard(record.server, report, now)
+    }
+
+    /// Records that an attempt ended without a usable reply.
+    pub fn failed(&mut self, attempt: AttemptId, failure: &Failure, now: Time) -> Verdict {
+        let Some(record) = self.end(attempt) else {
+            return Verdict::default();
+        };
+        let server = record.server;
+        let mut verdict = match failure {
+            Failure::Refused {
+                refusal,
+                retry_after,
+                report,
+            } => self.refused(server, refusal, *retry_after, report, now),
+            Failure::Ran { report } | Failure::Cancelled { report } => Verdict {
+                news: self.heard(server, report, now),
+                ..Verdict::default()
+            },
+            Failure::NotSent => Verdict {
+                discard_connection: true,
+                not_run: true,
+                ..Verdict::default()
+            },
+            Failure::Lost => self.lost(server),
+            Failure::Mismatched => Verdict {
+                discard_connection: true,
+                ..Verdict::default()
+            },
+        };
+        verdict.server = Some(server);
+        verdict
+    }
+
+    /// Forgets an attempt whose connection was found silent; no blame falls on the server.
+    pub fn forget(&mut self, attempt: AttemptId, _now: Time) {
+        self.end(attempt);
+    }
+
+    /// Takes in what the load endpoint says, `None` where it did not answer.
+    ///
+    /// An endpoint without an answer says nothing about the server: requests may still be served.
+    pub fn polled(&mut self, server: BackendServerId, report: Option<&Report>, now: Time) -> News {
+        report.map_or_else(News::default, |report| self.heard(server, report, now))
+    }
+
+    /// Marks a server as leaving with the given start number. Returns whether that is new.
+    pub fn leave(
+        &mut self,
+        server: BackendServerId,
+        start: Option<Incarnation>,
+        now: Time,
+    ) -> bool {
+        let known = self.start(server);
+        self.marks.add(server, start, known, now)
+    }
+
+    /// Ends what is over: back-offs, and cancellations that were never confirmed. Returns the
+    /// servers that can take work again.
+    pub fn tick(&mut self, now: Time) -> Vec<BackendServerId> {
+        let forgotten = |record: &Attempt| {
+            record
+                .cancelled
+                .is_some_and(|at| at + CANCELLED_FORGOTTEN <= now)
+        };
+        let over: Vec<AttemptId> = self
+            .attempts
+            .iter()
+            .filter(|(_, record)| forgotten(record))
+            .map(|(attempt, _)| *attempt)
+            .collect();
+        for attempt in over {
+            self.end(attempt);
+        }
+        let mut open = Vec::new();
+        for (id, server) in &mut self.servers {
+            if server.back_off.is_some_and(|until| until <= now) {
+                server.back_off = None;
+                open.push(*id);
+            }
+        }
+        open
+    }
+
+    /// Returns the time at which [`Self::tick`] has something to do.
+    pub fn next_wake(&self) -> Option<Time> {
+        let back_offs = self.servers.values().filter_map(|server| server.back_off);
+        let cancelled = self.attempts.values().filter_map(|record| record.cancelled);
+        back_offs
+            .chain(cancelled.map(|at| at + CANCELLED_FORGOTTEN))
+            .min()
+    }
+
+    fn end(&mut self, attempt: AttemptId) -> Option<Attempt> {
+        let record = self.attempts.remove(&attempt)?;
+        if let Some(server) = self.servers.get_mut(&record.server) {
+            server.outstanding = server.outstanding.saturating_sub(1);
+            let cancelled = usize::from(record.cancelled.is_some());
+            server.cancelling = server.cancelling.saturating_sub(cancelled);
+            if !server.configured && server.outstanding == 0 {
+                self.servers.remove(&record.server);
+            }
+        }
+        Some(record)
+    }
+
+    fn measured(&mut self, server: BackendServerId, took: Duration, load: f64, now: Time) {
+        let slots = self.slots();
+        if let Some(state) = self.servers.get_mut(&server) {
+            state.measured(took, load, slots, now);
+            self.groups[state.group].latency.record(took);
+            self.latency.record(took);
+        }
+    }
+
+    /// Holds the load that was reported when the attempt left against the latency that followed.
+    fn predicted(&mut self, record: &Attempt, took: Duration) {
+        if let (Some(others), Some(state)) = (record.reported, self.servers.get_mut(&record.server))
+        {
+            state.trust.observe(others, took);
+        }
+    }
+
+    fn grow(&mut self, server: BackendServerId) {
+        let share = self.share();
+        if let Some(state) = self.servers.get_mut(&server) {
+            state.ramp = state.ramp.and_then(|ramp| ramp.replied(share));
+            state.sheds = 0;
+        }
+    }
+
+    /// Takes in what a server says of itself.
+    fn heard(&mut self, server: BackendServerId, report: &Report, now: Time) -> News {
+        let Some(state) = self.servers.get_mut(&server) else {
+            return News::default();
+        };
+        // A report of an earlier start was overtaken on its way: it tells of a process that is gone.
+        if report.start.is_some() && report.start < state.start {
+            return News::default();
+        }
+        let restarted = state.start.is_some() && report.start > state.start;
+        let survived = state.lost && report.start.is_some() && report.start == state.start;
+        if report.start.is_some() {
+            state.lost = false;
+        }
+        state.start = state.start.max(report.start);
+        if restarted {
+            state.ramp = Some(Ramp::cold());
+            state.back_off = None;
+        }
+        if let Some(load) = report.load {
+            state.take_load(load, now);
+        }
+        state.take_versions(report);
+        if let Some(start) = report.start {
+            self.marks.heard(server, start);
+        }
+        let leaving = report.draining && self.leave(server, report.start, now);
+        News {
+            leaving,
+            restarted,
+            survived,
+        }
+    }
+
+    fn refused(
+        &mut self,
+        server: BackendServerId,
+        refusal: &Refusal,
+        retry_after: Option<Duration>,
+        report: &Report,
+        now: Time,
+    ) -> Verdict {
+        let mut news = self.heard(server, report, now);
+        let mut back_off = None;
+        match refusal {
+            Refusal::Shedding => back_off = self.shed(server, retry_after, now),
+            Refusal::Starting => {
+                back_off = self.shed(server, retry_after, now);
+                if let Some(state) = self.servers.get_mut(&server) {
+                    state.ramp = Some(Ramp::cold());
+                }
+            }
+            Refusal::Draining => news.leaving |= self.leave(server, report.start, now),
+            Refusal::IndexVersion { served } => {
+                if let Some(state) = self.servers.get_mut(&server) {
+                    state.versions.clone_from(served);
+                    state.versions.sort_unstable();
+                }
+            }
+            Refusal::Connections | Refusal::Deadline | Refusal::Malformed => {}
+        }
+        Verdict {
+            discard_connection: *refusal == Refusal::Connections,
+            not_run: true,
+            back_off,
+            news,
+            ..Verdict::default()
+        }
+    }
+
+    /// Leaves a server alone for a time, and halves what it gets after that. Homes that were all
+    /// refused at the same time would otherwise all come back at the same time with all they had.
+    fn shed(
+        &mut self,
+        server: BackendServerId,
+        retry_after: Option<Duration>,
+        now: Time,
+    ) -> Option<Time> {
+        let state = self.servers.get_mut(&server)?;
+        let own = BACK_OFF * 2_u32.pow(state.sheds.min(BACK_OFF_DOUBLINGS));
+        state.sheds = state.sheds.saturating_add(1);
+        state.ramp = Some(Ramp::halved(state.outstanding));
+        let time = retry_after.unwrap_or(own).min(BACK_OFF_AT_MOST);
+        let until = now + time.mul_f64(1.0 + JITTER * spread(server, now));
+        state.back_off = state.back_off.max(Some(until));
+        state.back_off
+    }
+
+    fn lost(&mut self, server: BackendServerId) -> Verdict {
+        if let Some(state) = self.servers.get_mut(&server) {
+            state.lost = true;
+        }
+        Verdict {
+            discard_connection: true,
+            crash_evidence: true,
+            ..Verdict::default()
+        }
+    }
+
+    /// Returns the load of all homes to expect at a server.
+    pub(super) fn expected_load(&self, state: &super::server::Server, now: Time) -> f64 {
+        let usual = self.usual(state.group);
+        let believed = state.trust.weight(usual.work.div_f64(usual.slots));
+        // Homes get alike shares of the requests: where nothing better is known, each of the others
+        // has as much there as this one.
+        let alike = state.own() * (self.homes - 1) as f64;
+        let reported = state.trust.mean() * believed + choice::others(state, usual, now);
+        (state.own() + reported + (1.0 - believed) * alike).max(state.own())
+    }
+}
+
+/// Returns a number from 0 to 1 that differs between homes: their processes did not start at the
+/// same nanosecond.
+fn spread(server: BackendServerId, now: Time) -> f64 {
+    let hash = xxh3_64(format!("{server} {}", now.as_nanos()).as_bytes());
+    hash as f64 / u64::MAX as f64
+}
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -1,159 +1,302 @@
 //! All backend servers of one route at one home.
 
-use super::{Choice, News, Room, Verdict};
+use super::choice::{self, Choice, Usual};
+use super::latency::Latency;
+use super::leaving::Marks;
+use super::ramp::Ramp;
+use super::server::Server;
+use super::share;
 use crate::Time;
-use crate::attempt::{AttemptId, Failure};
-use crate::reply::Report;
-use monsoonring_configuration::document::Route;
+use crate::attempt::AttemptId;
+use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
-use serde::Serialize;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// Bounds of the time after which an attempt is hedged.
+const HEDGE_AT_LEAST: Duration = Duration::from_millis(1);
+const HEDGE_AT_MOST: f64 = 0.5;
+
+/// Share of the deadline that stands in for a latency that nothing is known of.
+const UNKNOWN_LATENCY: f64 = 0.25;
+
+/// A server's own quantile counts up to this multiple of its group's. A replica that is always
+/// slow would otherwise be hedged late, by its own standard, although the others answer long
+/// before: seen as a tail that hedging does not cut.
+const OWN_QUANTILE_AT_MOST: f64 = 2.0;
+
+/// Silence that is out of the ordinary: a multiple of a high quantile.
+const PATIENCE_QUANTILE: f64 = 0.99;
+const PATIENCE_FACTOR: f64 = 4.0;
+const PATIENCE_AT_LEAST: Duration = Duration::from_millis(50);
+
 /// All backend servers of one route at one home.
-pub struct Fleet {}
-
-/// State of one backend server, for operators.
-#[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct Snapshot {
-    /// The server.
-    pub server: BackendServerId,
-    /// Whether connections to it can be made.
-    pub reachable: bool,
-    /// Whether it is leaving.
-    pub leaving: bool,
-    /// Own attempts outstanding.
-    pub outstanding: usize,
-    /// Own attempts that may be outstanding at once.
-    pub limit: usize,
-    /// Weight given to its load reports, from 0 to 1.
-    pub trust: f64,
-    /// Median of its latency, in milliseconds.
-    pub median_ms: f64,
-    /// 95th percentile of its latency, in milliseconds.
-    pub p95_ms: f64,
-    /// Index versions that it serves, as far as known.
-    pub versions: Vec<IndexVersion>,
-    /// Milliseconds for which it gets no new work because it shed load.
-    pub back_off_ms: u64,
+pub struct Fleet {
+    pub(super) servers: BTreeMap<BackendServerId, Server>,
+    pub(super) groups: Vec<Group>,
+    pub(super) latency: Latency,
+    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) marks: Marks,
+    pub(super) capacity: Capacity,
+    pub(super) homes: usize,
+    pub(super) deadline: Duration,
+}
+
+/// Replicas of the same part of the data.
+pub(super) struct Group {
+    pub(super) servers: Vec<BackendServerId>,
+    pub(super) latency: Latency,
+}
+
+/// An attempt that is outstanding.
+pub(super) struct Attempt {
+    pub(super) server: BackendServerId,
+    pub(super) sent: Time,
+    /// Time from which on it is being cancelled.
+    pub(super) cancelled: Option<Time>,
+    /// What was reported of the others' load when it left.
+    pub(super) reported: Option<f64>,
+    /// Load of all homes to be expected at the server when it left.
+    pub(super) load: f64,
 }
 
 impl Fleet {
     /// Makes the fleet of a route that has `homes` homes.
-    pub fn new(_route: &Route, _homes: usize, _now: Time) -> Self {
-        Self {}
+    pub fn new(route: &Route, homes: usize, now: Time) -> Self {
+        let mut fleet = Self {
+            servers: BTreeMap::new(),
+            groups: Vec::new(),
+            latency: Latency::new(),
+            attempts: BTreeMap::new(),
+            marks: Marks::default(),
+            capacity: route.capacity,
+            homes: homes.max(1),
+            deadline: Duration::from_millis(route.deadline_ms),
+        };
+        // It is this home that is new and not the servers: no ramp.
+        fleet.adopt(route, None, now);
+        fleet
     }
 
     /// Takes over a new configuration. Servers that stay keep their state; removed ones get no new
     /// work; new ones are ramped up.
-    pub fn reconfigure(&mut self, _route: &Route, _now: Time) {}
+    pub fn reconfigure(&mut self, route: &Route, now: Time) {
+        self.capacity = route.capacity;
+        self.deadline = Duration::from_millis(route.deadline_ms);
+        self.adopt(route, Some(Ramp::cold()), now);
+    }
 
     /// Takes over the number of homes of the route.
-    pub fn set_homes(&mut self, _homes: usize, _now: Time) {}
+    pub fn set_homes(&mut self, homes: usize, _now: Time) {
+        self.homes = homes.max(1);
+    }
 
     /// Takes over from the pool whether a server can be reached.
-    pub fn set_reachable(&mut self, _server: BackendServerId, _reachable: bool, _now: Time) {}
+    pub fn set_reachable(&mut self, server: BackendServerId, reachable: bool, _now: Time) {
+        if let Some(state) = self.servers.get_mut(&server) {
+            // What was down may come back cold, and all homes come back to it at the same time.
+            if reachable && !state.reachable {
+                state.ramp = Some(Ramp::cold());
+            }
+            state.reachable = reachable;
+        }
+    }
 
     /// Chooses a server among `candidates` that is not in `tried` and serves `version`, if one is
     /// given. Returns `None` if none can take work now.
     pub fn choose(
         &mut self,
-        _candidates: &[BackendServerId],
-        _tried: &[BackendServerId],
-        _version: Option<IndexVersion>,
-        _now: Time,
-        _rng: &mut impl Rng,
+        candidates: &[BackendServerId],
+        tried: &[BackendServerId],
+        version: Option<IndexVersion>,
+        now: Time,
+        rng: &mut impl Rng,
     ) -> Option<Choice> {
-        None
+        let open = self.open(candidates, tried, version, now);
+        let scores = self.scores(&open, now);
+        let index = choice::least(&scores, rng)?;
+        let server = open[index];
+        Some(Choice {
+            server,
+            why: self.why(server, &scores, index, now),
+        })
     }
 
     /// Returns the time after which an attempt at `server` is slower than the given quantile.
-    pub fn hedge_delay(&self, _server: BackendServerId, _quantile: f64, _now: Time) -> Duration {
-        Duration::ZERO
+    pub fn hedge_delay(&self, server: BackendServerId, quantile: f64, _now: Time) -> Duration {
+        let at_most = self.deadline.mul_f64(HEDGE_AT_MOST).max(HEDGE_AT_LEAST);
+        self.quantile(server, quantile)
+            .clamp(HEDGE_AT_LEAST, at_most)
     }
 
     /// Returns the time after which an attempt at `server` is suspiciously silent.
-    pub fn patience(&self, _server: BackendServerId, _now: Time) -> Duration {
-        Duration::ZERO
+    pub fn patience(&self, server: BackendServerId, _now: Time) -> Duration {
+        self.quantile(server, PATIENCE_QUANTILE)
+            .mul_f64(PATIENCE_FACTOR)
+            .max(PATIENCE_AT_LEAST)
+    }
+
+    /// Tells whether a server is leaving.
+    pub fn is_leaving(&self, server: BackendServerId) -> bool {
+        self.marks.contains(server)
     }
 
-    /// Records that an attempt was sent.
-    pub fn sent(&mut self, _server: BackendServerId, _attempt: AttemptId, _now: Time) {}
+    /// Returns the start number of a server, as far as known.
+    pub fn start(&self, server: BackendServerId) -> Option<Incarnation> {
+        self.servers.get(&server)?.start
+    }
 
-    /// Records that an attempt is being cancelled; it stays outstanding until it ends.
-    pub fn cancelling(&mut self, _attempt: AttemptId, _now: Time) {}
+    /// Returns the index versions that a server serves, in order; empty where it did not say.
+    pub fn versions(&self, server: BackendServerId) -> &[IndexVersion] {
+        self.servers
+            .get(&server)
+            .map_or(&[], |state| state.versions.as_slice())
+    }
 
-    /// Records a reply.
-    pub fn replied(&mut self, _attempt: AttemptId, _report: &Report, _now: Time) -> News {
-        News::default()
+    /// Returns how many own attempts are outstanding.
+    pub fn outstanding(&self) -> usize {
+        self.attempts.len()
     }
 
-    /// Records that an attempt ended without a usable reply.
-    pub fn failed(&mut self, _attempt: AttemptId, _failure: &Failure, _now: Time) -> Verdict {
-        Verdict::default()
+    pub(super) fn share(&self) -> usize {
+        share::of(self.capacity, self.homes)
     }
 
-    /// Forgets an attempt whose connection was found silent; no blame falls on the server.
-    pub fn forget(&mut self, _attempt: AttemptId, _now: Time) {}
+    pub(super) fn slots(&self) -> f64 {
+        f64::from(self.capacity.slots.max(1))
+    }
 
-    /// Takes in what the load endpoint says, `None` where it did not answer.
-    pub fn polled(
-        &mut self,
-        _server: BackendServerId,
-        _report: Option<&Report>,
-        _now: Time,
-    ) -> News {
-        News::default()
+    /// Tells whether a server can take an attempt now.
+    pub(super) fn is_open(&self, server: BackendServerId, now: Time) -> bool {
+        let Some(state) = self.servers.get(&server) else {
+            return false;
+        };
+        !self.is_leaving(server) && state.is_open(self.share(), now)
     }
 
-    /// Marks a server as leaving with the given start number. Returns whether that is new.
-    pub fn leave(
-        &mut self,
-        _server: BackendServerId,
-        _start: Option<Incarnation>,
-        _now: Time,
-    ) -> bool {
-        false
+    /// Returns what is usual in a group.
+    pub(super) fn usual(&self, group: usize) -> Usual {
+        let members = self.groups[group].servers.iter();
+        let works: Vec<Duration> = members
+            .filter_map(|server| self.servers.get(server)?.work())
+            .collect();
+        let median = self.groups[group]
+            .latency
+            .quantile(0.5)
+            .or_else(|| self.latency.quantile(0.5))
+            .unwrap_or_else(|| self.unknown_latency());
+        let work = match works.len() {
+            0 => median,
+            count => works.iter().sum::<Duration>() / count as u32,
+        };
+        Usual {
+            work,
+            median,
+            slots: self.slots(),
+        }
     }
 
-    /// Tells whether a server is leaving.
-    pub fn is_leaving(&self, _server: BackendServerId) -> bool {
-        false
+    pub(super) fn quantile(&self, server: BackendServerId, quantile: f64) -> Duration {
+        let Some(state) = self.servers.get(&server) else {
+            return self.unknown_latency();
+        };
+        let own = state.latency.quantile(quantile);
+        let of_group = self.groups[state.group].latency.quantile(quantile);
+        match (own, of_group) {
+            (Some(own), Some(of_group)) => own.min(of_group.mul_f64(OWN_QUANTILE_AT_MOST)),
+            (None, Some(of_group)) => of_group,
+            (_, None) => self
+                .latency
+                .quantile(quantile)
+                .unwrap_or_else(|| self.unknown_latency()),
+        }
     }
 
-    /// Returns the start number of a server, as far as known.
-    pub fn start(&self, _server: BackendServerId) -> Option<Incarnation> {
-        None
+    fn unknown_latency(&self) -> Duration {
+        self.deadline.mul_f64(UNKNOWN_LATENCY)
     }
 
-    /// Returns the index versions that a server serves, in order; empty where it did not say.
-    pub fn versions(&self, _server: BackendServerId) -> &[IndexVersion] {
-        &[]
+    fn open(
+        &self,
+        candidates: &[BackendServerId],
+        tried: &[BackendServerId],
+        version: Option<IndexVersion>,
+        now: Time,
+    ) -> Vec<BackendServerId> {
+        let serves = |server| {
+            let state = self.servers.get(server);
+            state.is_some_and(|state| state.serves(version))
+        };
+        candidates
+            .iter()
+            .filter(|server| !tried.contains(server))
+            .filter(|server| serves(server) && self.is_open(**server, now))
+            .copied()
+            .collect()
     }
 
-    /// Returns how many own attempts are outstanding.
-    pub fn outstanding(&self) -> usize {
-        0
+    fn scores(&self, servers: &[BackendServerId], now: Time) -> Vec<f64> {
+        servers
+            .iter()
+            .map(|server| {
+                let state = &self.servers[server];
+                choice::score(state, self.usual(state.group), now)
+            })
+            .collect()
     }
 
-    /// Returns the room in the tightest group.
-    pub fn room(&self, _now: Time) -> Room {
-        Room::default()
+    fn why(&self, server: BackendServerId, scores: &[f64], index: usize, now: Time) -> String {
+        let state = &self.servers[&server];
+        let others = choice::others(state, self.usual(state.group), now);
+        format!(
+            "score {:.2} of {} open; own {}, others {others:+.2}",
+            scores[index],
+            scores.len(),
+            state.outstanding,
+        )
     }
 
-    /// Returns the state of every server, for operators.
-    pub fn snapshot(&self, _now: Time) -> Vec<Snapshot> {
-        Vec::new()
+    /// Takes over the groups; servers that are new start with `ramp`.
+    fn adopt(&mut self, route: &Route, ramp: Option<Ramp>, now: Time) {
+        self.servers
+            .values_mut()
+            .for_each(|server| server.configured = false);
+        let mut groups: Vec<Group> = Vec::with_capacity(route.groups.len());
+        for (index, group) in route.groups.iter().enumerate() {
+            for id in &group.backend_servers {
+                let new = || Server::new(index, ramp);
+                let server = self.servers.entry(*id).or_insert_with(new);
+                server.group = index;
+                server.configured = true;
+            }
+            groups.push(Group {
+                servers: group.backend_servers.clone(),
+                latency: self.latency_of(&group.backend_servers),
+            });
+        }
+        self.groups = groups;
+        self.drop_removed();
+        let servers = &self.servers;
+        self.marks
+            .retain(now, |server| servers.contains_key(&server));
     }
 
-    /// Ends what is over: back-offs, and cancellations that were never confirmed. Returns the
-    /// servers that can take work again.
-    pub fn tick(&mut self, _now: Time) -> Vec<BackendServerId> {
-        Vec::new()
+    /// Returns the latency of the group, before the change, of the first server that was in one.
+    fn latency_of(&self, servers: &[BackendServerId]) -> Latency {
+        let of_old = |group: &&Group| servers.iter().any(|id| group.servers.contains(id));
+        let old = self.groups.iter().find(of_old);
+        old.map_or_else(Latency::new, |group| group.latency.clone())
     }
 
-    /// Returns the time at which [`Self::tick`] has something to do.
-    pub fn next_wake(&self) -> Option<Time> {
-        None
+    /// Drops removed servers that have nothing outstanding any more.
+    pub(super) fn drop_removed(&mut self) {
+        self.servers
+            .retain(|_, server| server.configured || server.outstanding > 0);
+        // A removed server that still works belongs to no group; its old index may be out of range.
+        let last = self.groups.len().saturating_sub(1);
+        for server in self.servers.values_mut() {
+            server.group = server.group.min(last);
+        }
     }
 }
--- /dev/null
+++ b/crates/decision/src/backend/latency.rs
@@ -0,0 +1,70 @@
+//! Decaying histogram of latencies.
+//!
+//! Buckets grow geometrically, so that a quantile is right to about nine per cent over the whole
+//! scale from a tenth of a millisecond to a minute and a half, in a fixed 640 bytes a server. All
+//! counts are halved when they reach a limit: old latencies fade by use and not by time, and a
+//! server that is rarely asked keeps what is known of it.
+
+use std::time::Duration;
+
+const BUCKETS_PER_DOUBLING: f64 = 8.0;
+const BUCKETS: usize = 160;
+const SMALLEST: Duration = Duration::from_micros(100);
+
+/// Weight at which all counts are halved.
+const HALVED_AT: f32 = 512.0;
+
+/// Weight below which a quantile says too little.
+const ENOUGH: f32 = 20.0;
+
+/// Latencies of one server, one group or one route.
+#[derive(Clone, Debug)]
+pub(crate) struct Latency {
+    counts: Box<[f32; BUCKETS]>,
+    weight: f32,
+}
+
+impl Latency {
+    pub(crate) fn new() -> Self {
+        Self {
+            counts: Box::new([0.0; BUCKETS]),
+            weight: 0.0,
+        }
+    }
+
+    pub(crate) fn record(&mut self, latency: Duration) {
+        if self.weight >= HALVED_AT {
+            self.counts.iter_mut().for_each(|count| *count /= 2.0);
+            self.weight /= 2.0;
+        }
+        self.counts[bucket(latency)] += 1.0;
+        self.weight += 1.0;
+    }
+
+    /// Returns the latency that a share `quantile` of the attempts stays within, or `None` where
+    /// too few were seen.
+    pub(crate) fn quantile(&self, quantile: f64) -> Option<Duration> {
+        if self.weight < ENOUGH {
+            return None;
+        }
+        let rank = self.weight * quantile as f32;
+        let mut seen = 0.0;
+        for (index, count) in self.counts.iter().enumerate() {
+            seen += count;
+            if seen >= rank && *count > 0.0 {
+                return Some(upper_bound(index));
+            }
+        }
+        Some(upper_bound(BUCKETS - 1))
+    }
+}
+
+fn bucket(latency: Duration) -> usize {
+    let ratio = latency.as_secs_f64() / SMALLEST.as_secs_f64();
+    let index = (ratio.max(1.0).log2() * BUCKETS_PER_DOUBLING).floor();
+    (index as usize).min(BUCKETS - 1)
+}
+
+fn upper_bound(index: usize) -> Duration {
+    SMALLEST.mul_f64(((index + 1) as f64 / BUCKETS_PER_DOUBLING).exp2())
+}
--- /dev/null
+++ b/crates/decision/src/backend/leaving.rs
@@ -0,0 +1,79 @@
+//! Which backend servers are leaving.
+//!
+//! The host list, the health endpoint, a mark on a reply and other homes all say so, each with its
+//! own lag. Any of them counts at once and none of them can take it back: a lagging list that still
+//! says `live` would otherwise send new work to a server that is about to stop, seen as lost
+//! connections some seconds after its first drain mark. Only a higher start number, which a server
+//! gets by starting again, ends it.
+
+use crate::Time;
+use monsoonring_configuration::id::{BackendServerId, Incarnation};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Time for which the mark of a server that isn't configured is kept.
+const RETENTION: Duration = Duration::from_secs(600);
+
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    /// Start number that is leaving; `None` until one is heard.
+    start: Option<Incarnation>,
+    at: Time,
+}
+
+/// Marks of the servers that are leaving.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Marks {
+    marks: BTreeMap<BackendServerId, Mark>,
+}
+
+impl Marks {
+    /// Marks `server`, of which `known` is the start number last heard. Returns whether that is
+    /// new.
+    pub(crate) fn add(
+        &mut self,
+        server: BackendServerId,
+        start: Option<Incarnation>,
+        known: Option<Incarnation>,
+        now: Time,
+    ) -> bool {
+        // A sign from before the last restart arrived late: the process that was leaving is gone.
+        if start.is_some() && start < known {
+            return false;
+        }
+        let start = start.max(known);
+        match self.marks.get_mut(&server) {
+            Some(mark) => {
+                mark.start = mark.start.max(start);
+                false
+            }
+            None => {
+                self.marks.insert(server, Mark { start, at: now });
+                true
+            }
+        }
+    }
+
+    /// Takes in a start number that the server itself gave. Returns whether it ended the mark.
+    pub(crate) fn heard(&mut self, server: BackendServerId, start: Incarnation) -> bool {
+        let Some(mark) = self.marks.get_mut(&server) else {
+            return false;
+        };
+        // Without a number in the mark the first one heard may well be the process that leaves.
+        let leaving = *mark.start.get_or_insert(start);
+        if start > leaving {
+            self.marks.remove(&server);
+        }
+        start > leaving
+    }
+
+    pub(crate) fn contains(&self, server: BackendServerId) -> bool {
+        self.marks.contains_key(&server)
+    }
+
+    /// Drops old marks of servers for which `keep` is false.
+    pub(crate) fn retain(&mut self, now: Time, keep: impl Fn(BackendServerId) -> bool) {
+        self.marks
+            .retain(|server, mark| keep(*server) || now < mark.at + RETENTION);
+    }
+}
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -7,14 +7,22 @@
 //! pool finds a server unreachable, and asks the table before it sends.
 
 mod choice;
+mod events;
 mod fleet;
+mod latency;
+mod leaving;
 pub mod pool;
+mod ramp;
 mod room;
+mod server;
 pub mod share;
+mod snapshot;
 pub mod suspect;
+mod trust;
 mod verdict;
 
 pub use choice::Choice;
-pub use fleet::{Fleet, Snapshot};
+pub use fleet::Fleet;
 pub use room::Room;
+pub use snapshot::Snapshot;
 pub use verdict::{News, Verdict};
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -1,5 +1,7 @@
 //! Room that the backend servers of a route have for this home.
 
+use super::fleet::Fleet;
+use crate::Time;
 use std::time::Duration;
 
 /// Room for work, taken from the group that has the least of it.
@@ -7,12 +9,54 @@
 /// A search needs every group, so the busiest group decides how long a query waits.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Room {
-    /// This home's share of the work slots of usable servers, in the tightest group.
+    /// Work slots of the usable servers in the tightest group, shared by all homes.
     pub slots: f64,
-    /// Own attempts outstanding in that group, plus its share of what others have there.
+    /// Attempts of all homes expected at those servers.
     pub busy: f64,
     /// Time that a new attempt would wait in that group before it is worked on.
     pub wait: Duration,
-    /// Measured time of one attempt in that group, waiting included.
-    pub service: Duration,
+    /// Measured mean time that an attempt in that group is worked on, waiting not included.
+    pub work: Duration,
+}
+
+impl Fleet {
+    /// Returns the room in the tightest group. A group none of whose servers is usable is left out:
+    /// queries don't wait for it.
+    pub fn room(&self, now: Time) -> Room {
+        (0..self.groups.len())
+            .filter_map(|group| self.room_of(group, now))
+            .max_by(|one, other| {
+                one.wait
+                    .cmp(&other.wait)
+                    .then(one.busy.total_cmp(&other.busy))
+            })
+            .unwrap_or_default()
+    }
+
+    fn room_of(&self, group: usize, now: Time) -> Option<Room> {
+        let mut usable: u32 = 0;
+        let mut busy = 0.0;
+        for id in &self.groups[group].servers {
+            let Some(server) = self.servers.get(id) else {
+                continue;
+            };
+            if server.reachable && server.configured && !self.is_leaving(*id) {
+                usable += 1;
+                busy += self.expected_load(server, now);
+            }
+        }
+        if usable == 0 {
+            return None;
+        }
+        let slots = f64::from(usable) * self.slots();
+        let work = self.usual(group).work;
+        // The new attempt starts when all but `slots - 1` of those before it have ended.
+        let ahead = (busy + 1.0 - slots).max(0.0);
+        Some(Room {
+            slots,
+            busy,
+            wait: work.mul_f64(ahead / slots),
+            work,
+        })
+    }
 }
--- /dev/null
+++ b/crates/decision/src/backend/server.rs
@@ -0,0 +1,135 @@
+//! State of one backend server at one home.
+
+use super::latency::Latency;
+use super::ramp::Ramp;
+use super::trust::Trust;
+use crate::Time;
+use crate::reply::{Load, Report};
+use monsoonring_configuration::id::{Incarnation, IndexVersion};
+use std::time::Duration;
+
+/// Weight of a new work time in the mean.
+const WORK_GAIN: f64 = 0.05;
+
+/// Weight of a new latency in the recent mean.
+const RECENT_GAIN: f64 = 0.2;
+
+/// Share of an attempt that still counts as load while it is being cancelled: most servers drop a
+/// queued attempt at once and end a running one soon.
+const CANCELLING_LOAD: f64 = 0.5;
+
+/// Load that others have at a server, by its last report.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reported {
+    pub(crate) others: f64,
+    pub(crate) at: Time,
+}
+
+/// State of one backend server.
+#[derive(Clone, Debug)]
+pub(crate) struct Server {
+    pub(crate) group: usize,
+    /// Whether the configuration names it; otherwise it only finishes its attempts.
+    pub(crate) configured: bool,
+    pub(crate) reachable: bool,
+    pub(crate) outstanding: usize,
+    pub(crate) cancelling: usize,
+    pub(crate) latency: Latency,
+    pub(crate) trust: Trust,
+    pub(crate) reported: Option<Reported>,
+    pub(crate) ramp: Option<Ramp>,
+    pub(crate) back_off: Option<Time>,
+    /// Refusals for load since the last reply.
+    pub(crate) sheds: u32,
+    pub(crate) start: Option<Incarnation>,
+    pub(crate) versions: Vec<IndexVersion>,
+    /// A connection was lost under an attempt, and no sign of the process was seen since.
+    pub(crate) lost: bool,
+    /// Recent mean latency, in seconds, and when it was last added to.
+    pub(crate) recent: Option<(f64, Time)>,
+    /// Mean work time without waiting, in seconds.
+    work: Option<f64>,
+}
+
+impl Server {
+    pub(crate) fn new(group: usize, ramp: Option<Ramp>) -> Self {
+        Self {
+            group,
+            configured: true,
+            reachable: true,
+            outstanding: 0,
+            cancelling: 0,
+            latency: Latency::new(),
+            trust: Trust::default(),
+            reported: None,
+            ramp,
+            back_off: None,
+            sheds: 0,
+            start: None,
+            versions: Vec::new(),
+            lost: false,
+            recent: None,
+            work: None,
+        }
+    }
+
+    /// Returns own load: attempts outstanding, those being cancelled counted in part.
+    pub(crate) fn own(&self) -> f64 {
+        let gone = (1.0 - CANCELLING_LOAD) * self.cancelling as f64;
+        self.outstanding as f64 - gone
+    }
+
+    /// Returns how many own attempts may be outstanding, out of `share` connections.
+    pub(crate) fn limit(&self, share: usize) -> usize {
+        self.ramp.map_or(share, |ramp| ramp.limit().min(share))
+    }
+
+    /// Tells whether it can take an attempt now, as far as it is itself concerned.
+    pub(crate) fn is_open(&self, share: usize, now: Time) -> bool {
+        self.configured
+            && self.reachable
+            && self.back_off.is_none_or(|until| until <= now)
+            && self.outstanding < self.limit(share)
+    }
+
+    /// Tells whether it may serve `version`; a server that never named its versions may.
+    pub(crate) fn serves(&self, version: Option<IndexVersion>) -> bool {
+        version.is_none_or(|version| self.versions.is_empty() || self.versions.contains(&version))
+    }
+
+    /// Returns the mean work time, where it is known.
+    pub(crate) fn work(&self) -> Option<Duration> {
+        self.work.map(Duration::from_secs_f64)
+    }
+
+    /// Records the latency of an attempt that left when `load` attempts of all homes were at the
+    /// server's `slots`.
+    pub(crate) fn measured(&mut self, latency: Duration, load: f64, slots: f64, now: Time) {
+        self.latency.record(latency);
+        let seconds = latency.as_secs_f64();
+        // Behind `load` others each slot works off `load / slots` attempts before this one ends.
+        let work = seconds / ((load + 1.0) / slots).max(1.0);
+        self.work = Some(blend(self.work, work, WORK_GAIN));
+        let recent = self.recent.map(|(recent, _)| recent);
+        self.recent = Some((blend(recent, seconds, RECENT_GAIN), now));
+    }
+
+    /// Takes in the load that the server reports.
+    pub(crate) fn take_load(&mut self, load: Load, now: Time) {
+        let all = f64::from(load.busy) + f64::from(load.queued);
+        let others = (all - self.own()).max(0.0);
+        self.reported = Some(Reported { others, at: now });
+    }
+
+    /// Takes in the index versions that the server reports.
+    pub(crate) fn take_versions(&mut self, report: &Report) {
+        if !report.index_versions.is_empty() {
+            self.versions.clone_from(&report.index_versions);
+            self.versions.sort_unstable();
+        }
+    }
+}
+
+fn blend(mean: Option<f64>, value: f64, gain: f64) -> f64 {
+    mean.map_or(value, |mean| mean + gain * (value - mean))
+}
--- /dev/null
+++ b/crates/decision/src/backend/trust.rs
@@ -0,0 +1,68 @@
+//! How far a server's load reports are believed.
+//!
+//! A report is worth what it has predicted. For each reply the load that was reported when the
+//! attempt left is held against the latency that followed; the slope of the one over the other,
+//! relative to what a slot's work time makes of one more request, is the weight that reports get.
+//! Reports that are made up, inverted, late or constant show no slope and weigh nothing; inflated
+//! ones show a flat slope and are scaled back. Only the deviation from the server's own mean is
+//! used, so a constant bias can neither attract nor repel work.
+
+use std::time::Duration;
+
+/// Share of the sums that survives each further observation; about a hundred count.
+const MEMORY: f64 = 0.99;
+
+/// Observations before reports are believed at all.
+const ENOUGH: f64 = 15.0;
+
+/// A server with free slots answers no slower for one more request, so even honest reports show
+/// less than the full slope; a weight is reached at this fraction of it.
+const FULL_AT: f64 = 0.5;
+
+/// Decaying regression of latency over reported load.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Trust {
+    weight: f64,
+    load: f64,
+    latency: f64,
+    load_squared: f64,
+    product: f64,
+}
+
+impl Trust {
+    /// Records the load that others had at the server by its last report before the attempt, and
+    /// the latency of the attempt.
+    pub(crate) fn observe(&mut self, load: f64, latency: Duration) {
+        let latency = latency.as_secs_f64();
+        self.weight = self.weight * MEMORY + 1.0;
+        self.load = self.load * MEMORY + load;
+        self.latency = self.latency * MEMORY + latency;
+        self.load_squared = self.load_squared * MEMORY + load * load;
+        self.product = self.product * MEMORY + load * latency;
+    }
+
+    /// Returns the mean of the loads reported.
+    pub(crate) fn mean(&self) -> f64 {
+        if self.weight > 0.0 {
+            self.load / self.weight
+        } else {
+            0.0
+        }
+    }
+
+    /// Returns the weight of a report, from 0 to 1, at a server where one more request is expected
+    /// to cost `step`.
+    pub(crate) fn weight(&self, step: Duration) -> f64 {
+        if self.weight < ENOUGH || step.is_zero() {
+            return 0.0;
+        }
+        let mean = self.mean();
+        let variance = self.load_squared / self.weight - mean * mean;
+        if variance < f64::EPSILON {
+            return 0.0;
+        }
+        let covariance = self.product / self.weight - mean * self.latency / self.weight;
+        let slope = covariance / variance;
+        (slope / (FULL_AT * step.as_secs_f64())).clamp(0.0, 1.0)
+    }
+}
--- a/crates/decision/src/backend/verdict.rs
+++ b/crates/decision/src/backend/verdict.rs
@@ -16,8 +16,8 @@
     pub crash_evidence: bool,
     /// Time until which the server gets no new work.
     pub back_off: Option<Time>,
-    /// Whether this is the first sign that the server is leaving: the other homes are to be told.
-    pub leaving: bool,
+    /// What is new in what the server said of itself.
+    pub news: News,
 }
 
 /// What is new in something that a server said of itself.
