--- /dev/null
+++ b/crates/decision/src/backend/pool/line.rs
@@ -0,0 +1,197 @@
+//! The connections to one backend server.
+
+use super::connection::{Connection, State};
+use crate::Time;
+use crate::attempt::ConnectionId;
+use std::time::Duration;
+
+/// Connections kept ready beyond those lately in use at once.
+const SPARE: usize = 1;
+
+/// Connections to one server that are being opened at the same time. After a restart of the server
+/// every home finds all its connections gone at once; without this bound they would all be opened
+/// again at once, seen as connect times far above the usual just when the server is cold.
+const OPENING_AT_MOST: usize = 2;
+
+/// Time after which the connections kept ready shrink by one.
+const SHRINK: Duration = Duration::from_secs(5);
+
+/// Pause after a failed connect; it doubles with each further one.
+const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE_DOUBLINGS: u32 = 6;
+
+/// Pause after the server said that its connection limit is reached.
+const CROWDED: Duration = Duration::from_secs(1);
+
+/// The connections to one backend server.
+#[derive(Clone, Debug)]
+pub(super) struct Line {
+    pub(super) configured: bool,
+    pub(super) leaving: bool,
+    pub(super) reachable: bool,
+    /// Idle connections, the one used last at the end.
+    pub(super) idle: Vec<ConnectionId>,
+    pub(super) busy: usize,
+    pub(super) opening: usize,
+    /// Time at which a connection last opened.
+    pub(super) connected: Time,
+    /// Time at which an attempt was last answered.
+    pub(super) answered: Time,
+    /// Most connections needed at once, lately.
+    peak: usize,
+    /// Needs that found no idle connection, since the last that did.
+    misses: usize,
+    shrunk: Time,
+    /// Connects that failed in a row.
+    failures: u32,
+    paused: Option<Time>,
+}
+
+impl Line {
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            configured: true,
+            leaving: false,
+            // Until a connect has failed nothing speaks against the server.
+            reachable: true,
+            idle: Vec::new(),
+            busy: 0,
+            opening: 0,
+            connected: now,
+            answered: now,
+            peak: 0,
+            misses: 0,
+            shrunk: now,
+            failures: 0,
+            paused: None,
+        }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.idle.len() + self.busy + self.opening
+    }
+
+    /// Tells whether a removed server's last connection has gone.
+    pub(super) fn is_over(&self) -> bool {
+        !self.configured && self.len() == 0
+    }
+
+    pub(super) fn taken(&mut self, now: Time) {
+        self.busy += 1;
+        self.misses = 0;
+        self.raise_peak(self.busy, now);
+    }
+
+    pub(super) fn missed(&mut self, now: Time) {
+        self.misses += 1;
+        self.raise_peak(self.busy + self.misses, now);
+    }
+
+    pub(super) fn released(&mut self, id: ConnectionId, now: Time) {
+        self.busy = self.busy.saturating_sub(1);
+        self.idle.push(id);
+        self.answered = now;
+    }
+
+    pub(super) fn put_back(&mut self, id: ConnectionId) {
+        self.busy = self.busy.saturating_sub(1);
+        self.idle.push(id);
+    }
+
+    pub(super) fn opened(&mut self, id: ConnectionId, now: Time) {
+        self.opening = self.opening.saturating_sub(1);
+        self.idle.push(id);
+        self.connected = now;
+        self.failures = 0;
+        self.paused = None;
+        self.reachable = true;
+    }
+
+    /// Takes out a connection that has ended by itself.
+    ///
+    /// A failed connect with none left makes the server unreachable, and so does the loss of the
+    /// last connection under an attempt. One lost connection among others says nothing of the
+    /// server, and an idle one may simply have been closed by it.
+    pub(super) fn closed(&mut self, id: ConnectionId, connection: &Connection, now: Time) {
+        self.remove(id, connection);
+        let left = self.idle.len() + self.busy;
+        match connection.state {
+            State::Opening => {
+                self.pause(now);
+                self.reachable &= left > 0;
+            }
+            State::Busy(_) => self.reachable &= left > 0,
+            State::Idle => {}
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: ConnectionId, connection: &Connection) {
+        match connection.state {
+            State::Opening => self.opening = self.opening.saturating_sub(1),
+            State::Busy(_) => self.busy = self.busy.saturating_sub(1),
+            State::Idle => self.idle.retain(|other| *other != id),
+        }
+    }
+
+    pub(super) fn crowded(&mut self, now: Time) {
+        self.paused = self.paused.max(Some(now + CROWDED));
+    }
+
+    /// Lets time act: a pause ends, the peak shrinks.
+    pub(super) fn elapse(&mut self, share: usize, now: Time) {
+        self.paused = self.paused.filter(|until| now < *until);
+        self.peak = self.peak.min(share);
+        if now >= self.shrunk + SHRINK && self.peak > self.busy {
+            self.peak -= 1;
+            self.shrunk = now;
+        }
+    }
+
+    /// Returns how many connections are to be opened now.
+    pub(super) fn missing(&self, share: usize, now: Time) -> usize {
+        let wanted = self.configured && !self.leaving;
+        if !wanted || self.paused.is_some_and(|until| now < until) {
+            return 0;
+        }
+        let at_once = if self.reachable { OPENING_AT_MOST } else { 1 };
+        self.target(share)
+            .saturating_sub(self.len())
+            .min(at_once.saturating_sub(self.opening))
+    }
+
+    /// Returns the idle connection to be closed now, if there is one too many.
+    pub(super) fn excess(&self, share: usize) -> Option<ConnectionId> {
+        let oldest = self.idle.first().copied()?;
+        if !self.configured || self.leaving || self.len() > share {
+            return Some(oldest);
+        }
+        (self.len() > self.target(share)).then_some(oldest)
+    }
+
+    /// Tells whether time alone has given it something to do.
+    pub(super) fn is_due(&self, now: Time) -> bool {
+        self.wake().is_some_and(|wake| wake <= now)
+    }
+
+    pub(super) fn wake(&self) -> Option<Time> {
+        let shrinks = (self.peak > self.busy).then_some(self.shrunk + SHRINK);
+        shrinks.into_iter().chain(self.paused).min()
+    }
+
+    fn target(&self, share: usize) -> usize {
+        (self.peak.max(self.busy) + SPARE).min(share)
+    }
+
+    fn raise_peak(&mut self, needed: usize, now: Time) {
+        if needed >= self.peak {
+            self.peak = needed;
+            self.shrunk = now;
+        }
+    }
+
+    fn pause(&mut self, now: Time) {
+        let time = PAUSE * 2_u32.pow(self.failures.min(PAUSE_DOUBLINGS));
+        self.failures = self.failures.saturating_add(1);
+        self.paused = Some(now + time);
+    }
+}
--- /dev/null
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -0,0 +1,306 @@
+//! Connections to the backend servers of one route.
+//!
+//! A new connection costs milliseconds and a server takes few, so they are opened ahead of need: as
+//! many as were lately in use at once and one to spare, within this home's share of the server's
+//! limit, and never more than a few at the same time. They are closed one by one, long after the
+//! need has gone.
+//!
+//! Invariant: no server has more connections open or being opened than the share, except those in
+//! use when the share shrank, which are closed as soon as they are idle.
+
+mod connection;
+mod line;
+mod silence;
+
+use super::share;
+use crate::Time;
+use crate::attempt::ConnectionId;
+use connection::{Connection, State};
+use line::Line;
+use monsoonring_configuration::document::{Capacity, Route};
+use monsoonring_configuration::id::BackendServerId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Age up to which an idle connection counts as verified by its last use.
+const FRESH: Duration = Duration::from_secs(1);
+
+/// Something that the home does for the pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Open a connection; answered by [`Pool::opened`] or [`Pool::closed`].
+    Open(ConnectionId, BackendServerId),
+    /// Close a connection; the pool has forgotten it already.
+    Close(ConnectionId),
+}
+
+/// The end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ending {
+    /// The server at its other end.
+    pub server: BackendServerId,
+    /// Whether the server counts as unreachable from now on; to be told to
+    /// [`Fleet::set_reachable`](super::Fleet::set_reachable).
+    pub down: bool,
+}
+
+/// Connections to the backend servers of one route.
+pub struct Pool {
+    lines: BTreeMap<BackendServerId, Line>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    next: ConnectionId,
+    share: usize,
+    capacity: Capacity,
+    homes: usize,
+    /// Servers that something has happened to since the last [`Pool::want`].
+    changed: BTreeSet<BackendServerId>,
+    closing: Vec<ConnectionId>,
+}
+
+impl Pool {
+    /// Makes the empty pool of a route that has `homes` homes; connection ids count from `first`.
+    pub fn new(route: &Route, homes: usize, first: ConnectionId, now: Time) -> Self {
+        let mut pool = Self {
+            lines: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            next: first,
+            share: share::of(route.capacity, homes),
+            capacity: route.capacity,
+            homes,
+            changed: BTreeSet::new(),
+            closing: Vec::new(),
+        };
+        pool.adopt(route, now);
+        pool
+    }
+
+    /// Takes over a new configuration. Connections to removed servers are closed when idle.
+    pub fn reconfigure(&mut self, route: &Route, now: Time) {
+        self.capacity = route.capacity;
+        self.adopt(route, now);
+        self.set_homes(self.homes, now);
+    }
+
+    /// Takes over the number of homes of the route.
+    pub fn set_homes(&mut self, homes: usize, _now: Time) {
+        self.homes = homes;
+        self.share = share::of(self.capacity, homes);
+        self.changed.extend(self.lines.keys());
+    }
+
+    /// Takes over whether a server is leaving: no connection is opened, idle ones are closed.
+    pub fn set_leaving(&mut self, server: BackendServerId, leaving: bool, _now: Time) {
+        if let Some(line) = self.lines.get_mut(&server) {
+            line.leaving = leaving;
+            self.changed.insert(server);
+        }
+    }
+
+    /// Takes an idle connection to `server`. Where there is none the miss counts as demand.
+    pub fn acquire(&mut self, server: BackendServerId, now: Time) -> Option<ConnectionId> {
+        self.take(server, Time::ZERO, now)
+    }
+
+    /// Takes an idle connection that was opened or used a moment ago, fit for a non-idempotent
+    /// request. Where there is none the miss counts as demand for a new one.
+    ///
+    /// A connection that was idle for long may have been forgotten by something between the two
+    /// ends. A request put on it gets no answer, and one that must not be sent twice could then
+    /// only end as unknown.
+    pub fn acquire_fresh(&mut self, server: BackendServerId, now: Time) -> Option<ConnectionId> {
+        let fresh = self.take(server, now.saturating_sub(FRESH), now);
+        if fresh.is_none() {
+            self.replace_stale(server, now);
+        }
+        fresh
+    }
+
+    /// Returns what is to be opened and closed now.
+    pub fn want(&mut self, now: Time) -> Vec<Command> {
+        let due = self.lines.iter().filter(|(_, line)| line.is_due(now));
+        let due: Vec<BackendServerId> = due.map(|(server, _)| *server).collect();
+        self.changed.extend(due);
+        let mut opens = Vec::new();
+        for server in std::mem::take(&mut self.changed) {
+            self.close_excess(server, now);
+            self.open_missing(server, now, &mut opens);
+        }
+        self.lines.retain(|_, line| !line.is_over());
+        let closes = std::mem::take(&mut self.closing);
+        closes
+            .into_iter()
+            .map(Command::Close)
+            .chain(opens)
+            .collect()
+    }
+
+    /// Records that a connection is ready. Returns its server.
+    pub fn opened(&mut self, id: ConnectionId, now: Time) -> Option<BackendServerId> {
+        let connection = self.connections.get_mut(&id)?;
+        if connection.state != State::Opening {
+            return None;
+        }
+        connection.state = State::Idle;
+        connection.proven = now;
+        let server = connection.server;
+        let line = self.lines.get_mut(&server)?;
+        line.opened(id, now);
+        self.changed.insert(server);
+        Some(server)
+    }
+
+    /// Records that a connection could not be made or has ended by itself, under an attempt
+    /// (`Failure::Lost`) or idle.
+    pub fn closed(&mut self, id: ConnectionId, now: Time) -> Option<Ending> {
+        let connection = self.connections.remove(&id)?;
+        let server = connection.server;
+        let line = self.lines.get_mut(&server)?;
+        let was_reachable = line.reachable;
+        line.closed(id, &connection, now);
+        self.changed.insert(server);
+        Some(Ending {
+            server,
+            down: was_reachable && !line.reachable,
+        })
+    }
+
+    /// Gives back a connection on which an attempt was answered.
+    pub fn release(&mut self, id: ConnectionId, now: Time) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if !matches!(connection.state, State::Busy(_)) {
+            return;
+        }
+        connection.state = State::Idle;
+        connection.proven = now;
+        let server = connection.server;
+        if let Some(line) = self.lines.get_mut(&server) {
+            line.released(id, now);
+        }
+        self.changed.insert(server);
+    }
+
+    /// Gives back a connection that was taken and on which nothing was sent.
+    pub fn put_back(&mut self, id: ConnectionId, _now: Time) {
+        let Some(connection) = self.connections.get_mut(&id) else {
+            return;
+        };
+        if !matches!(connection.state, State::Busy(_)) {
+            return;
+        }
+        connection.state = State::Idle;
+        if let Some(line) = self.lines.get_mut(&connection.server) {
+            line.put_back(id);
+        }
+        self.changed.insert(connection.server);
+    }
+
+    /// Gives up a connection that can't be used again; [`Self::want`] returns its `Close`.
+    pub fn discard(&mut self, id: ConnectionId, _now: Time) {
+        let Some(connection) = self.connections.remove(&id) else {
+            return;
+        };
+        if let Some(line) = self.lines.get_mut(&connection.server) {
+            line.remove(id, &connection);
+        }
+        self.changed.insert(connection.server);
+        self.closing.push(id);
+    }
+
+    /// Takes in that a server refused a connection because its limit is reached: no more are
+    /// opened for a while.
+    pub fn crowded(&mut self, server: BackendServerId, now: Time) {
+        if let Some(line) = self.lines.get_mut(&server) {
+            line.crowded(now);
+        }
+    }
+
+    /// Tells whether a server can be reached.
+    pub fn is_reachable(&self, server: BackendServerId) -> bool {
+        self.lines.get(&server).is_some_and(|line| line.reachable)
+    }
+
+    /// Returns how many connections to `server` are open or being opened.
+    pub fn connections(&self, server: BackendServerId) -> usize {
+        self.lines.get(&server).map_or(0, Line::len)
+    }
+
+    /// Returns how many connections to `server` are idle and ready.
+    pub fn idle(&self, server: BackendServerId) -> usize {
+        self.lines.get(&server).map_or(0, |line| line.idle.len())
+    }
+
+    /// Returns the time at which [`Self::want`] has something to do, if nothing else happens.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.lines.values().filter_map(Line::wake).min()
+    }
+
+    fn adopt(&mut self, route: &Route, now: Time) {
+        self.lines
+            .values_mut()
+            .for_each(|line| line.configured = false);
+        let servers = route.groups.iter().flat_map(|group| &group.backend_servers);
+        for server in servers {
+            let line = self.lines.entry(*server).or_insert_with(|| Line::new(now));
+            line.configured = true;
+        }
+        self.changed.extend(self.lines.keys());
+    }
+
+    /// Takes the idle connection that was used last, if it was proven at or after `since`.
+    fn take(&mut self, server: BackendServerId, since: Time, now: Time) -> Option<ConnectionId> {
+        let line = self.lines.get_mut(&server)?;
+        self.changed.insert(server);
+        let last = line.idle.last().copied();
+        let connection = last.and_then(|id| self.connections.get_mut(&id));
+        let Some(connection) = connection.filter(|connection| connection.proven >= since) else {
+            line.missed(now);
+            return None;
+        };
+        connection.state = State::Busy(now);
+        line.idle.pop();
+        line.taken(now);
+        last
+    }
+
+    /// Makes place for a verified connection where idle ones stand in its way.
+    fn replace_stale(&mut self, server: BackendServerId, now: Time) {
+        let share = self.share;
+        let oldest = self.lines.get(&server).and_then(|line| {
+            let none_comes = line.opening == 0 && line.missing(share, now) == 0;
+            line.idle.first().copied().filter(|_| none_comes)
+        });
+        if let Some(id) = oldest {
+            self.discard(id, now);
+        }
+    }
+
+    fn close_excess(&mut self, server: BackendServerId, now: Time) {
+        let share = self.share;
+        if let Some(line) = self.lines.get_mut(&server) {
+            line.elapse(share, now);
+        }
+        while let Some(line) = self.lines.get_mut(&server) {
+            let Some(id) = line.excess(share) else {
+                return;
+            };
+            self.discard(id, now);
+        }
+    }
+
+    fn open_missing(&mut self, server: BackendServerId, now: Time, opens: &mut Vec<Command>) {
+        let share = self.share;
+        let Some(line) = self.lines.get_mut(&server) else {
+            return;
+        };
+        for _ in 0..line.missing(share, now) {
+            let id = self.next;
+            self.next += 1;
+            line.opening += 1;
+            self.connections
+                .insert(id, Connection::opening(server, now));
+            opens.push(Command::Open(id, server));
+        }
+    }
+}
--- a/crates/decision/src/backend/suspect.rs
+++ b/crates/decision/src/backend/suspect.rs
@@ -1,10 +1,42 @@
 //! Requests that crash the backend servers that run them.
+//!
+//! A server that dies under several requests was crashed by at most one of them. Its death is
+//! shared out over the fingerprints that were running on it, in proportion to the evidence that
+//! each has already: a request that was there before takes most of the blame, and a first death
+//! under many requests says little about any one. A request that was running alone takes it all.
+//!
+//! A fingerprint with evidence is quarantined: no hedge, no retry, one attempt at a time, so that
+//! it meets the next server alone or nearly so. Evidence of two servers that adds up to more than
+//! one death refuses it. Deaths at the same moment, as of a rack, count once for requests that were
+//! not alone: the requests of that moment ran on all those servers, and none of them did it.
+//!
+//! A success of the fingerprint on a replica of the dead server clears it, and so does a sign of
+//! life of the process whose connection was lost.
 
 use crate::attempt::AttemptId;
 use crate::{Fingerprint, Time};
 use monsoonring_configuration::id::BackendServerId;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
+/// Evidence from which a fingerprint is refused, in deaths.
+const REFUSED_AT: f64 = 1.2;
+
+/// Distinct servers that the evidence must come from.
+const SERVERS: usize = 2;
+
+/// Time for which a fingerprint is refused.
+const REFUSED_FOR: Duration = Duration::from_secs(60);
+
+/// Time for which evidence counts.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// Losses this close together are one moment: the connections of a server that died end one by one.
+const MOMENT: Duration = Duration::from_millis(500);
+
+/// Evidence that a fingerprint without any is taken to have when a death is shared out.
+const UNSUSPECTED: f64 = 0.1;
+
 /// What may be done with requests of a fingerprint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Standing {
@@ -17,8 +49,33 @@
 }
 
 /// Evidence against fingerprints.
-#[derive(Default)]
-pub struct Table {}
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    running: BTreeMap<AttemptId, Running>,
+    deaths: BTreeMap<BackendServerId, Death>,
+    evidence: BTreeMap<Fingerprint, Vec<Evidence>>,
+    refused: BTreeMap<Fingerprint, Time>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    fingerprint: Fingerprint,
+    server: BackendServerId,
+}
+
+/// The blame for the last death of a server, fixed when its first connection was lost.
+#[derive(Clone, Debug)]
+struct Death {
+    at: Time,
+    blame: BTreeMap<Fingerprint, f64>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    server: BackendServerId,
+    weight: f64,
+    at: Time,
+}
 
 impl Table {
     /// Makes a table without evidence.
@@ -27,46 +84,184 @@
     }
 
     /// Returns what may be done with requests of a fingerprint.
-    pub fn standing(&self, _fingerprint: Fingerprint, _now: Time) -> Standing {
-        Standing::Clear
+    pub fn standing(&self, fingerprint: Fingerprint, now: Time) -> Standing {
+        let refused = self.refused.get(&fingerprint);
+        if let Some(until) = refused.copied().filter(|until| now < *until) {
+            return Standing::Refused(until);
+        }
+        match self.weight(fingerprint, now) > 0.0 {
+            true => Standing::Quarantined,
+            false => Standing::Clear,
+        }
     }
 
     /// Tells whether another attempt of this fingerprint may be sent now: always when it is clear,
     /// one at a time in quarantine, never when refused.
-    pub fn may_send(&self, _fingerprint: Fingerprint, _now: Time) -> bool {
-        true
+    pub fn may_send(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        match self.standing(fingerprint, now) {
+            Standing::Clear => true,
+            Standing::Quarantined => !self.is_running(fingerprint),
+            Standing::Refused(_) => false,
+        }
     }
 
     /// Records that an attempt was sent.
     pub fn sent(
         &mut self,
-        _attempt: AttemptId,
-        _fingerprint: Fingerprint,
-        _server: BackendServerId,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+        server: BackendServerId,
         _now: Time,
     ) {
+        let running = Running {
+            fingerprint,
+            server,
+        };
+        self.running.insert(attempt, running);
     }
 
     /// Records that an attempt was answered, which clears the evidence of the servers in
     /// `replicas`, those that hold the same part of the data.
-    pub fn succeeded(&mut self, _attempt: AttemptId, _replicas: &[BackendServerId], _now: Time) {}
+    pub fn succeeded(&mut self, attempt: AttemptId, replicas: &[BackendServerId], _now: Time) {
+        let Some(running) = self.running.remove(&attempt) else {
+            return;
+        };
+        self.withdraw(running.fingerprint, |evidence| {
+            evidence.server == running.server || replicas.contains(&evidence.server)
+        });
+    }
 
     /// Records that an attempt ended in a way that says nothing about crashes.
-    pub fn ended(&mut self, _attempt: AttemptId, _now: Time) {}
+    pub fn ended(&mut self, attempt: AttemptId, _now: Time) {
+        self.running.remove(&attempt);
+    }
 
     /// Records that the connection of an attempt was lost while it may have been running. Returns
     /// how long its fingerprint is refused from now on, if that is new: the other homes are to be
     /// told.
-    pub fn lost(&mut self, _attempt: AttemptId, _now: Time) -> Option<(Fingerprint, Duration)> {
-        None
+    pub fn lost(&mut self, attempt: AttemptId, now: Time) -> Option<(Fingerprint, Duration)> {
+        let Running {
+            fingerprint,
+            server,
+        } = self.running.get(&attempt).copied()?;
+        let weight = self.blame(fingerprint, server, now);
+        self.running.remove(&attempt);
+        let all = self.evidence.entry(fingerprint).or_default();
+        // A second attempt of the same request at the same server tells of the same death.
+        all.retain(|evidence| evidence.server != server);
+        all.push(Evidence {
+            server,
+            weight,
+            at: now,
+        });
+        self.refuse(fingerprint, now)
     }
 
     /// Withdraws the evidence of a server whose process turned out to be alive.
-    pub fn survived(&mut self, _server: BackendServerId, _now: Time) {}
+    pub fn survived(&mut self, server: BackendServerId, _now: Time) {
+        self.deaths.remove(&server);
+        let fingerprints: Vec<Fingerprint> = self.evidence.keys().copied().collect();
+        for fingerprint in fingerprints {
+            self.withdraw(fingerprint, |evidence| evidence.server == server);
+        }
+    }
 
     /// Takes over another home's finding.
-    pub fn told(&mut self, _fingerprint: Fingerprint, _until: Time, _now: Time) {}
+    pub fn told(&mut self, fingerprint: Fingerprint, until: Time, now: Time) {
+        let until = until.min(now + REFUSED_FOR);
+        let refused = self.refused.entry(fingerprint).or_insert(until);
+        *refused = until.max(*refused);
+    }
 
     /// Drops what is out of date.
-    pub fn tick(&mut self, _now: Time) {}
+    pub fn tick(&mut self, now: Time) {
+        self.refused.retain(|_, until| now < *until);
+        self.deaths.retain(|_, death| now < death.at + MOMENT);
+        self.evidence.retain(|_, all| {
+            all.retain(|evidence| now < evidence.at + RETENTION);
+            !all.is_empty()
+        });
+    }
+
+    fn is_running(&self, fingerprint: Fingerprint) -> bool {
+        let mut running = self.running.values();
+        running.any(|running| running.fingerprint == fingerprint)
+    }
+
+    /// Returns the share of a fingerprint in the death of a server.
+    fn blame(&mut self, fingerprint: Fingerprint, server: BackendServerId, now: Time) -> f64 {
+        let known = self.deaths.get(&server);
+        if known.is_none_or(|death| now >= death.at + MOMENT) {
+            let death = self.share_out(server, now);
+            self.deaths.insert(server, death);
+        }
+        let death = self.deaths.get(&server);
+        // Without a share it was sent after the death: it came upon a dead server.
+        death.map_or(0.0, |death| {
+            death.blame.get(&fingerprint).copied().unwrap_or(0.0)
+        })
+    }
+
+    fn share_out(&self, server: BackendServerId, now: Time) -> Death {
+        let there = self.running.values();
+        let fingerprints: BTreeSet<Fingerprint> = there
+            .filter(|running| running.server == server)
+            .map(|running| running.fingerprint)
+            .collect();
+        let prior = |fingerprint| UNSUSPECTED + self.weight(fingerprint, now);
+        let sum: f64 = fingerprints.iter().map(|one| prior(*one)).sum();
+        let blame = fingerprints.iter().map(|one| (*one, prior(*one) / sum));
+        Death {
+            at: now,
+            blame: blame.collect(),
+        }
+    }
+
+    /// Returns the evidence against a fingerprint, in deaths. Deaths of one moment count once,
+    /// unless nothing else was running.
+    fn weight(&self, fingerprint: Fingerprint, now: Time) -> f64 {
+        let Some(all) = self.evidence.get(&fingerprint) else {
+            return 0.0;
+        };
+        let mut sum = 0.0;
+        let mut moment: Option<(Time, f64)> = None;
+        for evidence in all.iter().filter(|one| now < one.at + RETENTION) {
+            if evidence.weight >= 1.0 {
+                sum += evidence.weight;
+                continue;
+            }
+            match moment {
+                Some((start, most)) if evidence.at < start + MOMENT => {
+                    moment = Some((start, most.max(evidence.weight)));
+                }
+                _ => {
+                    sum += moment.map_or(0.0, |(_, most)| most);
+                    moment = Some((evidence.at, evidence.weight));
+                }
+            }
+        }
+        sum + moment.map_or(0.0, |(_, most)| most)
+    }
+
+    fn refuse(&mut self, fingerprint: Fingerprint, now: Time) -> Option<(Fingerprint, Duration)> {
+        let all = self.evidence.get(&fingerprint)?;
+        let blamed = all.iter().filter(|evidence| evidence.weight > 0.0);
+        let refused = self.refused.get(&fingerprint);
+        let is_new = refused.is_none_or(|until| *until <= now);
+        let enough = blamed.count() >= SERVERS && self.weight(fingerprint, now) >= REFUSED_AT;
+        if !(is_new && enough) {
+            return None;
+        }
+        self.refused.insert(fingerprint, now + REFUSED_FOR);
+        Some((fingerprint, REFUSED_FOR))
+    }
+
+    fn withdraw(&mut self, fingerprint: Fingerprint, of: impl Fn(&Evidence) -> bool) {
+        if let Some(all) = self.evidence.get_mut(&fingerprint) {
+            all.retain(|evidence| !of(evidence));
+            if all.is_empty() {
+                self.evidence.remove(&fingerprint);
+            }
+        }
+    }
 }
