--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -162,6 +162,14 @@
             }
             Input::Page(span, reply) => drop(reply.send(self.table.page(span))),
             Input::Document(version, reply) => drop(reply.send(self.document(version))),
+            Input::Start(member, reply) => {
+                let change = self.table.get(member);
+                let _ = reply.send(change.map(|change| change.incarnation.start));
+            }
+            Input::Facts(reply) => {
+                let facts = self.facts.iter(self.clock.now()).collect();
+                let _ = reply.send(facts);
+            }
             Input::Member(event) => self.member_event(event),
             Input::Configuration(event, document) => self.answered(event, document),
             Input::Listed(leaving) => {
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -18,6 +18,10 @@
     Page(Span, oneshot::Sender<Page>),
     /// A peer wants the document of a version.
     Document(Version, oneshot::Sender<Option<Vec<u8>>>),
+    /// The start number of a member is wanted.
+    Start(MemberId, oneshot::Sender<Option<Incarnation>>),
+    /// All facts that hold are wanted, for a home that starts.
+    Facts(oneshot::Sender<Vec<fact::Entry>>),
     /// Something happened to members.
     Member(MemberEvent),
     /// Something happened to the configuration; a document comes along if one was read.
@@ -78,6 +82,16 @@
         self.ask(|sender| Input::Document(version, sender)).await?
     }
 
+    /// Returns the start number of a member.
+    pub(crate) async fn start(&self, member: MemberId) -> Option<Incarnation> {
+        self.ask(|sender| Input::Start(member, sender)).await?
+    }
+
+    /// Returns all facts that hold.
+    pub(crate) async fn facts(&self) -> Vec<fact::Entry> {
+        self.ask(Input::Facts).await.unwrap_or_default()
+    }
+
     /// Tells the members that this daemon stops.
     pub(crate) fn leave(&self, successor: Option<MemberId>) {
         self.tell(Input::Member(MemberEvent::Leave { successor }));
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,6 @@
 mod probe;
 mod view;
 
-pub(crate) use controller::{Settings, spawn};
-pub(crate) use handle::Handle;
+pub(crate) use controller::{LEAVING_LIFE, Settings, spawn};
+pub(crate) use handle::{Handle, Input};
 pub(crate) use view::View;
--- /dev/null
+++ b/crates/daemon/src/node/execute.rs
@@ -0,0 +1,347 @@
+//! Non-idempotent requests: at most once, by the incarnation that a key names.
+//!
+//! The decisions are the ledger's ([`monsoonring_decision::idempotency`]); here its answers are carried
+//! out. A run goes on when its caller leaves: its outcome belongs to the key, not to the connection.
+
+use super::Node;
+use super::hop::context;
+use super::search::unavailable;
+use crate::service::{Call, Execution};
+use monsoonring_decision::attempt::Failure;
+use monsoonring_decision::idempotency::ledger::Ended;
+use monsoonring_decision::idempotency::lookup::{Answer, Conclusion, Question};
+use monsoonring_decision::idempotency::{
+    Decision, Fence, Key, Ledger, Permit, Poll, Refusal, Request, Run, Unsent,
+};
+use monsoonring_decision::member::MemberId;
+use monsoonring_decision::outcome::{Outcome, Reason};
+use monsoonring_decision::{RequestId, Time};
+use monsoonring_wire::message::{Declined, Send, Sent};
+use slog::info;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::sync::oneshot;
+
+/// Members asked about a key at most. Nobody is asked at all in ordinary work; after a loss, more
+/// answers only turn an honest "unknown" into a known outcome.
+const MAX_ASKED: usize = 32;
+
+/// Time that one member may take to say what it knows.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Homes that are asked to run a request, as long as each declines it unrun.
+const MAX_HOMES: usize = 3;
+
+/// The ledger, and the sends that wait for a run of another send.
+pub(super) struct Book {
+    ledger: Mutex<Ledger>,
+    joined: Mutex<HashMap<RequestId, oneshot::Sender<Outcome>>>,
+}
+
+impl Book {
+    pub(super) fn new(ledger: Ledger) -> Self {
+        Self { ledger: Mutex::new(ledger), joined: Mutex::default() }
+    }
+
+    pub(super) fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn joined(&self) -> MutexGuard<'_, HashMap<RequestId, oneshot::Sender<Outcome>>> {
+        self.joined.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives the outcome to the sends that joined, and returns it.
+    fn tell(&self, ended: Ended) -> Outcome {
+        let outcome = Outcome::from(ended.outcome);
+        let mut joined = self.joined();
+        for request in ended.joined {
+            if let Some(sender) = joined.remove(&request) {
+                let _ = sender.send(outcome.clone());
+            }
+        }
+        outcome
+    }
+}
+
+impl Node {
+    pub(super) async fn mint_call(&self, call: Call) -> Result<String, Outcome> {
+        if self.control.view().ready().is_err() {
+            return Err(unavailable());
+        }
+        let entry = self.routes.get(&call.route.name).ok_or_else(unavailable)?;
+        let home = self.choose(&entry, call.request, &[]);
+        if let Some(home) = home.filter(|home| *home != self.own.id) {
+            if let Some(key) = self.mint_at(home, &call).await {
+                return Ok(key.to_string());
+            }
+        }
+        // No home answers: this daemon issues the key itself, and passes the run on later.
+        let key = self.mint_here(&call);
+        key.map(|key| key.to_string()).map_err(|refusal| refusal.outcome().into())
+    }
+
+    async fn mint_at(&self, home: MemberId, call: &Call) -> Option<Key> {
+        let client = self.peers.client(home).await.ok()?;
+        let answer = client.mint(context(call.deadline), self.passed(call)).await;
+        answer.ok()?.ok()
+    }
+
+    pub(crate) fn mint_here(&self, call: &Call) -> Result<Key, Refusal> {
+        let now = self.clock.now();
+        self.ledger.ledger().mint(&call.caller, &call.route.name, now)
+    }
+
+    pub(super) async fn execute_call(
+        self: &Arc<Self>,
+        call: Call,
+        key: String,
+        send: Option<u32>,
+    ) -> Execution {
+        let Ok(key) = key.parse::<Key>() else {
+            return Outcome::NotRun { reason: Reason::Fence, retry_after: None }.into();
+        };
+        if self.control.view().ready().is_err() {
+            return unavailable().into();
+        }
+        match self.send(call.clone(), key, send, false).await {
+            Sent::Ended(outcome) => outcome.into(),
+            Sent::Conflict => conflict(),
+            Sent::Refused(Refusal::Unmarked) => self.offer(call).await,
+            Sent::Refused(refusal) => Execution::from(Outcome::from(refusal.outcome())),
+        }
+    }
+
+    /// Refuses an own key without its count of sends, and offers a key of ours for it.
+    async fn offer(self: &Arc<Self>, call: Call) -> Execution {
+        let outcome = Outcome::from(Refusal::Unmarked.outcome());
+        let offered_key = self.mint_call(call).await.ok();
+        Execution { outcome, offered_key, conflict: false }
+    }
+
+    /// Takes one send of a non-idempotent request, from a caller or passed on by a peer.
+    pub(crate) async fn send(
+        self: &Arc<Self>,
+        call: Call,
+        key: Key,
+        send: Option<u32>,
+        passed_on: bool,
+    ) -> Sent {
+        let request = Request {
+            id: call.request,
+            caller: call.caller.clone(),
+            route: call.route.name.clone(),
+            fingerprint: call.fingerprint,
+            deadline: self.clock.time(call.deadline),
+            send,
+            passed_on,
+        };
+        // Before the ledger is asked: the run that this send joins may end at once.
+        let (joiner, joined) = oneshot::channel();
+        self.ledger.joined().insert(call.request, joiner);
+        let decision = self.ledger.ledger().begin(&key, &request, self.clock.now());
+        if !matches!(decision, Decision::Join) {
+            self.ledger.joined().remove(&call.request);
+        }
+        info!(self.log, "decision"; "decision" => name(&decision), "route" => &*call.route.name,
+            "request" => format!("{:032x}", call.request), "reason" => "ledger");
+        match decision {
+            Decision::Run(permit) => Sent::Ended(self.run(permit, call, &key).await),
+            Decision::Join => Sent::Ended(self.join(joined, &call).await),
+            Decision::Replay(outcome) => Sent::Ended(outcome.into()),
+            Decision::Refuse(Refusal::Mismatch) => Sent::Conflict,
+            Decision::Refuse(refusal) => Sent::Refused(refusal),
+            Decision::PassTo(fence) => self.pass_to(fence, call, key, send).await,
+            Decision::Ask => {
+                let question = Question::Own {
+                    caller: call.caller.clone(),
+                    key: key.to_string().into(),
+                    fingerprint: call.fingerprint,
+                };
+                self.ask(question, call, key, send).await
+            }
+        }
+    }
+
+    /// Waits for the run that this send joined, at most until the send's own deadline.
+    async fn join(&self, joined: oneshot::Receiver<Outcome>, call: &Call) -> Outcome {
+        let outcome = tokio::time::timeout_at(call.deadline.into(), joined).await;
+        self.ledger.joined().remove(&call.request);
+        match outcome {
+            Ok(Ok(outcome)) => outcome,
+            _ => Outcome::Unknown { reason: Reason::Deadline },
+        }
+    }
+
+    /// Runs a request that the ledger has recorded.
+    async fn run(self: &Arc<Self>, permit: Permit<Unsent>, call: Call, key: &Key) -> Outcome {
+        let (run, may) = Run::Unsent(permit).sent(self.clock.now());
+        if !may {
+            let outcome = Outcome::NotRun { reason: Reason::Deadline, retry_after: None };
+            return self.conclude(run, outcome);
+        }
+        let node = self.clone();
+        let key: Arc<str> = key.to_string().into();
+        // A task of its own: a caller that goes away must not take the run with it, else nobody
+        // would know the outcome that its next send asks for.
+        let running = tokio::spawn(async move {
+            let outcome = node.run_at_home(&call, &key).await;
+            // A home says "not run" only where that is proven, so the permit goes back.
+            let run = match &outcome {
+                Outcome::NotRun { .. } => run.failed(&Failure::NotSent),
+                _ => run,
+            };
+            node.conclude(run, outcome)
+        });
+        running.await.unwrap_or(Outcome::Unknown { reason: Reason::Lost })
+    }
+
+    fn conclude(&self, run: Run, outcome: Outcome) -> Outcome {
+        let ended = self.ledger.ledger().conclude(run, outcome, self.clock.now());
+        self.ledger.tell(ended)
+    }
+
+    /// Brings a request to a home, and to another only where the first declined it unrun.
+    async fn run_at_home(&self, call: &Call, key: &Arc<str>) -> Outcome {
+        let Some(entry) = self.routes.get(&call.route.name) else { return unavailable() };
+        let mut tried = Vec::new();
+        while tried.len() < MAX_HOMES {
+            let Some(home) = self.choose(&entry, call.request, &tried) else { break };
+            tried.push(home);
+            if home == self.own.id {
+                let Some(handle) = &entry.handle else { continue };
+                return handle.run(self.local(call, Some(key.clone()))).await;
+            }
+            let Ok(client) = self.peers.client(home).await else { continue };
+            let answer = client.run(context(call.deadline), self.passed(call), key.to_string());
+            match answer.await {
+                Ok(Ok(outcome)) => return outcome,
+                Ok(Err(Declined::NotHome | Declined::Ledger(_))) => {}
+                Err(_) => return Outcome::Unknown { reason: Reason::Lost },
+            }
+        }
+        unavailable()
+    }
+
+    /// Runs a request at this home, for the incarnation that holds its permit.
+    pub(crate) async fn run_passed(&self, call: Call, key: String) -> Result<Outcome, Declined> {
+        let entry = self.routes.get(&call.route.name).ok_or(Declined::NotHome)?;
+        let handle = entry.handle.ok_or(Declined::NotHome)?;
+        Ok(handle.run(self.local(&call, Some(key.into()))).await)
+    }
+
+    /// Passes a send to the incarnation that its key names, or to who holds its fence now.
+    async fn pass_to(self: &Arc<Self>, fence: Fence, call: Call, key: Key, send: Option<u32>) -> Sent {
+        let sent = self.send_to(fence.member, &call, &key, send).await;
+        match sent {
+            Some(Sent::Refused(Refusal::Moved(to))) => {
+                let sent = self.send_to(to.member, &call, &key, send).await;
+                sent.unwrap_or(unknown())
+            }
+            Some(Sent::Refused(Refusal::Gone)) | None => {
+                self.ask(Question::Fence(fence), call, key, send).await
+            }
+            Some(sent) => sent,
+        }
+    }
+
+    /// Passes a send to a member; `None` where it can't be reached, so that nothing arrived there.
+    async fn send_to(
+        &self,
+        member: MemberId,
+        call: &Call,
+        key: &Key,
+        send: Option<u32>,
+    ) -> Option<Sent> {
+        let client = self.peers.client(member).await.ok()?;
+        let message = Send { request: self.passed(call), key: key.clone(), send };
+        match client.send(context(call.deadline), message).await {
+            Ok(sent) => Some(sent),
+            Err(_) => {
+                self.peers.forget(member);
+                Some(unknown())
+            }
+        }
+    }
+
+    /// Asks members what they know of a key, and does what follows.
+    async fn ask(self: &Arc<Self>, question: Question, call: Call, key: Key, send: Option<u32>) -> Sent {
+        let members = self.asked(&call);
+        let mut poll = Poll::new(members.iter().copied());
+        let mut conclusion = poll.conclude();
+        for member in members {
+            if conclusion.is_some() {
+                break;
+            }
+            let answer = self.ask_member(member, question.clone(), call.deadline).await;
+            conclusion = poll.answered(member, answer);
+        }
+        match conclusion {
+            Some(Conclusion::PassTo(member)) => {
+                let sent = self.send_to(member, &call, &key, send).await;
+                sent.unwrap_or(unknown())
+            }
+            Some(Conclusion::Replay(outcome)) => Sent::Ended(outcome.into()),
+            Some(Conclusion::Mismatch) => Sent::Conflict,
+            Some(Conclusion::Unknown) | None => unknown(),
+        }
+    }
+
+    /// Members to be asked: homes of the route first, since they are who issues keys.
+    fn asked(&self, call: &Call) -> Vec<MemberId> {
+        let entry = self.routes.get(&call.route.name);
+        let mut asked: Vec<MemberId> =
+            entry.map(|entry| entry.homes.to_vec()).unwrap_or_default();
+        let view = self.control.view();
+        let others: Vec<_> = view.members.iter().map(|member| member.id).collect();
+        asked.extend(others.into_iter().filter(|id| !asked.contains(id)).collect::<Vec<_>>());
+        asked.retain(|id| *id != self.own.id);
+        asked.truncate(MAX_ASKED);
+        asked
+    }
+
+    async fn ask_member(
+        &self,
+        member: MemberId,
+        question: Question,
+        deadline: Instant,
+    ) -> Option<Answer> {
+        let deadline = deadline.min(Instant::now() + ASK_TIMEOUT);
+        let asking = async {
+            let client = self.peers.client(member).await.ok()?;
+            client.ask(context(deadline), question).await.ok()
+        };
+        tokio::time::timeout_at(deadline.into(), asking).await.ok()?
+    }
+
+    /// Answers a peer's question from the ledger.
+    pub(crate) fn answer(&self, question: &Question) -> Answer {
+        self.ledger.ledger().answer(question)
+    }
+
+    /// Drops what has expired from the ledger.
+    pub(super) fn tick_ledger(&self, now: Time) {
+        self.ledger.ledger().tick(now);
+    }
+}
+
+fn unknown() -> Sent {
+    Sent::Ended(Outcome::Unknown { reason: Reason::Fence })
+}
+
+fn conflict() -> Execution {
+    let outcome = Refusal::Mismatch.outcome().into();
+    Execution { outcome, offered_key: None, conflict: true }
+}
+
+fn name(decision: &Decision) -> &'static str {
+    match decision {
+        Decision::Run(_) => "run",
+        Decision::Join => "join",
+        Decision::Replay(_) => "replay",
+        Decision::Refuse(_) => "refuse",
+        Decision::PassTo(_) => "pass to the key's incarnation",
+        Decision::Ask => "ask members",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/hop.rs
@@ -0,0 +1,87 @@
+//! The one hop from the daemon that took a request to a home.
+
+use monsoonring_decision::member::MemberId;
+use monsoonring_decision::placement::Standing;
+use monsoonring_wire::peer::GRACE;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tarpc::context::Context;
+
+/// Time for which a member that did not answer is only chosen when there is no other.
+///
+/// Members take seconds to suspect one of them; until then each query that is passed to a home
+/// which hangs would be lost. One lost query here keeps the following ones away.
+const AVOID: Duration = Duration::from_secs(2);
+
+/// What this daemon has seen of a member while passing requests on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    outstanding: u32,
+    silent_since: Option<Instant>,
+}
+
+/// What this daemon has seen of all members.
+#[derive(Debug, Default)]
+pub(super) struct Hops {
+    seen: Mutex<HashMap<MemberId, Seen>>,
+}
+
+impl Hops {
+    /// Counts a request as outstanding until the guard is dropped.
+    pub(super) fn begin(&self, member: MemberId) -> Guard<'_> {
+        self.lock().entry(member).or_default().outstanding += 1;
+        Guard { hops: self, member, answered: None }
+    }
+
+    /// Returns what placement needs to know of a member.
+    pub(super) fn standing(&self, id: MemberId, near: bool, suspected: bool) -> Standing {
+        let seen = self.lock().get(&id).copied().unwrap_or_default();
+        let silent = seen.silent_since.is_some_and(|since| since.elapsed() < AVOID);
+        Standing { id, near, suspect: suspected || silent, outstanding: seen.outstanding }
+    }
+
+    /// Forgets members that are gone.
+    pub(super) fn retain(&self, keep: impl Fn(&MemberId) -> bool) {
+        self.lock().retain(|id, seen| keep(id) || seen.outstanding > 0);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<MemberId, Seen>> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A request on its way to a member.
+pub(super) struct Guard<'a> {
+    hops: &'a Hops,
+    member: MemberId,
+    answered: Option<bool>,
+}
+
+impl Guard<'_> {
+    /// Notes whether the member answered.
+    pub(super) fn answered(mut self, answered: bool) {
+        self.answered = Some(answered);
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        let mut seen = self.hops.lock();
+        let Some(seen) = seen.get_mut(&self.member) else { return };
+        seen.outstanding = seen.outstanding.saturating_sub(1);
+        match self.answered {
+            Some(true) => seen.silent_since = None,
+            Some(false) => seen.silent_since = Some(Instant::now()),
+            // The caller went away first; that says nothing of the member.
+            None => {}
+        }
+    }
+}
+
+/// Makes the context of a call whose request has to be answered by `deadline`.
+pub(super) fn context(deadline: Instant) -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = deadline + GRACE;
+    context
+}
--- /dev/null
+++ b/crates/daemon/src/node/mod.rs
@@ -0,0 +1,112 @@
+//! One daemon among others: what it does with the requests that callers and peers bring.
+//!
+//! A request goes to a home of its route: here, if this daemon is one, else by one hop. Searches are
+//! in `search`, non-idempotent requests in `execute`; `routes` keeps the homes that this daemon is
+//! one of; `stop` ends it all without cutting anything off.
+
+mod execute;
+mod hop;
+mod routes;
+mod search;
+mod start;
+pub(crate) mod state;
+mod stop;
+
+pub use start::start;
+
+use crate::clock::Clock;
+use crate::control;
+use crate::metrics::Metrics;
+use crate::peer::Pool;
+use crate::service::{Call, Configuration, Execution, Explain, Service};
+use futures::future::{BoxFuture, FutureExt};
+use hop::Hops;
+use monsoonring_decision::member::{MemberId, Message};
+use monsoonring_decision::outcome::Outcome;
+use monsoonring_decision::placement::Member;
+use routes::Routes;
+use slog::Logger;
+use state::Recent;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// One daemon.
+pub(crate) struct Node {
+    own: Member,
+    clock: Clock,
+    log: Logger,
+    metrics: Arc<Metrics>,
+    control: control::Handle,
+    routes: Routes,
+    peers: Pool,
+    hops: Hops,
+    ledger: execute::Book,
+    stopping: stop::Flag,
+    recent: Recent,
+}
+
+impl Node {
+    pub(crate) fn log(&self) -> &Logger {
+        &self.log
+    }
+
+    pub(crate) fn control(&self) -> &control::Handle {
+        &self.control
+    }
+
+    /// Probes a member for another one.
+    pub(crate) async fn probe(
+        &self,
+        target: MemberId,
+        message: Message,
+        limit: Duration,
+    ) -> Option<Message> {
+        let probing = async {
+            let client = self.peers.client(target).await.ok()?;
+            client.probe(hop::context(Instant::now() + limit), message).await.ok()?
+        };
+        tokio::time::timeout(limit, probing).await.ok()?
+    }
+}
+
+/// The daemon as the front sees it.
+pub struct Front(Arc<Node>);
+
+impl Service for Front {
+    fn document(&self) -> Option<Arc<Configuration>> {
+        self.0.control.view().configuration
+    }
+
+    fn ready(&self) -> Result<(), &'static str> {
+        self.0.stopping.ready()?;
+        self.0.control.view().ready()
+    }
+
+    fn search(&self, call: Call) -> BoxFuture<'_, Outcome> {
+        self.0.search_call(call).boxed()
+    }
+
+    fn mint(&self, call: Call) -> BoxFuture<'_, Result<String, Outcome>> {
+        self.0.mint_call(call).boxed()
+    }
+
+    fn execute(&self, call: Call, key: String, send: Option<u32>) -> BoxFuture<'_, Execution> {
+        self.0.execute_call(call, key, send).boxed()
+    }
+
+    fn state(&self) -> BoxFuture<'_, serde_json::Value> {
+        self.0.describe().boxed()
+    }
+
+    fn explain(&self, query: Explain) -> BoxFuture<'_, Option<serde_json::Value>> {
+        self.0.explained(query).boxed()
+    }
+
+    fn leave(&self) {
+        self.0.begin_stop();
+    }
+
+    fn drain(&self) -> BoxFuture<'_, ()> {
+        self.0.finish_stop().boxed()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/routes.rs
@@ -0,0 +1,132 @@
+//! Which routes this daemon is a home of, kept in step with configuration and members.
+
+use crate::control::View;
+use crate::route::{self, Handle};
+use monsoonring_configuration::document::Route;
+use monsoonring_configuration::id::RouteId;
+use monsoonring_decision::home::Event;
+use monsoonring_decision::member::MemberId;
+use monsoonring_decision::placement;
+use slog::{Logger, info};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// One route as this daemon sees it.
+#[derive(Clone)]
+pub(super) struct Entry {
+    /// Its configuration.
+    pub(super) route: Arc<Route>,
+    /// Its homes, best first.
+    pub(super) homes: Arc<[MemberId]>,
+    /// Its task, if this daemon is a home.
+    pub(super) handle: Option<Handle>,
+}
+
+/// Starts the task of a route with that many homes.
+type Spawn = Box<dyn Fn(Arc<Route>, usize) -> Handle + Send + Sync>;
+
+/// All routes of the configuration in force.
+pub(super) struct Routes {
+    own: MemberId,
+    log: Logger,
+    spawn: Spawn,
+    entries: Mutex<HashMap<RouteId, Entry>>,
+}
+
+impl Routes {
+    pub(super) fn new(own: MemberId, log: Logger, spawn: Spawn) -> Self {
+        Self { own, log, spawn, entries: Mutex::default() }
+    }
+
+    pub(super) fn get(&self, route: &str) -> Option<Entry> {
+        self.lock().get(route).cloned()
+    }
+
+    pub(super) fn list(&self) -> Vec<Entry> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Tells every home here of an event.
+    pub(super) fn tell(&self, event: &Event) {
+        for entry in self.lock().values() {
+            if let Some(handle) = &entry.handle {
+                handle.tell(event.clone());
+            }
+        }
+    }
+
+    /// Follows a change of configuration or members, and returns the homes that begin here.
+    pub(super) fn update(&self, view: &View) -> Vec<Handle> {
+        let Some(configuration) = &view.configuration else { return Vec::new() };
+        let mut begun = Vec::new();
+        let mut entries = self.lock();
+        let mut old = std::mem::take(&mut *entries);
+        for route in &configuration.document().routes {
+            let Some(route) = configuration.route(&route.name) else { continue };
+            let old = old.remove(&route.name);
+            let was_home = old.as_ref().is_some_and(|old| old.handle.is_some());
+            let entry = self.follow(route, old, view);
+            begun.extend(entry.handle.clone().filter(|_| !was_home));
+            entries.insert(route.name.clone(), entry);
+        }
+        for (name, entry) in old {
+            self.end(&name, entry.handle, "the route is not configured any more");
+        }
+        begun
+    }
+
+    fn follow(&self, route: &Arc<Route>, old: Option<Entry>, view: &View) -> Entry {
+        let count = placement::homes(&route.capacity, route.groups.len(), view.members.len());
+        let homes: Arc<[MemberId]> = placement::select(&route.name, &view.members, count).into();
+        let is_home = homes.contains(&self.own);
+        let handle = match old {
+            Some(Entry { handle: Some(handle), .. }) if !is_home => {
+                self.end(&route.name, Some(handle), "other members rank higher");
+                None
+            }
+            Some(old) if old.handle.is_some() => {
+                self.adjust(&old, route, homes.len());
+                old.handle
+            }
+            _ if is_home => Some(self.begin(route, homes.len())),
+            _ => None,
+        };
+        Entry { route: route.clone(), homes, handle }
+    }
+
+    fn begin(&self, route: &Arc<Route>, homes: usize) -> Handle {
+        info!(self.log, "placement"; "what" => "home", "route" => &*route.name, "homes" => homes,
+            "why" => "this member ranks among the first");
+        (self.spawn)(route.clone(), homes)
+    }
+
+    fn adjust(&self, old: &Entry, route: &Arc<Route>, homes: usize) {
+        let Some(handle) = &old.handle else { return };
+        if old.route != *route {
+            handle.tell(Event::Route(route.clone()));
+        }
+        if old.homes.len() != homes {
+            info!(self.log, "placement"; "what" => "share", "route" => &*route.name,
+                "homes" => homes, "why" => "the number of homes changed");
+            handle.tell(Event::Homes(homes));
+        }
+    }
+
+    /// Ends a home. Its task goes on until what is in flight has ended.
+    fn end(&self, name: &RouteId, handle: Option<Handle>, why: &str) {
+        let Some(handle) = handle else { return };
+        info!(self.log, "placement"; "what" => "no home", "route" => &**name, "why" => why);
+        handle.tell(Event::Stop);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<RouteId, Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Makes the function that starts routes.
+pub(super) fn spawner(
+    settings: impl Fn(Arc<Route>, usize) -> route::Settings + Send + Sync + 'static,
+) -> Spawn {
+    Box::new(move |route, homes| route::spawn(settings(route, homes)))
+}
--- /dev/null
+++ b/crates/daemon/src/node/start.rs
@@ -0,0 +1,201 @@
+//! Bringing a daemon's controllers up.
+
+use super::execute::Book;
+use super::hop::Hops;
+use super::routes::{Routes, spawner};
+use super::state::Recent;
+use super::{Front, Node, stop};
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::peer::{self, Pool};
+use crate::route::{self, Fact};
+use crate::settings::Settings;
+use crate::{control, platform};
+use monsoonring_configuration::id::Incarnation;
+use monsoonring_decision::home::Event;
+use monsoonring_decision::idempotency::{Fence, Ledger, Limits, Secret};
+use monsoonring_decision::placement::Member;
+use monsoonring_decision::{fact, member};
+use monsoonring_wire::key::Ring;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha20Rng;
+use slog::Logger;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::interval;
+
+/// Time between two clean-ups of the ledger.
+const LEDGER_TICK: Duration = Duration::from_secs(1);
+
+/// Starts the controllers of a daemon and serves its peers on `peers`.
+pub fn start(
+    settings: &Settings,
+    peers: TcpListener,
+    advertised: SocketAddr,
+    log: Logger,
+    metrics: Arc<Metrics>,
+) -> Front {
+    let clock = Clock::start();
+    let mut random = random(settings.seed);
+    let own = Member { id: advertised, data_centre: settings.data_centre.clone() };
+    let start = start_number();
+    let ring = Ring { current: settings.key.clone(), previous: settings.previous_key.clone() };
+    let pool = Pool::new(ring.clone());
+    let (news, heard) = mpsc::unbounded_channel();
+    let control = control::spawn(control::Settings {
+        own: own.clone(),
+        start,
+        seeds: settings.peers.clone(),
+        members: member::Settings::default(),
+        seed: random.random(),
+        clock,
+        service: platform::Service::new(settings.configuration_service),
+        list: platform::List::new(settings.host_list),
+        peers: pool.clone(),
+        log: log.clone(),
+        metrics: metrics.clone(),
+        news,
+    });
+    let (facts, found) = mpsc::unbounded_channel();
+    let recent = Recent::default();
+    let routes = routes(&own, &log, &metrics, clock, facts, recent.clone(), random.random());
+    let fence = Fence { member: own.id, start };
+    let ledger = Ledger::new(fence, Secret::from(random.random::<[u8; 32]>()), Limits::default());
+    let node = Arc::new(Node {
+        own,
+        clock,
+        log,
+        metrics,
+        control,
+        routes,
+        peers: pool,
+        hops: Hops::default(),
+        ledger: Book::new(ledger),
+        stopping: stop::Flag::default(),
+        recent,
+    });
+    tokio::spawn(follow(node.clone()));
+    tokio::spawn(hear(node.clone(), heard));
+    tokio::spawn(tell(node.clone(), found));
+    tokio::spawn(clean(node.clone()));
+    tokio::spawn(peer::serve(node.clone(), peers, ring));
+    Front(node)
+}
+
+fn random(seed: Option<u64>) -> ChaCha20Rng {
+    match seed {
+        Some(seed) => ChaCha20Rng::seed_from_u64(seed),
+        None => ChaCha20Rng::from_os_rng(),
+    }
+}
+
+/// Start number of this process: higher than that of any earlier one on this address, as long as the
+/// host's clock does not go back by more than the time that a restart takes.
+fn start_number() -> Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn routes(
+    own: &Member,
+    log: &Logger,
+    metrics: &Arc<Metrics>,
+    clock: Clock,
+    facts: route::Facts,
+    recent: Recent,
+    seed: u64,
+) -> Routes {
+    let (route_log, metrics) = (log.clone(), metrics.clone());
+    let spawn = spawner(move |route, homes| route::Settings {
+        route,
+        homes,
+        seed,
+        clock,
+        log: route_log.clone(),
+        metrics: metrics.clone(),
+        facts: facts.clone(),
+        recent: recent.clone(),
+    });
+    Routes::new(own.id, log.clone(), spawn)
+}
+
+/// Keeps the routes in step with the view.
+async fn follow(node: Arc<Node>) {
+    let mut changes = node.control.changes();
+    while changes.changed().await.is_ok() {
+        let view = changes.borrow_and_update().clone();
+        let begun = node.routes.update(&view);
+        node.brief(&begun).await;
+        let known = |id: &SocketAddr| view.members.iter().any(|member| member.id == *id);
+        node.hops.retain(known);
+        node.metrics_of(&view);
+    }
+}
+
+/// Takes facts that other daemons found to the homes here.
+async fn hear(node: Arc<Node>, mut heard: mpsc::UnboundedReceiver<fact::Entry>) {
+    while let Some(entry) = heard.recv().await {
+        if let Some(event) = node.event(&entry) {
+            node.routes.tell(&event);
+        }
+    }
+}
+
+/// Takes facts that homes here found to the other daemons.
+async fn tell(node: Arc<Node>, mut found: mpsc::UnboundedReceiver<Fact>) {
+    while let Some(fact) = found.recv().await {
+        match fact {
+            Fact::Leaving(server, start) => {
+                node.control.leaving(server, start, control::LEAVING_LIFE);
+            }
+            Fact::Suspect(fingerprint, life) => {
+                node.control.tell(control::Input::Fact(fact::Key::Suspect(fingerprint), 0, life));
+            }
+        }
+    }
+}
+
+async fn clean(node: Arc<Node>) {
+    let mut ticks = interval(LEDGER_TICK);
+    loop {
+        ticks.tick().await;
+        node.tick_ledger(node.clock.now());
+    }
+}
+
+impl Node {
+    /// Tells homes that begin what is known already: else a home would send work to a server whose
+    /// leaving was told before it began.
+    async fn brief(&self, begun: &[route::Handle]) {
+        if begun.is_empty() {
+            return;
+        }
+        let facts = self.control.facts().await;
+        for event in facts.iter().filter_map(|entry| self.event(entry)) {
+            begun.iter().for_each(|handle| handle.tell(event.clone()));
+        }
+    }
+
+    /// Returns what a fact means for a home.
+    fn event(&self, entry: &fact::Entry) -> Option<Event> {
+        match &entry.key {
+            fact::Key::Leaving(backend_server) => Some(Event::Leaving {
+                backend_server: *backend_server,
+                start: Some(entry.stamp.version).filter(|start| *start > 0),
+            }),
+            fact::Key::Suspect(fingerprint) => Some(Event::Suspect {
+                fingerprint: *fingerprint,
+                until: self.clock.now() + entry.life,
+            }),
+            fact::Key::IndexVersion(_) => None,
+        }
+    }
+
+    fn metrics_of(&self, view: &control::View) {
+        let suspects = view.suspects.len();
+        self.metrics.set_members(view.members.len() - suspects, suspects);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/node/state.rs
@@ -0,0 +1,101 @@
+//! What operators see.
+
+use super::Node;
+use crate::service::Explain;
+use monsoonring_decision::Time;
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Decisions kept for `explain`.
+const KEPT: usize = 20_000;
+
+/// The latest decisions, for questions about one request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Recent(Arc<Mutex<VecDeque<(monsoonring_decision::RequestId, Value)>>>);
+
+impl Recent {
+    /// Keeps a decision on a request.
+    pub(crate) fn keep(
+        &self,
+        at: Time,
+        route: &str,
+        decision: &monsoonring_decision::home::action::Decision,
+    ) {
+        let Some(request) = decision.request else { return };
+        let line = json!({
+            "at_ms": at.as_millis(),
+            "route": route,
+            "decision": decision.what,
+            "backend_server": decision.backend_server,
+            "reason": decision.why,
+        });
+        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if lines.len() == KEPT {
+            lines.pop_front();
+        }
+        lines.push_back((request, line));
+    }
+
+    fn of(&self, request: monsoonring_decision::RequestId) -> Vec<Value> {
+        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let lines = lines.iter().filter(|(of, _)| *of == request);
+        lines.map(|(_, line)| line.clone()).collect()
+    }
+}
+
+impl Node {
+    /// Describes the daemon.
+    pub(super) async fn describe(&self) -> Value {
+        let view = self.control.view();
+        let members = view.members.iter().map(|member| {
+            let state = if view.suspects.contains(&member.id) { "suspect" } else { "alive" };
+            json!({ "address": member.id, "data_centre": &*member.data_centre, "state": state })
+        });
+        let members: Vec<_> = members.collect();
+        let mut routes = Vec::new();
+        for entry in self.routes.list() {
+            let home = match &entry.handle {
+                Some(handle) => handle.state().await,
+                None => None,
+            };
+            routes.push(json!({ "name": &*entry.route.name, "homes": &*entry.homes, "home": home }));
+        }
+        let ready = self.stopping.ready().and_then(|()| view.ready());
+        json!({
+            "address": self.own.id,
+            "data_centre": &*self.own.data_centre,
+            "ready": ready.is_ok(),
+            "not_ready_because": ready.err(),
+            "configuration": {
+                "revision": view.version.map(|version| version.revision),
+                "digest": view.version.map(|version| format!("{:032x}", version.digest)),
+                "conflicts": view.conflicts,
+            },
+            "isolated": view.isolated,
+            "members": members,
+            "routes": routes,
+        })
+    }
+
+    /// Explains a request or the standing of a backend server.
+    pub(super) async fn explained(&self, query: Explain) -> Option<Value> {
+        match query {
+            Explain::Request(request) => {
+                let decisions = self.recent.of(request);
+                let known = !decisions.is_empty();
+                known.then(|| json!({
+                    "request": format!("{request:032x}"),
+                    "decisions": decisions,
+                }))
+            }
+            Explain::BackendServer { route, backend_server } => {
+                let state = self.routes.get(&route)?.handle?.state().await?;
+                let servers = state.get("backend_servers")?.as_array()?.clone();
+                let address = json!(backend_server);
+                let server = servers.into_iter().find(|server| server["address"] == address)?;
+                Some(json!({ "route": &*route, "backend_server": server }))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/server.rs
@@ -0,0 +1,132 @@
+//! What this daemon does for its peers.
+
+use crate::control;
+use crate::node::Node;
+use futures::StreamExt;
+use monsoonring_decision::configuration::Version;
+use monsoonring_decision::idempotency::lookup::{Answer, Question};
+use monsoonring_decision::idempotency::{Handover, Key, Receipt, Refusal};
+use monsoonring_decision::member::{MemberId, Message, Page, Span};
+use monsoonring_decision::outcome::Outcome;
+use monsoonring_wire::channel;
+use monsoonring_wire::key::Ring;
+use monsoonring_wire::message::{Declined, Request, Send, Sent};
+use monsoonring_wire::peer::{GRACE, Peer, transport};
+use slog::warn;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept: the process is out of descriptors, and trying at once again would
+/// only take processor time from those who could give some back.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time that a probe on behalf of another member may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Serves peers until the process ends.
+pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener, ring: Ring) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(converse(node.clone(), stream, peer, ring.clone()));
+            }
+            Err(error) => {
+                warn!(node.log(), "peer"; "what" => "accept", "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse(node: Arc<Node>, stream: TcpStream, peer: SocketAddr, ring: Ring) {
+    let stream = match channel::accept(stream, peer, &ring).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            warn!(node.log(), "peer"; "what" => "refused", "error" => %error);
+            return;
+        }
+    };
+    let server = Server(node);
+    BaseChannel::with_defaults(transport(stream))
+        .execute(server.serve())
+        .for_each(|call| async {
+            tokio::spawn(call);
+        })
+        .await;
+}
+
+/// Answers the calls of one peer.
+#[derive(Clone)]
+struct Server(Arc<Node>);
+
+impl Server {
+    fn control(&self) -> &control::Handle {
+        self.0.control()
+    }
+}
+
+impl Peer for Server {
+    async fn probe(self, _: Context, message: Message) -> Option<Message> {
+        self.control().probed(message).await
+    }
+
+    async fn probe_for(self, _: Context, target: MemberId) -> Option<Message> {
+        let message = self.control().message(target).await?;
+        self.0.probe(target, message, PROBE_TIMEOUT).await
+    }
+
+    async fn page(self, _: Context, span: Span) -> Option<Page> {
+        self.control().page(span).await
+    }
+
+    async fn document(self, _: Context, version: Version) -> Option<Vec<u8>> {
+        self.control().document(version).await
+    }
+
+    async fn search(self, context: Context, request: Request) -> Result<Outcome, Declined> {
+        let _in_flight = self.0.passed_on();
+        let call = self.0.call(request, deadline(&context)).ok_or(Declined::NotHome)?;
+        self.0.search_passed(call).await
+    }
+
+    async fn mint(self, context: Context, request: Request) -> Result<Key, Declined> {
+        let call = self.0.call(request, deadline(&context)).ok_or(Declined::NotHome)?;
+        self.0.mint_here(&call).map_err(Declined::Ledger)
+    }
+
+    async fn send(self, context: Context, send: Send) -> Sent {
+        let _in_flight = self.0.passed_on();
+        match self.0.call(send.request, deadline(&context)) {
+            Some(call) => self.0.send(call, send.key, send.send, true).await,
+            None => Sent::Refused(Refusal::Gone),
+        }
+    }
+
+    async fn run(
+        self,
+        context: Context,
+        request: Request,
+        key: String,
+    ) -> Result<Outcome, Declined> {
+        let _in_flight = self.0.passed_on();
+        let call = self.0.call(request, deadline(&context)).ok_or(Declined::NotHome)?;
+        self.0.run_passed(call, key).await
+    }
+
+    async fn ask(self, _: Context, question: Question) -> Answer {
+        self.0.answer(&question)
+    }
+
+    async fn take_over(self, _: Context, handover: Handover) -> Option<Receipt> {
+        self.0.take_over(handover)
+    }
+}
+
+/// Returns the deadline of the request that a call carries.
+fn deadline(context: &Context) -> Instant {
+    context.deadline.checked_sub(GRACE).unwrap_or(context.deadline)
+}
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -6,10 +6,11 @@
 use crate::clock::Clock;
 use crate::log;
 use crate::metrics::Metrics;
+use crate::node::state::Recent;
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, RouteId};
 use monsoonring_decision::attempt::{ConnectionId, Failure};
-use monsoonring_decision::home::action::Send;
+use monsoonring_decision::home::action::{Decision, Send};
 use monsoonring_decision::home::{Action, Event, Home};
 use monsoonring_decision::outcome::Outcome;
 use monsoonring_decision::{Fingerprint, RequestId, Time};
@@ -41,6 +42,7 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) facts: Facts,
+    pub(crate) recent: Recent,
 }
 
 /// Starts the task of a route. It ends when the last handle is gone and nothing is in flight.
@@ -58,12 +60,13 @@
     let poller = poll::spawn(servers.clone(), report.clone());
     let mut controller = Controller::new(settings, home, report, servers);
     controller.perform(actions);
-    loop {
+    let mut open = true;
+    while open || controller.home.in_progress() > 0 {
         let wake = controller.clock.instant(controller.wake.unwrap_or(controller.clock.now() + IDLE));
         tokio::select! {
-            input = queue.recv() => match input {
+            input = queue.recv(), if open => match input {
                 Some(input) => controller.input(input),
-                None => break,
+                None => open = false,
             },
             Some(event) = reports.recv() => controller.event(event),
             () = sleep_until(wake.into()) => controller.tick(),
@@ -81,6 +84,7 @@
     log: Logger,
     metrics: Arc<Metrics>,
     facts: Facts,
+    recent: Recent,
     route: RouteId,
     report: backend::Report,
     endpoint: Endpoint,
@@ -103,6 +107,7 @@
             log: settings.log,
             metrics: settings.metrics,
             facts: settings.facts,
+            recent: settings.recent,
             route: settings.route.name.clone(),
             report,
             endpoint: Endpoint::new(),
@@ -121,7 +126,7 @@
             }
             Input::Event(event) => self.event(event),
             Input::State(sender) => {
-                let _ = sender.send(self.home.state(self.clock.now()));
+                let _ = sender.send(self.state());
             }
         }
     }
@@ -171,12 +176,34 @@
             }
             Action::Wake(at) => self.wake = Some(self.wake.map_or(at, |wake| wake.min(at))),
             Action::Log(decision) => {
-                self.metrics.decision(&self.route, decision.what);
-                log::decision(&self.log, &self.route, &decision);
+                self.log(&decision);
             }
         }
     }
 
+    fn log(&self, decision: &Decision) {
+        self.metrics.decision(&self.route, decision.what);
+        self.recent.keep(self.clock.now(), &self.route, decision);
+        log::Decision {
+            request: decision.request,
+            route: &self.route,
+            range: None,
+            backend_server: decision.backend_server,
+            what: decision.what,
+            reason: &decision.why,
+        }
+        .log(&self.log);
+    }
+
+    fn state(&self) -> serde_json::Value {
+        serde_json::json!({
+            "in_progress": self.home.in_progress(),
+            "index_version": self.home.index_version(),
+            "connections": self.connections.len(),
+            "backend_servers": self.home.fleet().snapshot(),
+        })
+    }
+
     fn send(&mut self, send: Send) {
         let unsent = match self.connections.get(&send.connection) {
             Some(connection) => connection.send(send).err().map(|send| send.attempt),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -9,6 +9,7 @@
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
 use monsoonring_decision::outcome::Outcome;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
@@ -16,6 +17,10 @@
 /// Largest call or answer between daemons, in bytes. An answer over 160 backend servers has to fit.
 const MAX_FRAME: usize = 64 * 1024 * 1024;
 
+/// Time for which a call outlives the deadline of the request that it carries, so that the final
+/// answer "the deadline has passed" still arrives in place of a call that was cut off.
+pub const GRACE: Duration = Duration::from_millis(100);
+
 /// What a daemon does for another.
 #[tarpc::service]
 pub trait Peer {
