--- /dev/null
+++ b/crates/fakes/src/backend_server/core.rs
@@ -0,0 +1,175 @@
+//! What outlives the processes of a server: its address, what it holds, its journal; and the
+//! changes from one process to the next.
+
+use crate::backend_server::delay::Source;
+use crate::backend_server::fault;
+use crate::backend_server::holding::Holding;
+use crate::backend_server::journal::Journal;
+use crate::backend_server::process::Process;
+use crate::backend_server::report::{Load, Status};
+use crate::backend_server::request::Request;
+use crate::backend_server::settings::Settings;
+use crate::endpoint::{Endpoint, Reservation};
+use crate::lag::{Mode, View};
+use monsoonring_configuration::id::{BackendServerId, Incarnation};
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time;
+use tokio_util::sync::CancellationToken;
+
+/// What outlives a process.
+pub(crate) struct Core {
+    pub(crate) settings: Settings,
+    pub(crate) journal: Journal,
+    pub(crate) faults: fault::Plan,
+    pub(crate) service_time: Source,
+    pub(crate) load: View<Load>,
+    pub(crate) health: View<Status>,
+    reply_load: Mutex<Option<Load>>,
+    last_attempt: Mutex<String>,
+    reservation: Reservation,
+    holding: Mutex<Holding>,
+    starts: AtomicU64,
+    current: Mutex<Option<Current>>,
+    closing: CancellationToken,
+}
+
+/// The process that is there now.
+pub(crate) struct Current {
+    pub(crate) process: Arc<Process>,
+    endpoint: Arc<Endpoint>,
+}
+
+impl Core {
+    pub(crate) fn new(settings: Settings) -> io::Result<Self> {
+        let load = Load {
+            busy: 0,
+            slots: settings.slots,
+            queued: 0,
+            index_versions: settings.index_versions.clone(),
+            start: settings.start,
+        };
+        let holding = Holding {
+            versions: settings.index_versions.iter().copied().collect(),
+            ranges: settings.ranges.clone(),
+        };
+        Ok(Self {
+            journal: Journal::default(),
+            faults: fault::Plan::default(),
+            service_time: Source::new(settings.service_time, settings.seed),
+            load: View::new(Mode::True, load),
+            health: View::new(Mode::True, Status::Starting),
+            reply_load: Mutex::default(),
+            last_attempt: Mutex::default(),
+            reservation: Reservation::new()?,
+            holding: Mutex::new(holding),
+            starts: AtomicU64::new(0),
+            current: Mutex::default(),
+            closing: CancellationToken::new(),
+            settings,
+        })
+    }
+
+    pub(crate) fn address(&self) -> BackendServerId {
+        self.reservation.address()
+    }
+
+    /// Start number of the newest process.
+    pub(crate) fn start_number(&self) -> Incarnation {
+        let later = self.starts.load(Ordering::SeqCst).saturating_sub(1);
+        self.settings.start + later
+    }
+
+    /// Ends the present process and lets no further one start.
+    pub(crate) fn close(&self) {
+        self.closing.cancel();
+        self.stop();
+    }
+
+    /// Starts the next process.
+    pub(crate) fn launch(self: &Arc<Self>) -> io::Result<()> {
+        let earlier = self.starts.fetch_add(1, Ordering::SeqCst);
+        let process = Process::new(self.clone(), self.settings.start + earlier);
+        let process = Arc::new(process);
+        let endpoint = Endpoint::open(&self.reservation, &process, process.life.clone())?;
+        process.report();
+        *self.current() = Some(Current {
+            process,
+            endpoint: Arc::new(endpoint),
+        });
+        Ok(())
+    }
+
+    /// Ends the present process; what it had open goes as soon as its tasks run.
+    pub(crate) fn stop(&self) -> Option<Arc<Endpoint>> {
+        let current = self.current().take()?;
+        current.process.life.cancel();
+        Some(current.endpoint)
+    }
+
+    pub(crate) fn crashes(&self, request: &Request) -> bool {
+        let crash = self.settings.crash.as_ref();
+        crash.is_some_and(|crash| request.contains(&crash.marker))
+    }
+
+    /// Ends a process as a crash does, and starts the next one if so set.
+    pub(crate) fn crash(self: &Arc<Self>, process: &Process) {
+        self.journal.lock().counters.crashes += 1;
+        process.life.cancel();
+        let restart_after = self
+            .settings
+            .crash
+            .as_ref()
+            .and_then(|crash| crash.restart_after);
+        tokio::spawn(self.clone().recover(process.start, restart_after));
+    }
+
+    async fn recover(self: Arc<Self>, start: Incarnation, restart_after: Option<Duration>) {
+        let is_crashed = |current: &mut Current| current.process.start == start;
+        let Some(crashed) = self.current().take_if(is_crashed) else {
+            return;
+        };
+        crashed.endpoint.close().await;
+        let Some(delay) = restart_after else { return };
+        let waiting = self.closing.run_until_cancelled(time::sleep(delay));
+        if waiting.await.is_some() && self.current().is_none() {
+            // A failure leaves the server dead, which the test notices.
+            let _ = self.launch();
+        }
+    }
+
+    pub(crate) fn holding(&self) -> Holding {
+        let holding = self.holding.lock();
+        holding.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn change<T>(&self, act: impl FnOnce(&mut Holding) -> T) {
+        let holding = self.holding.lock();
+        act(&mut holding.unwrap_or_else(PoisonError::into_inner));
+    }
+
+    pub(crate) fn set_reply_load(&self, load: Option<Load>) {
+        let shown = self.reply_load.lock();
+        *shown.unwrap_or_else(PoisonError::into_inner) = load;
+    }
+
+    /// The value of the header `monsoonring-load` where the truth is `load`.
+    pub(crate) fn reply_load(&self, load: &Load) -> String {
+        let shown = self.reply_load.lock();
+        let shown = shown.unwrap_or_else(PoisonError::into_inner);
+        shown.as_ref().unwrap_or(load).header()
+    }
+
+    /// Keeps the id of the attempt that is replied to and returns the one before it.
+    pub(crate) fn last_attempt(&self, attempt: &str) -> String {
+        let last = self.last_attempt.lock();
+        let mut last = last.unwrap_or_else(PoisonError::into_inner);
+        std::mem::replace(&mut *last, attempt.to_owned())
+    }
+
+    pub(crate) fn current(&self) -> MutexGuard<'_, Option<Current>> {
+        self.current.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/fakes/src/backend_server/delay.rs
+++ b/crates/fakes/src/backend_server/delay.rs
@@ -35,6 +35,30 @@
 }
 
 impl Distribution {
+    /// Multiplies all times by a factor.
+    #[must_use]
+    pub fn scaled(self, factor: f64) -> Self {
+        match self {
+            Self::Constant(value) => Self::Constant(value.mul_f64(factor)),
+            Self::Exponential { mean } => Self::Exponential {
+                mean: mean.mul_f64(factor),
+            },
+            Self::Lognormal { median, sigma } => Self::Lognormal {
+                median: median.mul_f64(factor),
+                sigma,
+            },
+            Self::Bimodal {
+                fast,
+                slow,
+                slow_share,
+            } => Self::Bimodal {
+                fast: fast.mul_f64(factor),
+                slow: slow.mul_f64(factor),
+                slow_share,
+            },
+        }
+    }
+
     fn sample(self, random: &mut ChaCha8Rng) -> Duration {
         match self {
             Self::Constant(value) => value,
--- a/crates/fakes/src/backend_server/process.rs
+++ b/crates/fakes/src/backend_server/process.rs
@@ -3,8 +3,8 @@
 //! What a crash would lose lives here: queue, running attempts, connections, warmth. What the test
 //! looks at afterwards lives in the core and outlives it.
 
-use crate::backend_server::Core;
 use crate::backend_server::connections;
+use crate::backend_server::core::Core;
 use crate::backend_server::queue::Queue;
 use crate::backend_server::report::{Health, Load, Status};
 use crate::backend_server::request::{Origin, Request};
@@ -109,8 +109,8 @@
         reply
     }
 
-    /// Adds what each reply says of the server.
-    pub(crate) fn sign(&self, reply: &mut Reply) {
+    /// Adds what the reply to an attempt says of the server.
+    fn sign(&self, reply: &mut Reply) {
         let load = self.load();
         http::set(reply, header::LOAD, &self.core.reply_load(&load));
         http::set(reply, header::START, &self.start);
@@ -126,13 +126,29 @@
         connection: ConnectionId,
         request: hyper::Request<Incoming>,
     ) -> Option<Reply> {
-        if !self.connections.contains(connection) {
-            return Some(self.refuse(NotRun::Connections));
+        let attempt = request.headers().get(header::ATTEMPT).cloned();
+        let mut reply = if self.connections.contains(connection) {
+            self.clone().route(connection, request).await?
+        } else {
+            self.refuse(NotRun::Connections)
+        };
+        if let Some(attempt) = attempt {
+            let headers = reply.headers_mut();
+            headers.entry(header::ATTEMPT).or_insert(attempt);
+            self.sign(&mut reply);
         }
+        Some(reply)
+    }
+
+    async fn route(
+        self: Arc<Self>,
+        connection: ConnectionId,
+        request: hyper::Request<Incoming>,
+    ) -> Option<Reply> {
         let path = request.uri().path().to_owned();
         match (request.method().clone(), path.as_str()) {
-            (Method::POST, "/query") => self.run_request(connection, request, false).await,
-            (Method::POST, "/execute") => self.run_request(connection, request, true).await,
+            (Method::POST, "/query") => self.attempt(connection, request, false).await,
+            (Method::POST, "/execute") => self.attempt(connection, request, true).await,
             (Method::DELETE, path) => Some(self.cancel(path)),
             (Method::GET, "/health") => Some(self.health_reply()),
             (Method::GET, "/load") => Some(self.load_reply()),
@@ -140,7 +156,7 @@
         }
     }
 
-    async fn run_request(
+    async fn attempt(
         self: Arc<Self>,
         connection: ConnectionId,
         request: hyper::Request<Incoming>,
@@ -150,18 +166,11 @@
             connection,
             start: self.start,
         };
-        let attempt = request.headers().get(header::ATTEMPT).cloned();
         self.core.journal.lock().counters.received += 1;
-        let mut reply = match Request::read(request, executes, origin).await {
-            Some(request) => self.clone().serve(request).await?,
-            None => self.refuse(NotRun::Malformed),
-        };
-        if let Some(attempt) = attempt {
-            let headers = reply.headers_mut();
-            headers.entry(header::ATTEMPT).or_insert(attempt);
+        match Request::read(request, executes, origin).await {
+            Some(request) => self.serve(request).await,
+            None => Some(self.refuse(NotRun::Malformed)),
         }
-        self.sign(&mut reply);
-        Some(reply)
     }
 
     fn cancel(&self, path: &str) -> Reply {
--- a/crates/fakes/src/configuration_service.rs
+++ b/crates/fakes/src/configuration_service.rs
@@ -3,7 +3,7 @@
 //! What operators publish and what readers see are kept apart, so that a stale service goes on
 //! showing old copies while new values are published behind it.
 
-use crate::endpoint::{ConnectionId, Endpoint, Handler, Reservation};
+use crate::endpoint::{ConnectionId, Handler, Site};
 use crate::header;
 use crate::http::{self, Reply};
 use bytes::Bytes;
@@ -20,7 +20,6 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
-use tokio_util::sync::CancellationToken;
 
 /// Name of the value that holds the document.
 pub const DOCUMENT: &str = "monsoonring";
@@ -55,9 +54,7 @@
 /// A configuration service on a port of the loopback interface; gone when dropped.
 pub struct Service {
     shared: Arc<Shared>,
-    reservation: Reservation,
-    endpoint: tokio::sync::Mutex<Option<Endpoint>>,
-    life: CancellationToken,
+    site: Site<Shared>,
 }
 
 /// A value as readers see it.
@@ -98,27 +95,20 @@
     ///
     /// Panics outside of a tokio runtime and where the loopback interface has no free port.
     pub fn start() -> Self {
-        let reservation = Reservation::new().expect("the loopback interface has a free port");
         let shared = Arc::new(Shared {
             published: Mutex::default(),
             view: watch::Sender::new(View::default()),
             counters: Mutex::default(),
             limit: Mutex::default(),
         });
-        let life = CancellationToken::new();
-        let endpoint = Endpoint::open(&reservation, &shared, life.child_token());
-        let endpoint = endpoint.expect("the reserved port can be listened on");
-        Self {
-            shared,
-            reservation,
-            endpoint: tokio::sync::Mutex::new(Some(endpoint)),
-            life,
-        }
+        let site = Site::start(shared.clone());
+        let site = site.expect("the loopback interface has a free port");
+        Self { shared, site }
     }
 
     /// Returns the address.
     pub fn address(&self) -> SocketAddr {
-        self.reservation.address()
+        self.site.address()
     }
 
     /// Publishes a value under the next revision, which is returned.
@@ -162,15 +152,11 @@
                 view.values = published;
             }
         });
-        let mut endpoint = self.endpoint.lock().await;
         if mode == Mode::Down {
-            if let Some(endpoint) = endpoint.take() {
-                endpoint.close().await;
-            }
-        } else if endpoint.is_none() {
-            let life = self.life.child_token();
-            let opened = Endpoint::open(&self.reservation, &self.shared, life);
-            *endpoint = Some(opened.expect("the reserved port can be listened on"));
+            self.site.take_down().await;
+        } else {
+            let listening = self.site.bring_up().await;
+            listening.expect("the reserved port can be listened on");
         }
     }
 
@@ -185,12 +171,6 @@
     }
 }
 
-impl Drop for Service {
-    fn drop(&mut self) {
-        self.life.cancel();
-    }
-}
-
 impl Value {
     fn new(revision: Revision, content: impl Into<Bytes>) -> Self {
         let content = content.into();
--- a/crates/fakes/src/endpoint.rs
+++ b/crates/fakes/src/endpoint.rs
@@ -4,6 +4,7 @@
 //! Without it another socket could be given the port between a crash and the restart, which would
 //! show as replies of a foreign server. Connecting to it meanwhile is refused, as after a crash.
 
+use crate::gate::Gate;
 use crate::http::Reply;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
@@ -12,12 +13,10 @@
 use hyper_util::rt::TokioIo;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::Mutex;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -177,54 +176,52 @@
     }
 }
 
-/// A stream that can go silent: once it has, nothing is read or written and nothing is closed.
-struct Gate {
-    stream: TcpStream,
-    silent: Arc<AtomicBool>,
+/// An address with one handler, where somebody listens or nobody does.
+pub(crate) struct Site<H> {
+    reservation: Reservation,
+    handler: Arc<H>,
+    life: CancellationToken,
+    endpoint: Mutex<Option<Endpoint>>,
 }
 
-impl Gate {
-    fn is_silent(&self) -> bool {
-        self.silent.load(Ordering::SeqCst)
+impl<H: Handler> Site<H> {
+    /// Listens on a free port.
+    pub(crate) fn start(handler: Arc<H>) -> io::Result<Self> {
+        let reservation = Reservation::new()?;
+        let life = CancellationToken::new();
+        let endpoint = Endpoint::open(&reservation, &handler, life.child_token())?;
+        Ok(Self {
+            reservation,
+            handler,
+            life,
+            endpoint: Mutex::new(Some(endpoint)),
+        })
     }
-}
 
-impl AsyncRead for Gate {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        if self.is_silent() {
-            return Poll::Pending;
-        }
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.reservation.address()
     }
-}
 
-impl AsyncWrite for Gate {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        if self.is_silent() {
-            return Poll::Pending;
+    /// Drops the listener and all connections; returns when they are gone.
+    pub(crate) async fn take_down(&self) {
+        if let Some(endpoint) = self.endpoint.lock().await.take() {
+            endpoint.close().await;
         }
-        Pin::new(&mut self.stream).poll_write(context, data)
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.is_silent() {
-            return Poll::Pending;
+    /// Listens again, where nobody does.
+    pub(crate) async fn bring_up(&self) -> io::Result<()> {
+        let mut endpoint = self.endpoint.lock().await;
+        if endpoint.is_none() {
+            let life = self.life.child_token();
+            *endpoint = Some(Endpoint::open(&self.reservation, &self.handler, life)?);
         }
-        Pin::new(&mut self.stream).poll_flush(context)
+        Ok(())
     }
+}
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.is_silent() {
-            return Poll::Pending;
-        }
-        Pin::new(&mut self.stream).poll_shutdown(context)
+impl<H> Drop for Site<H> {
+    fn drop(&mut self) {
+        self.life.cancel();
     }
 }
--- /dev/null
+++ b/crates/fakes/src/fleet.rs
@@ -0,0 +1,248 @@
+//! Backend servers in the shapes of today's routes, with the document that describes them.
+//!
+//! The sizes are the offices' own. They state no service times; those here are assumptions, a
+//! lognormal body whose tail makes stragglers, and benchmarks vary them.
+
+use crate::backend_server::{Counters, Distribution, Server, Settings};
+use crate::host_list::{self, List};
+use monsoonring_configuration::document::{
+    Caller, Capacity, Class, Document, Group, Hedge, Kind, Retry, Route, SoftDeadline,
+};
+use monsoonring_configuration::{Range, id::RouteId};
+use std::time::Duration;
+
+const KEYS_PER_GROUP: u64 = 1_000;
+const ITEM_EVERY: u64 = 100;
+const MAX_BODY_BYTES: u64 = 64 * 1024;
+const SIGMA: f64 = 0.5;
+
+/// One route and the backend servers behind it.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Name of the route.
+    pub route: RouteId,
+    /// What its requests do.
+    pub kind: Kind,
+    /// The caller that uses it.
+    pub caller: Caller,
+    /// Groups of replicas; they share the key space evenly.
+    pub groups: usize,
+    /// Backend servers in each group.
+    pub replicas: usize,
+    /// Time after which a request that named no deadline has failed.
+    pub deadline: Duration,
+    /// When a partial answer is better than a later one.
+    pub soft_deadline: Option<SoftDeadline>,
+    /// What each backend server is like; ranges and seeds are set from its place.
+    pub settings: Settings,
+}
+
+/// Returns the dispatch map: 10 groups of 3, 3 slots, 30 connections at 6 ms each.
+pub fn dispatch_map() -> Shape {
+    Shape {
+        groups: 10,
+        replicas: 3,
+        settings: server(3, 30, 6, 8),
+        ..search("dispatch_map", "dispatcher", Class::Urgent)
+    }
+}
+
+/// Returns the gate desk: 10 groups of 3, 2 slots, 25 connections at 6 ms each. Someone waits at
+/// the gate, so it answers from nearly all the data rather than late.
+pub fn gate_desk() -> Shape {
+    Shape {
+        groups: 10,
+        replicas: 3,
+        soft_deadline: Some(SoftDeadline {
+            after_ms: 200,
+            coverage: 0.9,
+        }),
+        settings: server(2, 25, 6, 8),
+        ..search("gate_desk", "clerk", Class::Urgent)
+    }
+}
+
+/// Returns the planner desk: 20 equal backend servers, 2 slots, 110 connections at 1 ms each.
+pub fn planner_desk() -> Shape {
+    Shape {
+        replicas: 20,
+        settings: server(2, 110, 1, 5),
+        ..search("planner_desk", "planner", Class::Normal)
+    }
+}
+
+/// Returns the repair tickets: 10 equal backend servers that run requests at most once, 2 slots,
+/// 110 connections at 1 ms each.
+pub fn repair_tickets() -> Shape {
+    Shape {
+        kind: Kind::Execute,
+        replicas: 10,
+        settings: server(2, 110, 1, 5),
+        ..search("repair_tickets", "inspector", Class::Normal)
+    }
+}
+
+fn search(route: &str, caller: &str, class: Class) -> Shape {
+    Shape {
+        route: route.into(),
+        kind: Kind::Search,
+        caller: Caller {
+            name: caller.into(),
+            class,
+            token_sha256: None,
+        },
+        groups: 1,
+        replicas: 1,
+        deadline: Duration::from_millis(360),
+        soft_deadline: None,
+        settings: Settings::default(),
+    }
+}
+
+fn server(slots: usize, connections: usize, connect_ms: u64, median_ms: u64) -> Settings {
+    Settings {
+        slots,
+        connections,
+        connect_cost: Duration::from_millis(connect_ms),
+        item_every: ITEM_EVERY,
+        service_time: Distribution::Lognormal {
+            median: Duration::from_millis(median_ms),
+            sigma: SIGMA,
+        },
+        ..Settings::default()
+    }
+}
+
+impl Shape {
+    /// Multiplies all times: service, connections, deadlines.
+    #[must_use]
+    pub fn scaled(mut self, factor: f64) -> Self {
+        self.deadline = self.deadline.mul_f64(factor);
+        if let Some(soft) = &mut self.soft_deadline {
+            soft.after_ms = (soft.after_ms as f64 * factor).round() as u64;
+        }
+        let settings = &mut self.settings;
+        settings.connect_cost = settings.connect_cost.mul_f64(factor);
+        settings.service_time = settings.service_time.scaled(factor);
+        self
+    }
+
+    /// The keys of one group.
+    fn keys(&self, group: usize) -> Range {
+        let start = group as u64 * KEYS_PER_GROUP;
+        Range::new(start, start + KEYS_PER_GROUP)
+    }
+
+    fn start(&self, group: usize, replica: usize) -> Server {
+        let place = (group * self.replicas + replica) as u64;
+        Server::start(Settings {
+            ranges: vec![self.keys(group)],
+            seed: self.settings.seed + place,
+            ..self.settings.clone()
+        })
+    }
+
+    fn describe(&self, servers: &[Vec<Server>]) -> Route {
+        let groups = servers.iter().enumerate();
+        let groups = groups.map(|(place, replicas)| Group {
+            name: format!("group-{place}").into(),
+            keys: self.keys(place),
+            weight: 1.0,
+            backend_servers: replicas.iter().map(Server::address).collect(),
+        });
+        Route {
+            name: self.route.clone(),
+            kind: self.kind,
+            callers: vec![self.caller.name.clone()],
+            deadline_ms: milliseconds(self.deadline),
+            soft_deadline: self.soft_deadline,
+            hedge: Hedge::default(),
+            retry: Retry::default(),
+            capacity: Capacity {
+                slots: self.settings.slots as u32,
+                connections: self.settings.connections as u32,
+                connect_ms: milliseconds(self.settings.connect_cost),
+            },
+            max_body_bytes: MAX_BODY_BYTES,
+            minimum_index_version: 0,
+            keys: Range::new(0, self.groups as u64 * KEYS_PER_GROUP),
+            groups: groups.collect(),
+        }
+    }
+}
+
+fn milliseconds(time: Duration) -> u64 {
+    (time.as_secs_f64() * 1_000.0).ceil() as u64
+}
+
+/// The running backend servers of one or more routes.
+pub struct Fleet {
+    routes: Vec<Running>,
+}
+
+struct Running {
+    shape: Shape,
+    groups: Vec<Vec<Server>>,
+}
+
+impl Fleet {
+    /// Starts all backend servers of the given routes.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime and where the loopback interface has no free port.
+    pub fn start(shapes: impl IntoIterator<Item = Shape>) -> Self {
+        let routes = shapes.into_iter().map(|shape| {
+            let group = |place| (0..shape.replicas).map(move |replica| (place, replica));
+            let start = |(place, replica)| shape.start(place, replica);
+            let groups = (0..shape.groups).map(|place| group(place).map(start).collect());
+            let groups = groups.collect();
+            Running { groups, shape }
+        });
+        Self {
+            routes: routes.collect(),
+        }
+    }
+
+    /// Returns the document that describes the routes and their callers.
+    pub fn document(&self) -> Document {
+        let mut document = Document::default();
+        for Running { shape, groups } in &self.routes {
+            document.routes.push(shape.describe(groups));
+            let is_known = document.callers.contains(&shape.caller);
+            if !is_known {
+                document.callers.push(shape.caller.clone());
+            }
+        }
+        document
+    }
+
+    /// Returns the replicas of a group; empty where there is no such route or group.
+    pub fn group(&self, route: &str, group: usize) -> &[Server] {
+        let mut routes = self.routes.iter();
+        let running = routes.find(|running| *running.shape.route == *route);
+        let replicas = running.and_then(|running| running.groups.get(group));
+        replicas.map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns all backend servers, by route, group and replica.
+    pub fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.routes
+            .iter()
+            .flat_map(|route| route.groups.iter().flatten())
+    }
+
+    /// Adds a number up over all backend servers.
+    pub fn total(&self, number: impl Fn(&Counters) -> u64) -> u64 {
+        self.servers()
+            .map(|server| number(&server.counters()))
+            .sum()
+    }
+
+    /// Puts all backend servers on the host list as live.
+    pub fn register(&self, list: &List) {
+        for server in self.servers() {
+            list.set(server.address(), host_list::State::Live);
+        }
+    }
+}
--- a/crates/fakes/src/host_list.rs
+++ b/crates/fakes/src/host_list.rs
@@ -1,6 +1,6 @@
 //! The platform's list of hosts, which lags.
 
-use crate::endpoint::{ConnectionId, Endpoint, Handler, Reservation};
+use crate::endpoint::{ConnectionId, Handler, Site};
 use crate::http::{self, Reply};
 use crate::lag::{Mode, View};
 use futures::future::BoxFuture;
@@ -12,7 +12,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio_util::sync::CancellationToken;
 
 /// State of a host in the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -29,9 +28,7 @@
 /// A host list on a port of the loopback interface; gone when dropped.
 pub struct List {
     shared: Arc<Shared>,
-    reservation: Reservation,
-    endpoint: tokio::sync::Mutex<Option<Endpoint>>,
-    life: CancellationToken,
+    site: Site<Shared>,
 }
 
 struct Shared {
@@ -58,26 +55,19 @@
     ///
     /// Panics outside of a tokio runtime and where the loopback interface has no free port.
     pub fn start() -> Self {
-        let reservation = Reservation::new().expect("the loopback interface has a free port");
         let shared = Arc::new(Shared {
             hosts: Mutex::default(),
             view: View::new(Mode::True, Hosts::new()),
             calls: AtomicU64::new(0),
         });
-        let life = CancellationToken::new();
-        let endpoint = Endpoint::open(&reservation, &shared, life.child_token());
-        let endpoint = endpoint.expect("the reserved port can be listened on");
-        Self {
-            shared,
-            reservation,
-            endpoint: tokio::sync::Mutex::new(Some(endpoint)),
-            life,
-        }
+        let site = Site::start(shared.clone());
+        let site = site.expect("the loopback interface has a free port");
+        Self { shared, site }
     }
 
     /// Returns the address.
     pub fn address(&self) -> SocketAddr {
-        self.reservation.address()
+        self.site.address()
     }
 
     /// Puts a host into the list or changes its state.
@@ -102,10 +92,7 @@
 
     /// Drops the listener and all connections; returns when they are gone.
     pub async fn take_down(&self) {
-        let endpoint = self.endpoint.lock().await.take();
-        if let Some(endpoint) = endpoint {
-            endpoint.close().await;
-        }
+        self.site.take_down().await;
     }
 
     /// Listens again after [`List::take_down`].
@@ -114,18 +101,8 @@
     ///
     /// Panics where the address can't be listened on again.
     pub async fn bring_up(&self) {
-        let mut endpoint = self.endpoint.lock().await;
-        if endpoint.is_none() {
-            let life = self.life.child_token();
-            let opened = Endpoint::open(&self.reservation, &self.shared, life);
-            *endpoint = Some(opened.expect("the reserved port can be listened on"));
-        }
-    }
-}
-
-impl Drop for List {
-    fn drop(&mut self) {
-        self.life.cancel();
+        let listening = self.site.bring_up().await;
+        listening.expect("the reserved port can be listened on");
     }
 }
 
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -8,9 +8,12 @@
 pub mod backend_server;
 pub mod configuration_service;
 mod endpoint;
+pub mod fleet;
+mod gate;
 pub mod header;
 pub mod host_list;
 mod http;
 mod lag;
+pub mod relay;
 
 pub use lag::Mode as Reporting;
--- /dev/null
+++ b/crates/fakes/src/relay.rs
@@ -0,0 +1,289 @@
+//! A TCP relay in front of one target, which can fail as the network does.
+//!
+//! The test hands the relay's address to one side in place of the target's. One relay stands for
+//! one pair of ends, so that each pair can be cut by itself. Bytes that are held are not lost: as
+//! with TCP's own retransmission they arrive, in order, once the link is open again.
+
+use crate::endpoint::Reservation;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{self, Instant};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+const CHUNK_BYTES: usize = 16 * 1024;
+const CHUNKS_IN_FLIGHT: usize = 256;
+
+/// What the link lets through.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Link {
+    /// Everything.
+    #[default]
+    Open,
+    /// Nothing: open connections are dropped and new ones closed as soon as they are accepted.
+    Cut,
+    /// Nothing, without a sign: connections stay open, new ones too, and all bytes are held.
+    Hold,
+    /// Only bytes towards the target; those back are held.
+    OnlyForward,
+    /// Only bytes from the target; those towards it are held.
+    OnlyBack,
+}
+
+/// A relay on a port of the loopback interface; gone when dropped, with its connections.
+pub struct Relay {
+    shared: Arc<Shared>,
+    reservation: Reservation,
+    flapping: Mutex<Option<AbortOnDropHandle<()>>>,
+    life: CancellationToken,
+}
+
+struct Shared {
+    target: SocketAddr,
+    state: watch::Sender<State>,
+    connections: Mutex<Vec<Arc<Connection>>>,
+    opened: AtomicUsize,
+}
+
+#[derive(Clone, Copy, Default)]
+struct State {
+    link: Link,
+    delay: Duration,
+}
+
+#[derive(Default)]
+struct Connection {
+    silent: AtomicBool,
+    end: CancellationToken,
+}
+
+#[derive(Clone, Copy)]
+enum Direction {
+    Forward,
+    Back,
+}
+
+/// Bytes on their way, or the end of the stream where there are none.
+struct Chunk {
+    due: Instant,
+    bytes: Vec<u8>,
+}
+
+impl Relay {
+    /// Starts a relay to `target` on a free port.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime and where the loopback interface has no free port.
+    pub fn start(target: SocketAddr) -> Self {
+        let reservation = Reservation::new().expect("the loopback interface has a free port");
+        let listener = reservation.listen();
+        let listener = listener.expect("the reserved port can be listened on");
+        let shared = Arc::new(Shared {
+            target,
+            state: watch::Sender::new(State::default()),
+            connections: Mutex::default(),
+            opened: AtomicUsize::new(0),
+        });
+        let life = CancellationToken::new();
+        let accepting = accept_all(listener, shared.clone(), life.clone());
+        tokio::spawn(life.clone().run_until_cancelled_owned(accepting));
+        Self {
+            shared,
+            reservation,
+            flapping: Mutex::default(),
+            life,
+        }
+    }
+
+    /// Returns the address that stands for the target.
+    pub fn address(&self) -> SocketAddr {
+        self.reservation.address()
+    }
+
+    /// Sets what the link lets through, and ends flapping.
+    pub fn set_link(&self, link: Link) {
+        *self.flapping() = None;
+        self.shared.set_link(link);
+    }
+
+    /// Delays all bytes by this time, in each direction.
+    pub fn set_delay(&self, delay: Duration) {
+        self.shared.state.send_modify(|state| state.delay = delay);
+    }
+
+    /// Alternates between the open link and `broken`, until the link is set anew.
+    pub fn flap(&self, broken: Link, open_for: Duration, broken_for: Duration) {
+        let shared = self.shared.clone();
+        let flapping = tokio::spawn(async move {
+            loop {
+                shared.set_link(broken);
+                time::sleep(broken_for).await;
+                shared.set_link(Link::Open);
+                time::sleep(open_for).await;
+            }
+        });
+        *self.flapping() = Some(AbortOnDropHandle::new(flapping));
+    }
+
+    /// Silences the connections that are open now, for good and without closing them; new ones
+    /// work.
+    pub fn silence_open(&self) {
+        for connection in &*self.shared.connections() {
+            connection.silent.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Returns the number of connections accepted so far.
+    pub fn opened(&self) -> usize {
+        self.shared.opened.load(Ordering::SeqCst)
+    }
+
+    fn flapping(&self) -> MutexGuard<'_, Option<AbortOnDropHandle<()>>> {
+        self.flapping.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.life.cancel();
+    }
+}
+
+impl Shared {
+    fn set_link(&self, link: Link) {
+        self.state.send_modify(|state| state.link = link);
+        if link == Link::Cut {
+            for connection in self.connections().drain(..) {
+                connection.end.cancel();
+            }
+        }
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Vec<Arc<Connection>>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Link {
+    fn passes(self, direction: Direction) -> bool {
+        match self {
+            Self::Open => true,
+            Self::Cut | Self::Hold => false,
+            Self::OnlyForward => matches!(direction, Direction::Forward),
+            Self::OnlyBack => matches!(direction, Direction::Back),
+        }
+    }
+}
+
+async fn accept_all(listener: TcpListener, shared: Arc<Shared>, life: CancellationToken) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        shared.opened.fetch_add(1, Ordering::SeqCst);
+        let connection = Arc::new(Connection {
+            end: life.child_token(),
+            ..Connection::default()
+        });
+        shared.connections().push(connection.clone());
+        // The link is read after the entry into the table: a cut that comes between the two finds
+        // the connection there, or else is seen here. Otherwise one would live on across a cut.
+        if shared.state.borrow().link == Link::Cut {
+            connection.end.cancel();
+        }
+        let relaying = relay(stream, shared.clone(), connection.clone());
+        let end = connection.end.clone();
+        tokio::spawn(end.run_until_cancelled_owned(relaying));
+    }
+}
+
+async fn relay(stream: TcpStream, shared: Arc<Shared>, connection: Arc<Connection>) {
+    // An error on either side ends the relayed connection, which both ends notice.
+    let _ = relay_both(stream, &shared, &connection).await;
+    let mut connections = shared.connections();
+    connections.retain(|other| !Arc::ptr_eq(other, &connection));
+}
+
+async fn relay_both(stream: TcpStream, shared: &Shared, connection: &Connection) -> io::Result<()> {
+    wait_until_open(shared, connection, Direction::Forward).await;
+    let target = TcpStream::connect(shared.target).await?;
+    stream.set_nodelay(true)?;
+    target.set_nodelay(true)?;
+    let (from_caller, to_caller) = stream.into_split();
+    let (from_target, to_target) = target.into_split();
+    let forward = pump(
+        from_caller,
+        to_target,
+        shared,
+        connection,
+        Direction::Forward,
+    );
+    let back = pump(from_target, to_caller, shared, connection, Direction::Back);
+    tokio::try_join!(forward, back)?;
+    Ok(())
+}
+
+async fn pump(
+    from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    shared: &Shared,
+    connection: &Connection,
+    direction: Direction,
+) -> io::Result<()> {
+    let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
+    let reading = read_all(from, shared, sender);
+    let writing = write_all(to, shared, connection, direction, receiver);
+    tokio::join!(reading, writing).1
+}
+
+async fn read_all(mut from: OwnedReadHalf, shared: &Shared, sender: mpsc::Sender<Chunk>) {
+    loop {
+        let mut bytes = vec![0; CHUNK_BYTES];
+        // A reset ends the stream like a close and is held like one: were it passed on at once, an
+        // end behind a held link would hear of the other's death through the partition.
+        let length = from.read(&mut bytes).await.unwrap_or(0);
+        bytes.truncate(length);
+        let due = Instant::now() + shared.state.borrow().delay;
+        let is_sent = sender.send(Chunk { due, bytes }).await.is_ok();
+        if length == 0 || !is_sent {
+            return;
+        }
+    }
+}
+
+async fn write_all(
+    mut to: OwnedWriteHalf,
+    shared: &Shared,
+    connection: &Connection,
+    direction: Direction,
+    mut receiver: mpsc::Receiver<Chunk>,
+) -> io::Result<()> {
+    while let Some(chunk) = receiver.recv().await {
+        time::sleep_until(chunk.due).await;
+        wait_until_open(shared, connection, direction).await;
+        if chunk.bytes.is_empty() {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk.bytes).await?;
+    }
+    Ok(())
+}
+
+async fn wait_until_open(shared: &Shared, connection: &Connection, direction: Direction) {
+    if connection.silent.load(Ordering::SeqCst) {
+        return std::future::pending().await;
+    }
+    let mut state = shared.state.subscribe();
+    // The sender lives in `shared`, so waiting can only end with an open link.
+    let _ = state.wait_for(|state| state.link.passes(direction)).await;
+}
--- /dev/null
+++ b/crates/fakes/tests/network.rs
@@ -0,0 +1,176 @@
+//! The relay, and whole routes of backend servers.
+
+mod support;
+
+use monsoonring_configuration::document::Kind;
+use monsoonring_fakes::backend_server::{Server, Settings};
+use monsoonring_fakes::fleet::{self, Fleet, Shape};
+use monsoonring_fakes::host_list::List;
+use monsoonring_fakes::relay::{Link, Relay};
+use std::time::Duration;
+use support::{Call, Client, eventually, send};
+use test_case::test_case;
+use tokio::time::{self, Instant};
+
+const GRACE: Duration = Duration::from_millis(50);
+
+// Symptom: a request neither ends nor fails; when the link is back its reply comes late.
+// Events: the link between two ends holds bytes in one or both directions, then opens.
+// Cause: TCP keeps what it could not deliver.
+#[test_case(Link::Hold, 1; "both_ways")]
+#[test_case(Link::OnlyBack, 1; "towards_the_target")]
+#[test_case(Link::OnlyForward, 2; "back")]
+#[tokio::test]
+async fn link_holds_and_delivers_later(link: Link, received: u64) {
+    let server = Server::start(Settings::default());
+    let relay = Relay::start(server.address());
+    let mut client = Client::connect(relay.address()).await;
+    client.send(Call::query(1)).await.expect("a reply");
+    relay.set_link(link);
+    let sending = client.send(Call::query(2));
+    tokio::pin!(sending);
+    assert!(
+        time::timeout(GRACE, &mut sending).await.is_err(),
+        "neither reply nor error"
+    );
+    if received == 2 {
+        eventually("the request has come", || server.counters().received == 2).await;
+    }
+    assert_eq!(server.counters().received, received);
+    relay.set_link(Link::Open);
+    assert_eq!(sending.await.expect("a reply").status, 200);
+}
+
+#[tokio::test]
+async fn link_cut_drops_open_connections() {
+    // Symptom: every request between two ends fails at once.
+    // Events: the link is cut; open connections end, new ones are closed.
+    // Cause: a partition that resets.
+    let server = Server::start(Settings::default());
+    let relay = Relay::start(server.address());
+    let mut client = Client::connect(relay.address()).await;
+    client.send(Call::query(1)).await.expect("a reply");
+    relay.set_link(Link::Cut);
+    assert!(client.send(Call::query(2)).await.is_err());
+    assert!(send(relay.address(), Call::query(3)).await.is_err());
+    eventually("the server hears of it", || {
+        server.counters().connections_open == 0
+    })
+    .await;
+    relay.set_link(Link::Open);
+    assert!(send(relay.address(), Call::query(4)).await.is_ok());
+    assert_eq!(server.counters().received, 2);
+}
+
+#[tokio::test]
+async fn link_silences_open_connections_only() {
+    // Symptom: pooled connections never answer while new ones do.
+    // Events: a middlebox forgets the connections that it knew.
+    // Cause: state between the ends is lost without a reset.
+    let server = Server::start(Settings::default());
+    let relay = Relay::start(server.address());
+    let mut old = Client::connect(relay.address()).await;
+    old.send(Call::query(1)).await.expect("a reply");
+    relay.silence_open();
+    assert!(
+        time::timeout(GRACE, old.send(Call::query(2)))
+            .await
+            .is_err()
+    );
+    assert!(send(relay.address(), Call::query(3)).await.is_ok());
+    assert_eq!((relay.opened(), server.counters().received), (2, 2));
+}
+
+#[tokio::test]
+async fn link_flaps_until_set() {
+    // Symptom: requests to one server fail and succeed in turns.
+    // Events: the link comes and goes.
+    // Cause: a port that resets again and again.
+    let server = Server::start(Settings::default());
+    let relay = Relay::start(server.address());
+    let moment = Duration::from_millis(5);
+    relay.flap(Link::Cut, moment, moment);
+    let (mut failed, mut answered) = (0, 0);
+    while failed < 3 || answered < 3 {
+        match send(relay.address(), Call::query(1)).await {
+            Ok(_) => answered += 1,
+            Err(_) => failed += 1,
+        }
+    }
+    relay.set_link(Link::Open);
+    for attempt in 0..20 {
+        send(relay.address(), Call::query(attempt))
+            .await
+            .expect("a reply");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn link_delays_each_way() {
+    let server = Server::start(Settings::default());
+    let relay = Relay::start(server.address());
+    relay.set_delay(Duration::from_millis(30));
+    let begun = Instant::now();
+    send(relay.address(), Call::get("/health"))
+        .await
+        .expect("a reply");
+    assert_eq!(begun.elapsed().as_millis(), 60);
+}
+
+#[test_case(fleet::dispatch_map(), Kind::Search, (10, 3), (3, 30, 6); "dispatch_map")]
+#[test_case(fleet::gate_desk(), Kind::Search, (10, 3), (2, 25, 6); "gate_desk")]
+#[test_case(fleet::planner_desk(), Kind::Search, (1, 20), (2, 110, 1); "planner_desk")]
+#[test_case(fleet::repair_tickets(), Kind::Execute, (1, 10), (2, 110, 1); "repair_tickets")]
+#[tokio::test]
+async fn fleet_is_as_described(
+    shape: Shape,
+    kind: Kind,
+    size: (usize, usize),
+    capacity: (u32, u32, u64),
+) {
+    let name = shape.route.clone();
+    let fleet = Fleet::start([shape]);
+    let document = fleet.document();
+    let route = &document.routes[0];
+    assert_eq!(route.kind, kind);
+    assert_eq!(
+        (route.groups.len(), route.groups[0].backend_servers.len()),
+        size
+    );
+    let stated = route.capacity;
+    assert_eq!(
+        (stated.slots, stated.connections, stated.connect_ms),
+        capacity
+    );
+    let held: u64 = route.groups.iter().map(|group| group.keys.len()).sum();
+    assert_eq!(held, route.keys.len(), "the groups tile the key space");
+    let last = route.groups.len() - 1;
+    let server = &fleet.group(&name, last)[0];
+    assert_eq!(server.address(), route.groups[last].backend_servers[0]);
+    let body = format!(r#"{{"ranges":[{}],"query":1}}"#, json(&route.keys));
+    let reply = send(server.address(), Call::query(1).body(&body))
+        .await
+        .expect("a reply");
+    assert_eq!(
+        reply.json()["ranges"][0]["start"],
+        route.groups[last].keys.start
+    );
+    assert_eq!(fleet.total(|counters| counters.completed), 1);
+}
+
+#[tokio::test]
+async fn fleet_registers_all_servers() {
+    let fleet = Fleet::start([fleet::planner_desk(), fleet::repair_tickets()]);
+    let list = List::start();
+    fleet.register(&list);
+    let reply = send(list.address(), Call::get("/hosts"))
+        .await
+        .expect("a reply");
+    assert_eq!(reply.json()["hosts"].as_array().map(Vec::len), Some(30));
+    let document = fleet.document();
+    assert_eq!((document.routes.len(), document.callers.len()), (2, 2));
+}
+
+fn json(range: &monsoonring_configuration::Range) -> String {
+    serde_json::to_string(range).expect("a range is JSON")
+}
--- a/crates/fakes/tests/query.rs
+++ b/crates/fakes/tests/query.rs
@@ -1,12 +1,15 @@
-//! What a backend server answers when nothing goes wrong, and what it refuses.
+//! What a backend server answers when nothing goes wrong, and what it refuses without running it.
 
 mod support;
 
 use hyper::StatusCode;
-use monsoonring_fakes::backend_server::{Server, Settings};
+use monsoonring_configuration::Range;
+use monsoonring_fakes::backend_server::{Cold, Server, Settings};
 use monsoonring_fakes::header;
 use serde_json::json;
-use support::{Call, send};
+use std::time::Duration;
+use support::{Call, Client, send};
+use test_case::test_case;
 
 #[tokio::test]
 async fn query_of_held_keys_is_answered() {
@@ -24,9 +27,105 @@
     let body = reply.json();
     assert_eq!(body["ranges"], json!([{"start": 0, "end": 100}]));
     assert_eq!(body["items"].as_array().map(Vec::len), Some(10));
-    assert_eq!(
-        body["items"][3],
-        json!({"key": 30, "value": {"key": 30, "version": 1}})
-    );
-    assert_eq!(server.counters().completed, 1);
+    let item = json!({"key": 30, "value": {"key": 30, "version": 1}});
+    assert_eq!(body["items"][3], item);
+}
+
+#[test_case(vec![(0, 40)], json!([{"start": 0, "end": 40}]), &[0, 10, 20, 30]; "after_split")]
+#[test_case(
+    vec![(60, 200)], json!([{"start": 60, "end": 100}]), &[60, 70, 80, 90]; "after_move"
+)]
+#[test_case(vec![(200, 300)], json!([]), &[]; "of_other_keys")]
+#[test_case(
+    vec![(0, 5), (95, 200)], json!([{"start": 0, "end": 5}, {"start": 95, "end": 100}]), &[0];
+    "of_two_parts"
+)]
+#[tokio::test]
+async fn query_covers_what_is_held(held: Vec<(u64, u64)>, ranges: serde_json::Value, keys: &[u64]) {
+    let server = Server::start(Settings::default());
+    let held = held.into_iter();
+    server.set_ranges(held.map(|(start, end)| Range::new(start, end)).collect());
+    let reply = send(server.address(), Call::query(1))
+        .await
+        .expect("a reply");
+    let body = reply.json();
+    assert_eq!(body["ranges"], ranges);
+    let items = body["items"].as_array().expect("an array of items");
+    let found: Vec<_> = items
+        .iter()
+        .filter_map(|item| item["key"].as_u64())
+        .collect();
+    assert_eq!(found, keys);
+}
+
+#[tokio::test]
+async fn query_follows_index_versions() {
+    let server = Server::start(Settings::default());
+    let mut client = Client::connect(server.address()).await;
+    server.add_index_version(2);
+    let newest = client.send(Call::query(1)).await.expect("a reply");
+    assert_eq!(newest.header(header::INDEX_VERSION), Some("2"));
+    assert_eq!(newest.header(header::INDEX_VERSIONS), Some("1,2"));
+    let pinned = Call::query(2).header(header::INDEX_VERSION, "1");
+    let reply = client.send(pinned.clone()).await.expect("a reply");
+    assert_eq!(reply.header(header::INDEX_VERSION), Some("1"));
+    server.retire_index_version(1);
+    let reply = client.send(pinned).await.expect("a reply");
+    assert_eq!(reply.status, StatusCode::CONFLICT);
+    assert_eq!(reply.not_run(), Some("index-version"));
+    assert_eq!(reply.header(header::INDEX_VERSIONS), Some("2"));
+}
+
+#[test_case(Call::query(1), "draining", 503; "draining")]
+#[test_case(Call::query(1), "starting", 503; "starting")]
+#[test_case(Call::query(1).header(header::DEADLINE_MS, "0"), "deadline", 504; "past_deadline")]
+#[test_case(
+    Call::query(1).header(header::INDEX_VERSION, "9"), "index-version", 409; "of_missing_version"
+)]
+#[test_case(Call::query(1).header(header::DEADLINE_MS, "soon"), "malformed", 400; "bad_deadline")]
+#[test_case(Call::query(1).body("[]"), "malformed", 400; "bad_body")]
+#[test_case(Call::execute(1, "k").body("{}"), "malformed", 400; "without_query")]
+#[test_case(Call::post("/query"), "malformed", 400; "without_attempt")]
+#[tokio::test]
+async fn query_is_refused_unrun(call: Call, reason: &str, status: u16) {
+    // Symptom: "not run" is told of a request that ran, and its second run doubles a ticket.
+    // Events: a request comes that the server can't or won't take.
+    // Cause: the refusal is decided after the work has begun.
+    let server = Server::start(Settings {
+        cold: (reason == "starting").then_some(Cold {
+            refuse_for: Duration::from_secs(3_600),
+            slowdown: 1.0,
+            warm_after: 0,
+        }),
+        ..Settings::default()
+    });
+    server.set_draining(reason == "draining");
+    let reply = send(server.address(), call).await.expect("a reply");
+    assert_eq!(reply.status, status);
+    assert_eq!(reply.not_run(), Some(reason));
+    let draining = (reason == "draining").then_some("true");
+    assert_eq!(reply.header(header::DRAINING), draining);
+    let counters = server.counters();
+    assert_eq!(counters.started, 0, "a refused request must not run");
+    assert_eq!(counters.refused.values().sum::<u64>(), 1);
+}
+
+#[tokio::test]
+async fn execute_records_each_run() {
+    // Symptom: a ticket is written twice and no test notices.
+    // Events: two attempts with one idempotency key reach the server.
+    // Cause: the server itself does not deduplicate; the journal has to show the doubled run.
+    let server = Server::start(Settings::default());
+    for (attempt, key) in [(1, "a"), (2, "b"), (3, "a")] {
+        let call = Call::execute(attempt, key);
+        let reply = send(server.address(), call).await.expect("a reply");
+        assert_eq!(reply.json(), json!({"value": {"key": key}}));
+    }
+    let runs = server.runs();
+    assert_eq!((runs["a"].begun, runs["a"].completed), (2, 2));
+    assert_eq!((runs["b"].begun, runs["b"].completed), (1, 1));
+    let attempts = server.attempts();
+    let keys = attempts.iter().map(|attempt| attempt.key.as_deref());
+    assert!(keys.eq([Some("a"), Some("b"), Some("a")]));
+    assert!(attempts.iter().all(|attempt| attempt.executes));
 }
--- a/crates/fakes/tests/support/mod.rs
+++ b/crates/fakes/tests/support/mod.rs
@@ -97,6 +97,10 @@
         Self::new(Method::GET, path)
     }
 
+    pub(crate) fn post(path: impl Into<String>) -> Self {
+        Self::new(Method::POST, path)
+    }
+
     /// A search of keys 0 to 99 under the given attempt number.
     pub(crate) fn query(attempt: u64) -> Self {
         let body = r#"{"ranges":[{"start":0,"end":100}],"query":"valve"}"#;
