Answer searches and run non-idempotent requests at their home

The thin whole path: fan-out, merge by key ranges, deadline, abandonment, one run of a non-idempotent request.

--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -95,7 +95,7 @@
             self.send(id, connection, now);
             return;
         }
-        self.pool.release(connection, now);
+        self.pool.put_back(connection, now);
         *self.callable.entry(server).or_default() += 1;
         if let Some(owner) = owner {
             self.hold(id, owner, now);
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -9,7 +9,7 @@
 use super::state::Home;
 use super::timer::Timer;
 use crate::attempt::{AttemptId, ConnectionId, Failure, Refusal};
-use crate::backend::{News, Verdict};
+use crate::backend::Verdict;
 use crate::query::merge;
 use crate::query::run::{self, Cause, PartId, Run};
 use crate::reply::{Reply, Report};
@@ -138,13 +138,7 @@
             self.retries.failed(now);
             self.hedges.failed(now);
         }
-        if verdict.leaving {
-            let news = News {
-                leaving: true,
-                ..News::default()
-            };
-            self.heed(flight.server, news, now);
-        }
+        self.heed(flight.server, verdict.news, now);
         if !verdict.crash_evidence {
             self.suspects.ended(flight.id, now);
         } else if let Some((fingerprint, period)) = self.suspects.lost(flight.id, now) {
@@ -166,6 +160,9 @@
         verdict: &Verdict,
         now: Time,
     ) {
+        if is_crowded(failure) {
+            self.pool.crowded(flight.server, now);
+        }
         match failure {
             Failure::Lost => self.ended(connection, now),
             Failure::Mismatched | Failure::NotSent => self.scrap(connection, flight, now),
@@ -272,11 +269,18 @@
         self.fleet.forget(id, now);
         self.suspects.ended(id, now);
         if let Some(connection) = flight.connection {
-            self.scrap(connection, &flight, now);
+            self.pool.condemn(connection, now);
+            *self.callable.entry(flight.server).or_default() += 1;
         }
         self.tell_owner(&flight, &Failure::Lost, now);
     }
 }
 
+/// Tells whether the server's connection limit was reached.
+fn is_crowded(failure: &Failure) -> bool {
+    let connections = Refusal::Connections;
+    matches!(failure, Failure::Refused { refusal, .. } if *refusal == connections)
+}
+
 /// Shortest time between two looks at the same attempt.
 const MIN_PATIENCE: Time = Time::from_millis(5);
--- a/crates/decision/src/home/flight.rs
+++ b/crates/decision/src/home/flight.rs
@@ -118,11 +118,6 @@
         self.get(id)?.connection?;
         self.remove(id)
     }
-
-    /// Returns how many attempts occupy a connection.
-    pub(super) fn sent(&self) -> usize {
-        self.by_connection.len()
-    }
 }
 
 type Queues = BTreeMap<BackendServerId, BTreeSet<(Class, AttemptId)>>;
--- /dev/null
+++ b/crates/decision/tests/session/mod.rs
@@ -0,0 +1,334 @@
+//! Drives a home with events, as the daemon does, and keeps what it did.
+//!
+//! Connections open by themselves unless their server is in `refusing`; replies are given by the
+//! test. Each event and action is a line of the transcript, which the golden files hold.
+#![allow(dead_code, reason = "no test file uses all of it")]
+
+use monsoonring_configuration::Range;
+use monsoonring_configuration::document::{
+    Capacity, Class, Group, Hedge, Kind, Retry, Route, SoftDeadline,
+};
+use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use monsoonring_decision::attempt::{AttemptId, ConnectionId, Failure, Refusal};
+use monsoonring_decision::home::action::{Decision, Send};
+use monsoonring_decision::home::event::Request;
+use monsoonring_decision::home::{Action, Event, Home};
+use monsoonring_decision::outcome::{Answer, Outcome};
+use monsoonring_decision::reply::{Item, Reply, Report};
+use monsoonring_decision::{RequestId, Time};
+use std::collections::{BTreeSet, VecDeque};
+use std::sync::Arc;
+
+/// Keys of each group of a test route.
+pub(crate) const KEYS: u64 = 100;
+
+/// Version that test servers serve unless told otherwise.
+pub(crate) const VERSION: IndexVersion = 6;
+
+/// Returns milliseconds as a time.
+pub(crate) fn ms(value: u64) -> Time {
+    Time::from_millis(value)
+}
+
+/// Returns the address of a replica of a group.
+pub(crate) fn server(group: usize, replica: usize) -> BackendServerId {
+    let text = format!("127.0.{}.{}:9000", group + 1, replica + 1);
+    text.parse().expect("a socket address")
+}
+
+/// Returns a search route with as many groups and replicas.
+pub(crate) fn route(groups: usize, replicas: usize) -> Route {
+    let group = |index: usize| Group {
+        name: format!("g{index}").into(),
+        keys: Range::new(index as u64 * KEYS, (index as u64 + 1) * KEYS),
+        weight: 1.0,
+        backend_servers: (0..replicas)
+            .map(|replica| server(index, replica))
+            .collect(),
+    };
+    Route {
+        name: "dispatch-map".into(),
+        kind: Kind::Search,
+        callers: vec!["dispatcher".into()],
+        deadline_ms: 1000,
+        soft_deadline: None,
+        hedge: Hedge {
+            budget_percent: 100.0,
+            quantile: 0.95,
+        },
+        retry: Retry {
+            budget_percent: 100.0,
+            attempts: 3,
+        },
+        capacity: Capacity {
+            slots: 3,
+            connections: 30,
+            connect_ms: 6,
+        },
+        max_body_bytes: 65536,
+        minimum_index_version: 0,
+        keys: Range::new(0, groups as u64 * KEYS),
+        groups: (0..groups).map(group).collect(),
+    }
+}
+
+/// Returns a route like the gate desk: half the data is worth more than a late answer.
+pub(crate) fn gate_desk(groups: usize, replicas: usize) -> Route {
+    let mut route = route(groups, replicas);
+    route.name = "gate-desk".into();
+    route.soft_deadline = Some(SoftDeadline {
+        after_ms: 200,
+        coverage: 0.5,
+    });
+    route
+}
+
+/// Returns a route of non-idempotent requests.
+pub(crate) fn tickets(replicas: usize) -> Route {
+    let mut route = route(1, replicas);
+    route.name = "repair-tickets".into();
+    route.kind = Kind::Execute;
+    route
+}
+
+/// Returns a request with the id, 1000 ms before its deadline.
+pub(crate) fn request(id: RequestId, now: Time) -> Request {
+    Request {
+        id,
+        caller: "dispatcher".into(),
+        class: Class::Urgent,
+        deadline: now + ms(1000),
+        fingerprint: id as u64,
+        body: "{}".into(),
+    }
+}
+
+/// Returns what a healthy server says of itself.
+pub(crate) fn report(versions: &[IndexVersion]) -> Report {
+    Report {
+        load: None,
+        index_versions: versions.to_vec(),
+        start: Some(1),
+        draining: false,
+    }
+}
+
+/// Returns a reply that covers the ranges, with an item at the start of each.
+pub(crate) fn reply(ranges: &[Range], version: IndexVersion) -> Reply {
+    let item = |range: &Range| Item {
+        key: range.start,
+        value: "{}".into(),
+    };
+    Reply {
+        index_version: Some(version),
+        ranges: ranges.to_vec(),
+        items: ranges.iter().map(item).collect(),
+        report: report(&[version]),
+    }
+}
+
+/// Returns a refusal by the server itself.
+pub(crate) fn refused(refusal: Refusal) -> Failure {
+    Failure::Refused {
+        refusal,
+        retry_after: None,
+        report: Report::default(),
+    }
+}
+
+/// A home and all that it did.
+pub(crate) struct Session {
+    pub(crate) home: Home,
+    pub(crate) now: Time,
+    /// Servers that refuse connections.
+    pub(crate) refusing: BTreeSet<BackendServerId>,
+    /// Attempts sent, whether they have ended or not.
+    pub(crate) sends: Vec<Send>,
+    pub(crate) cancels: Vec<AttemptId>,
+    pub(crate) closes: Vec<ConnectionId>,
+    pub(crate) finishes: Vec<(RequestId, Outcome)>,
+    pub(crate) others: Vec<Action>,
+    pub(crate) log: Vec<Decision>,
+    pub(crate) transcript: String,
+    wakes: BTreeSet<Time>,
+}
+
+impl Session {
+    pub(crate) fn new(route: Route) -> Self {
+        let (home, actions) = Home::new(Arc::new(route), 1, 7, Time::ZERO);
+        let mut session = Self {
+            home,
+            now: Time::ZERO,
+            refusing: BTreeSet::new(),
+            sends: Vec::new(),
+            cancels: Vec::new(),
+            closes: Vec::new(),
+            finishes: Vec::new(),
+            others: Vec::new(),
+            log: Vec::new(),
+            transcript: String::new(),
+            wakes: BTreeSet::new(),
+        };
+        session.carry_out(actions);
+        session
+    }
+
+    /// Returns a session whose home has heard from each server that it serves `versions`.
+    pub(crate) fn polled(route: Route, versions: &[IndexVersion]) -> Self {
+        let servers = route.groups.iter().flat_map(|group| &group.backend_servers);
+        let servers: Vec<BackendServerId> = servers.copied().collect();
+        let mut session = Self::new(route);
+        for server in servers {
+            session.on(Event::Polled(server, Some(report(versions))));
+        }
+        session
+    }
+
+    /// Feeds an event, and what follows from it by itself.
+    pub(crate) fn on(&mut self, event: Event) {
+        self.write("<-", &describe(&event));
+        let actions = self.home.on(event, self.now);
+        self.carry_out(actions);
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>) {
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            self.write("->", &show(&action));
+            match action {
+                Action::Open(connection, server) => {
+                    let event = match self.refusing.contains(&server) {
+                        true => Event::Closed(connection),
+                        false => Event::Opened(connection),
+                    };
+                    self.write("<-", &describe(&event));
+                    actions.extend(self.home.on(event, self.now));
+                }
+                Action::Close(connection) => self.closes.push(connection),
+                Action::Send(send) => self.sends.push(send),
+                Action::Cancel(attempt, _) => self.cancels.push(attempt),
+                Action::Finish(request, outcome) => self.finishes.push((request, outcome)),
+                Action::Wake(at) => {
+                    self.wakes.insert(at);
+                }
+                Action::Log(decision) => self.log.push(decision),
+                other => self.others.push(other),
+            }
+        }
+    }
+
+    fn write(&mut self, way: &str, text: &str) {
+        let line = format!("{:>6} {way} {text}\n", self.now.as_millis());
+        self.transcript.push_str(&line);
+    }
+
+    /// Lets time pass, with a tick at each wake-up that was asked for.
+    pub(crate) fn pass(&mut self, time: Time) {
+        let end = self.now + time;
+        while let Some(at) = self.wakes.first().copied().filter(|at| *at <= end) {
+            self.wakes.remove(&at);
+            self.now = at.max(self.now);
+            self.on(Event::Tick);
+        }
+        self.now = end;
+        self.on(Event::Tick);
+    }
+
+    pub(crate) fn ask(&mut self, id: RequestId) {
+        self.on(Event::Request(request(id, self.now)));
+    }
+
+    /// Answers an attempt in full, from the version that was asked for.
+    pub(crate) fn answer(&mut self, send: &Send) {
+        let version = send.index_version.unwrap_or(VERSION);
+        self.on(Event::Reply(send.attempt, reply(&send.ranges, version)));
+    }
+
+    /// Answers the attempts sent from the `from`th on.
+    pub(crate) fn answer_from(&mut self, from: usize) {
+        let mut next = from;
+        while let Some(send) = self.sends.get(next).cloned() {
+            self.answer(&send);
+            next += 1;
+        }
+    }
+
+    pub(crate) fn fail(&mut self, attempt: AttemptId, failure: Failure) {
+        self.on(Event::Failed(attempt, failure));
+    }
+
+    /// Returns the attempts sent for a group.
+    pub(crate) fn sent_to(&self, group: usize) -> Vec<Send> {
+        let sends = self.sends.iter();
+        let there = sends.filter(|send| (0..9).any(|r| server(group, r) == send.backend_server));
+        there.cloned().collect()
+    }
+
+    /// Returns the outcome of a request, which must be the only one.
+    pub(crate) fn outcome(&self, id: RequestId) -> &Outcome {
+        let finishes = self.finishes.iter().filter(|(request, _)| *request == id);
+        let outcomes: Vec<&Outcome> = finishes.map(|(_, outcome)| outcome).collect();
+        assert_eq!(
+            outcomes.len(),
+            1,
+            "one result of request {id}: {outcomes:?}"
+        );
+        outcomes[0]
+    }
+
+    pub(crate) fn is_finished(&self, id: RequestId) -> bool {
+        self.finishes.iter().any(|(request, _)| *request == id)
+    }
+
+    pub(crate) fn answered(&self, id: RequestId) -> &Answer {
+        match self.outcome(id) {
+            Outcome::Answered(answer) => answer,
+            other => unreachable!("request {id} ended otherwise: {other:?}"),
+        }
+    }
+
+    /// Tells whether a decision of this kind was logged.
+    pub(crate) fn logged(&self, what: &str) -> bool {
+        self.log.iter().any(|decision| decision.what == what)
+    }
+}
+
+fn describe(event: &Event) -> String {
+    match event {
+        Event::Request(request) => format!("request {}", request.id),
+        Event::Reply(attempt, reply) => format!(
+            "reply {attempt} version {:?} ranges {}",
+            reply.index_version,
+            ranges(&reply.ranges)
+        ),
+        Event::Executed(attempt, value, _) => format!("executed {attempt} {value}"),
+        Event::Polled(server, report) => {
+            let versions = report.as_ref().map(|report| &report.index_versions);
+            format!("polled {server} {versions:?}")
+        }
+        Event::Route(_) => "route".to_owned(),
+        other => format!("{other:?}"),
+    }
+}
+
+fn show(action: &Action) -> String {
+    match action {
+        Action::Send(send) => format!(
+            "send {} on {} to {} version {:?} ranges {}",
+            send.attempt,
+            send.connection,
+            send.backend_server,
+            send.index_version,
+            ranges(&send.ranges)
+        ),
+        Action::Log(decision) => format!("log {} ({})", decision.what, decision.why),
+        Action::Finish(request, outcome) => format!("finish {request} {outcome:?}"),
+        Action::Wake(at) => format!("wake {}", at.as_millis()),
+        other => format!("{other:?}"),
+    }
+}
+
+fn ranges(ranges: &[Range]) -> String {
+    let texts: Vec<String> = ranges.iter().map(Range::to_string).collect();
+    texts.join(",")
+}
