--- /dev/null
+++ b/crates/decision/src/admission/limit.rs
@@ -0,0 +1,66 @@
+//! Adaptive limit on the requests in flight.
+//!
+//! The limit grows by one per round of requests that end in time and shrinks by a tenth when one
+//! takes more than its share of the deadline while backend servers have work waiting. Additive
+//! increase with multiplicative decrease was chosen over a gradient on latency for two reasons. A
+//! gradient needs the latency without load as its base, and in an overload that lasts it forgets
+//! it. And several homes share the servers without talking about it: this rule brings their limits
+//! to equal shares, a gradient keeps whatever shares it started from.
+//!
+//! Slow requests while servers have free slots shrink nothing. They come from a straggler, which
+//! fewer requests would not make faster: seen as refusals on a half idle fleet.
+
+use crate::Time;
+use std::time::Duration;
+
+/// Limit to start with.
+const INITIAL: f64 = 16.0;
+
+/// Bounds of the limit.
+const AT_LEAST: f64 = 1.0;
+const AT_MOST: f64 = 10_000.0;
+
+/// What the limit is multiplied by when a request is late.
+const SHRINK: f64 = 0.9;
+
+/// The limit grows only while at least this share of it is used: an unused one proves nothing.
+const USED: f64 = 0.5;
+
+/// Adaptive limit on the requests in flight.
+#[derive(Clone, Debug)]
+pub(super) struct Limit {
+    limit: f64,
+    shrunk: Option<Time>,
+}
+
+impl Limit {
+    pub(super) fn new() -> Self {
+        Self {
+            limit: INITIAL,
+            shrunk: None,
+        }
+    }
+
+    pub(super) fn get(&self) -> f64 {
+        self.limit
+    }
+
+    /// Records a request that ended within its share of the deadline, when `in_flight` were.
+    pub(super) fn in_time(&mut self, in_flight: usize) {
+        if in_flight as f64 >= self.limit * USED {
+            self.limit = (self.limit + 1.0 / self.limit).min(AT_MOST);
+        }
+    }
+
+    /// Records a request that was late after `took`, when `in_flight` were.
+    pub(super) fn late(&mut self, in_flight: usize, took: Duration, now: Time) {
+        // Requests admitted before the last decrease were slowed by what it has already cut.
+        let sent = now.saturating_sub(took);
+        if self.shrunk.is_some_and(|shrunk| sent < shrunk) {
+            return;
+        }
+        let used = self.limit.min(in_flight as f64);
+        self.limit = (used * SHRINK).max(AT_LEAST);
+        self.shrunk = Some(now);
+    }
+}
--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -1,11 +1,34 @@
 //! Admission: whether a request is taken on at all.
+//!
+//! Three questions are asked of a new request, in this order. Can it be answered by its deadline,
+//! behind what already waits at the backend servers? Is there room for its class within the limit
+//! on requests in flight, which [`limit`] learns from how long requests take? If not, when does it
+//! make sense to come back? A refusal here costs nothing at the backend servers, so that what they
+//! finish per second stays the same however many ask.
+//!
+//! Nothing is queued here: a queue in front of the servers' own queues would only add waiting that
+//! the deadline has to pay for. A caller that was refused comes back when it is told to.
+
+mod limit;
+mod pace;
 
 use crate::Time;
 use crate::backend::Room;
 use crate::outcome::Reason;
+use limit::Limit;
 use monsoonring_configuration::document::{Class, Route};
+use pace::Pace;
 use std::time::Duration;
 
+/// Share of the route's deadline within which requests are to be answered. The rest is for what
+/// varies.
+const TARGET: f64 = 0.5;
+
+/// Share of the limit that each class may fill. What is above it stays for the classes before it.
+const URGENT_SHARE: f64 = 1.0;
+const NORMAL_SHARE: f64 = 0.8;
+const BACKGROUND_SHARE: f64 = 0.4;
+
 /// What is done with a new request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -21,33 +44,93 @@
 }
 
 /// Decides which requests are taken on.
-pub struct Gate {}
+#[derive(Clone, Debug)]
+pub struct Gate {
+    limit: Limit,
+    pace: Pace,
+    target: Duration,
+    in_flight: usize,
+    /// Whether work was waiting at the backend servers when last looked at.
+    waiting: bool,
+}
 
 impl Gate {
     /// Makes the gate of a route.
-    pub fn new(_route: &Route) -> Self {
-        Self {}
+    pub fn new(route: &Route) -> Self {
+        Self {
+            limit: Limit::new(),
+            pace: Pace::default(),
+            target: target(route),
+            in_flight: 0,
+            waiting: false,
+        }
     }
 
     /// Takes over a new configuration.
-    pub fn reconfigure(&mut self, _route: &Route) {}
+    pub fn reconfigure(&mut self, route: &Route) {
+        self.target = target(route);
+    }
 
     /// Decides about a request that has to be answered by `deadline`. One that is admitted counts
     /// as in flight until [`Self::finished`].
-    pub fn admit(&mut self, _class: Class, _deadline: Time, _room: &Room, _now: Time) -> Admission {
-        Admission::Admit
+    pub fn admit(&mut self, class: Class, deadline: Time, room: &Room, now: Time) -> Admission {
+        self.waiting = !room.wait.is_zero();
+        let remaining = deadline.saturating_sub(now);
+        if remaining <= room.work {
+            // Coming back with as little time left would be as useless.
+            return Admission::Refuse {
+                reason: Reason::Deadline,
+                retry_after: None,
+            };
+        }
+        let in_time = room.wait + room.work < remaining;
+        let fits = (self.in_flight as f64) < self.allowed(class);
+        if in_time && fits {
+            self.in_flight += 1;
+            return Admission::Admit;
+        }
+        let excess = self.in_flight as f64 + 1.0 - self.allowed(class);
+        let turn = self.pace.refused(excess.max(1.0), now);
+        Admission::Refuse {
+            reason: Reason::Overload,
+            retry_after: Some(turn.max(room.wait)),
+        }
     }
 
     /// Records that an admitted request has ended, after `took`, whatever its outcome.
-    pub fn finished(&mut self, _class: Class, _took: Duration, _now: Time) {}
+    pub fn finished(&mut self, _class: Class, took: Duration, now: Time) {
+        let in_flight = self.in_flight;
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.pace.finished(now);
+        if took <= self.target {
+            self.limit.in_time(in_flight);
+        } else if self.waiting {
+            self.limit.late(in_flight, took, now);
+        }
+    }
 
     /// Returns how many requests may be in flight at once.
     pub fn limit(&self) -> f64 {
-        0.0
+        self.limit.get()
     }
 
     /// Returns how many admitted requests are in flight.
     pub fn in_flight(&self) -> usize {
-        0
+        self.in_flight
+    }
+
+    /// Returns how many requests may be in flight for one of `class` to be admitted. At least one:
+    /// with nothing in flight there is room for anybody.
+    fn allowed(&self, class: Class) -> f64 {
+        let share = match class {
+            Class::Urgent => URGENT_SHARE,
+            Class::Normal => NORMAL_SHARE,
+            Class::Background => BACKGROUND_SHARE,
+        };
+        (self.limit.get() * share).max(1.0)
     }
 }
+
+fn target(route: &Route) -> Duration {
+    Duration::from_millis(route.deadline_ms).mul_f64(TARGET)
+}
--- a/crates/decision/src/backend/suspect.rs
+++ b/crates/decision/src/backend/suspect.rs
@@ -25,8 +25,9 @@
 /// Distinct servers that the evidence must come from.
 const SERVERS: usize = 2;
 
-/// Time for which a fingerprint is refused.
+/// Time for which a fingerprint is refused; it doubles with each further server, up to a bound.
 const REFUSED_FOR: Duration = Duration::from_secs(60);
+const REFUSED_AT_MOST: Duration = Duration::from_secs(600);
 
 /// Time for which evidence counts.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -168,7 +169,7 @@
 
     /// Takes over another home's finding.
     pub fn told(&mut self, fingerprint: Fingerprint, until: Time, now: Time) {
-        let until = until.min(now + REFUSED_FOR);
+        let until = until.min(now + REFUSED_AT_MOST);
         let refused = self.refused.entry(fingerprint).or_insert(until);
         *refused = until.max(*refused);
     }
@@ -245,15 +246,19 @@
 
     fn refuse(&mut self, fingerprint: Fingerprint, now: Time) -> Option<(Fingerprint, Duration)> {
         let all = self.evidence.get(&fingerprint)?;
-        let blamed = all.iter().filter(|evidence| evidence.weight > 0.0);
+        let blamed = all.iter().filter(|evidence| evidence.weight > 0.0).count();
         let refused = self.refused.get(&fingerprint);
         let is_new = refused.is_none_or(|until| *until <= now);
-        let enough = blamed.count() >= SERVERS && self.weight(fingerprint, now) >= REFUSED_AT;
+        let enough = blamed >= SERVERS && self.weight(fingerprint, now) >= REFUSED_AT;
         if !(is_new && enough) {
             return None;
         }
-        self.refused.insert(fingerprint, now + REFUSED_FOR);
-        Some((fingerprint, REFUSED_FOR))
+        let doublings = u32::try_from(blamed - SERVERS).unwrap_or(u32::MAX);
+        let time = REFUSED_FOR
+            .saturating_mul(2_u32.saturating_pow(doublings))
+            .min(REFUSED_AT_MOST);
+        self.refused.insert(fingerprint, now + time);
+        Some((fingerprint, time))
     }
 
     fn withdraw(&mut self, fingerprint: Fingerprint, of: impl Fn(&Evidence) -> bool) {
--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -1,43 +1,101 @@
 //! Budgets for extra attempts, in per cent of the first ones.
+//!
+//! Each first attempt puts a fraction of a token into a bucket, each hedge or retry takes a whole
+//! one out, so that extra load stays in proportion whatever fails. While attempts fail the fraction
+//! shrinks by a factor and while they succeed it grows by a step: retries help against a single
+//! server's trouble and add to everybody's, and what tells the two apart is how many fail. With one
+//! failure in ten attempts the budget stays whole, with one in two it falls to a tenth.
+//!
+//! Invariant: at any time the extra attempts taken are at most [`Budget::INITIAL`] plus `percent`
+//! in a hundred of the first attempts.
 
 use crate::Time;
 
+/// What the fraction is multiplied by at each failure.
+const SHRINK: f64 = 0.9;
+
+/// What is added to it at each success.
+const GROW: f64 = 0.01;
+
+/// The factor never falls below this, so that successes are still found out.
+const FACTOR_AT_LEAST: f64 = 0.01;
+
+/// First attempts whose tokens are kept: a long calm may not pay for a storm.
+const KEPT: f64 = 1_000.0;
+
 /// Token bucket that first attempts fill and extra attempts empty.
 #[derive(Clone, Debug)]
 pub struct Budget {
     percent: f64,
+    factor: f64,
+    tokens: f64,
 }
 
 impl Budget {
+    /// Extra attempts that can be taken before any first one, where the percentage is not 0: a lone
+    /// request can still be sent again.
+    pub const INITIAL: f64 = 1.0;
+
     /// Makes a budget of `percent` extra attempts per hundred first ones.
     pub fn new(percent: f64) -> Self {
-        Self { percent }
+        Self {
+            percent,
+            factor: 1.0,
+            tokens: if percent > 0.0 { Self::INITIAL } else { 0.0 },
+        }
     }
 
     /// Takes over a new percentage.
     pub fn set_percent(&mut self, percent: f64) {
         self.percent = percent;
+        self.tokens = self.tokens.min(self.most());
     }
 
     /// Records a first attempt.
-    pub fn deposit(&mut self, _now: Time) {}
+    pub fn deposit(&mut self, _now: Time) {
+        let token = self.percent / 100.0 * self.factor;
+        self.tokens = (self.tokens + token).min(self.most());
+    }
 
     /// Takes one extra attempt out of the budget. Returns whether there was one.
     pub fn take(&mut self, _now: Time) -> bool {
-        false
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
     }
 
     /// Gives back an extra attempt that was taken and not sent.
-    pub fn give_back(&mut self) {}
+    pub fn give_back(&mut self) {
+        self.tokens += 1.0;
+    }
 
     /// Records that an attempt succeeded, which lets a shrunken budget grow.
-    pub fn succeeded(&mut self, _now: Time) {}
+    pub fn succeeded(&mut self, _now: Time) {
+        self.factor = (self.factor + GROW).min(1.0);
+    }
 
     /// Records that an attempt failed, which shrinks the budget.
-    pub fn failed(&mut self, _now: Time) {}
+    pub fn failed(&mut self, _now: Time) {
+        self.factor = (self.factor * SHRINK).max(FACTOR_AT_LEAST);
+        self.tokens = self.tokens.min(self.most());
+    }
 
     /// Returns the extra attempts that could be taken now.
     pub fn available(&self) -> f64 {
-        0.0
+        self.tokens
+    }
+
+    /// Returns the factor by which failures have shrunk the budget, from 0 to 1.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
+    fn most(&self) -> f64 {
+        if self.percent <= 0.0 {
+            return 0.0;
+        }
+        (self.percent / 100.0 * self.factor * KEPT).max(Self::INITIAL)
     }
 }
