--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -6,16 +6,16 @@
 //! latencies do too.
 
 use super::action::{Action, Send};
+use super::event::Request;
 use super::flight::{Flight, Owner};
 use super::state::{Home, Waiting};
 use super::timer::Timer;
+use crate::Time;
 use crate::attempt::{AttemptId, ConnectionId};
 use crate::backend::pool::Command;
 use crate::query::coverage::Set;
-use crate::{RequestId, Time};
 use monsoonring_configuration::document::Kind;
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// How long after its request's deadline an attempt may still occupy a connection. A server gives
@@ -142,7 +142,7 @@
             return;
         };
         let flight = flight.clone();
-        let Some((request, body)) = self.depart(&flight) else {
+        let Some(request) = self.depart(&flight) else {
             return;
         };
         self.suspects
@@ -151,26 +151,24 @@
             attempt: id,
             connection,
             backend_server: flight.server,
-            request,
+            request: request.id,
             ranges: flight.asked.ranges().to_vec(),
             index_version: flight.version,
             deadline: flight.deadline,
-            body,
+            body: request.body,
+            execute_key: request.execute_key,
         }));
     }
 
     /// Tells the owner that its attempt may be running from now on.
-    fn depart(&mut self, flight: &Flight) -> Option<(RequestId, Arc<str>)> {
+    fn depart(&mut self, flight: &Flight) -> Option<Request> {
         match flight.owner {
             Owner::Part(request, _) => {
                 let run = self.runs.get_mut(&request)?;
                 run.fanout.send();
-                Some((request, Arc::clone(&run.request.body)))
-            }
-            Owner::Execution(request) => {
-                let body = self.depart_execution(request)?;
-                Some((request, body))
+                Some(run.request.clone())
             }
+            Owner::Execution(request) => self.depart_execution(request),
             Owner::Nobody => None,
         }
     }
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -15,7 +15,6 @@
 use crate::query::run::{self, Cause};
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::id::BackendServerId;
-use std::sync::Arc;
 
 impl Home {
     /// Starts a non-idempotent request.
@@ -124,12 +123,12 @@
         }
     }
 
-    /// Marks the attempt as possibly running, and returns the body to send.
-    pub(super) fn depart_execution(&mut self, id: RequestId) -> Option<Arc<str>> {
+    /// Marks the attempt as possibly running, and returns the request.
+    pub(super) fn depart_execution(&mut self, id: RequestId) -> Option<Request> {
         let execution = self.executions.remove(&id)?;
-        let body = Arc::clone(&execution.request.body);
+        let request = execution.request.clone();
         self.executions.insert(id, execution.send());
-        Some(body)
+        Some(request)
     }
 
     /// Takes the attempt out of the queue; the request waits again.
