Add the front of the daemon: callers, operators, log, metrics, stop

Cause: the seam had nothing on the callers' side. Weighed: one exchange with optional fields against one that is typed by its stage; the latter keeps the order of the filters by itself. The library's own head timeout counts idle time too, so it serves as the idle timeout, and the socket bounds heads and unread answers. Change: a bounded HTTP server for both ports, the filter chain, answers and problems, the log with counted overflow, the metrics, and a planned stop in stages. Request ids are always made here: a trace id is shared by the requests of one trace, and a home that knows requests by id would mix their answers.

--- /dev/null
+++ b/crates/daemon/src/caller/filter/body.rs
@@ -0,0 +1,81 @@
+//! Reads the body.
+
+use super::{Filter, Result};
+use crate::caller::exchange::{Exchange, Json, Keyed, Order};
+use crate::caller::problem::Problem;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// What stands for an empty body where one is allowed.
+const NULL: &str = "null";
+
+/// Reads the body within the time and size allowed, and checks that it is JSON.
+pub(crate) struct Read {
+    /// Time that the body may take from the end of the head.
+    pub(crate) timeout: Duration,
+}
+
+impl Filter<Exchange<Keyed>> for Read {
+    type After = Exchange<Keyed, Json>;
+
+    async fn apply(&self, before: Exchange<Keyed>) -> Result<Self::After> {
+        let limit = before.stage.timed.routed.route.max_body_bytes;
+        let deadline = before.stage.timed.deadline;
+        let patience = before.head.arrived + self.timeout;
+        let mint = before.stage.order == Order::Mint;
+        let Exchange { head, stage, body } = before;
+        let bytes = tokio::time::timeout_at(patience.min(deadline).into(), whole(body, limit))
+            .await
+            .map_err(|_| self.too_late(deadline, patience))??;
+        let json = parse(&bytes, mint)?;
+        let passed = Exchange {
+            head,
+            stage,
+            body: json,
+        };
+        Ok(passed)
+    }
+}
+
+impl Read {
+    fn too_late(&self, deadline: Instant, patience: Instant) -> Problem {
+        if deadline < patience {
+            Problem::late("the deadline passed before the whole body had arrived")
+        } else {
+            Problem::slow(self.timeout)
+        }
+    }
+}
+
+/// Reads the body up to its limit. A length that is announced above the limit is refused before
+/// anything is read.
+async fn whole(body: Incoming, limit: u64) -> Result<Bytes> {
+    if body.size_hint().lower() > limit {
+        return Err(Problem::too_large(limit));
+    }
+    let bytes = usize::try_from(limit).unwrap_or(usize::MAX);
+    match Limited::new(body, bytes).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Problem::too_large(limit)),
+        Err(_) => Err(Problem::malformed("the body ended early")),
+    }
+}
+
+fn parse(bytes: &[u8], empty_allowed: bool) -> Result<Json> {
+    let text = std::str::from_utf8(bytes)
+        .map_err(|error| Problem::malformed(format!("the body is not UTF-8: {error}")))?;
+    let text = if empty_allowed && text.is_empty() {
+        NULL
+    } else {
+        text
+    };
+    let value = serde_json::from_str(text)
+        .map_err(|error| Problem::malformed(format!("the body is not JSON: {error}")))?;
+    Ok(Json {
+        text: Arc::from(text),
+        value,
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/caller/filter/deadline.rs
@@ -0,0 +1,35 @@
+//! Finds out how much time remains.
+
+use super::{Filter, Result};
+use crate::caller::exchange::{Exchange, Routed, Timed};
+use crate::caller::header;
+use crate::caller::problem::Problem;
+use std::time::Duration;
+
+/// No request is kept longer, whatever its caller says.
+const MAX_DEADLINE: Duration = Duration::from_secs(600);
+
+/// Turns the remaining time into a deadline on this process's clock.
+pub(crate) struct Deadline;
+
+impl Filter<Exchange<Routed>> for Deadline {
+    type After = Exchange<Timed>;
+
+    async fn apply(&self, before: Exchange<Routed>) -> Result<Self::After> {
+        let sent = header::single(&before.head.headers, header::DEADLINE_MS)?;
+        let milliseconds = match sent {
+            Some(text) => text.trim().parse().map_err(|_| not_a_number())?,
+            None => before.stage.route.deadline_ms,
+        };
+        if milliseconds == 0 {
+            return Err(Problem::late("no time remained when the request arrived"));
+        }
+        let remaining = Duration::from_millis(milliseconds).min(MAX_DEADLINE);
+        let deadline = before.head.arrived + remaining;
+        Ok(before.pass(|routed| Timed { routed, deadline }))
+    }
+}
+
+fn not_a_number() -> Problem {
+    Problem::header(header::DEADLINE_MS, "is not a whole number of milliseconds")
+}
--- /dev/null
+++ b/crates/daemon/src/caller/filter/fingerprint.rs
@@ -0,0 +1,78 @@
+//! Tells requests that ask the same from those that don't.
+//!
+//! A fingerprint decides two things: whether a request is like one that has crashed backend
+//! servers, and whether a key comes back with another request. Both go wrong if the same question
+//! can have two fingerprints, so members of objects are hashed in the order of their names and
+//! white space not at all; some JSON libraries write both anew each time. Both go wrong, too, if a
+//! caller can make two questions with one fingerprint and so have another's refused; hence SHA-256
+//! and no faster hash without that property. The first 8 bytes of it are kept, and bodies are a few
+//! kilobytes, so the cost is some microseconds.
+
+use super::{Filter, Result};
+use crate::caller::exchange::{Exchange, Json, Keyed, Printed};
+use monsoonring_decision::Fingerprint;
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+
+/// Bytes of the digest that make the fingerprint.
+const BYTES: usize = size_of::<Fingerprint>();
+
+/// Hashes route and body.
+pub(crate) struct Print;
+
+impl Filter<Exchange<Keyed, Json>> for Print {
+    type After = Exchange<Keyed, Printed>;
+
+    async fn apply(&self, before: Exchange<Keyed, Json>) -> Result<Self::After> {
+        let fingerprint = fingerprint(&before.stage.timed.routed.route.name, &before.body.value);
+        let text = before.body.text.clone();
+        Ok(before.with_body(Printed { text, fingerprint }))
+    }
+}
+
+fn fingerprint(route: &str, body: &Value) -> Fingerprint {
+    let mut hash = Sha256::new();
+    feed_text(&mut hash, b'r', route);
+    feed(&mut hash, body);
+    let digest = hash.finalize();
+    let mut bytes = [0; BYTES];
+    for (to, from) in bytes.iter_mut().zip(digest) {
+        *to = from;
+    }
+    Fingerprint::from_be_bytes(bytes)
+}
+
+/// Feeds a value to the hash. Each part begins with its kind and length, so that no two values give
+/// the same bytes. The depth is bounded by the parser.
+fn feed(hash: &mut Sha256, value: &Value) {
+    match value {
+        Value::Null => hash.update(b"n"),
+        Value::Bool(true) => hash.update(b"t"),
+        Value::Bool(false) => hash.update(b"f"),
+        Value::Number(number) => feed_text(hash, b'#', &number.to_string()),
+        Value::String(text) => feed_text(hash, b's', text),
+        Value::Array(values) => {
+            feed_length(hash, b'[', values.len());
+            values.iter().for_each(|value| feed(hash, value));
+        }
+        Value::Object(members) => {
+            feed_length(hash, b'{', members.len());
+            let mut members: Vec<_> = members.iter().collect();
+            members.sort_unstable_by_key(|(name, _)| *name);
+            for (name, value) in members {
+                feed_text(hash, b's', name);
+                feed(hash, value);
+            }
+        }
+    }
+}
+
+fn feed_text(hash: &mut Sha256, kind: u8, text: &str) {
+    feed_length(hash, kind, text.len());
+    hash.update(text);
+}
+
+fn feed_length(hash: &mut Sha256, kind: u8, length: usize) {
+    hash.update([kind]);
+    hash.update(length.to_be_bytes());
+}
--- /dev/null
+++ b/crates/daemon/src/caller/filter/identify.rs
@@ -0,0 +1,65 @@
+//! Finds out who asks.
+
+use super::{Filter, Result};
+use crate::caller::exchange::{Arrived, Exchange, Identified};
+use crate::caller::header;
+use crate::caller::problem::Problem;
+use hyper::HeaderMap;
+use monsoonring_configuration::document::Caller;
+use sha2::{Digest, Sha256};
+use std::fmt::Write;
+
+const SCHEME: &str = "Bearer";
+
+/// Identifies the caller by name and, where it has one, token.
+pub(crate) struct Identify;
+
+impl Filter<Exchange<Arrived>> for Identify {
+    type After = Exchange<Identified>;
+
+    async fn apply(&self, before: Exchange<Arrived>) -> Result<Self::After> {
+        let head = &before.head;
+        let name = header::single(&head.headers, header::CALLER)?
+            .ok_or_else(|| Problem::unidentified("`monsoonring-caller` is missing"))?;
+        // An unknown name and a wrong token give the same answer, so that names can't be found by
+        // trying.
+        let caller = head
+            .configuration
+            .caller(name)
+            .ok_or_else(|| Problem::unidentified("unknown name or wrong token"))?;
+        check_token(caller, &head.headers)?;
+        let identified = Identified {
+            caller: caller.name.clone(),
+            class: caller.class,
+        };
+        Ok(before.pass(|Arrived| identified))
+    }
+}
+
+fn check_token(caller: &Caller, headers: &HeaderMap) -> Result<()> {
+    let Some(expected) = &caller.token_sha256 else {
+        return Ok(());
+    };
+    let token = header::single(headers, "authorization")?.and_then(bearer);
+    let digest = token.map(digest);
+    // What is compared is the digest: how long the comparison takes tells nothing of the token.
+    if digest.is_some_and(|digest| digest.eq_ignore_ascii_case(expected)) {
+        Ok(())
+    } else {
+        Err(Problem::unidentified("unknown name or wrong token"))
+    }
+}
+
+fn bearer(value: &str) -> Option<&str> {
+    let (scheme, token) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case(SCHEME).then(|| token.trim())
+}
+
+fn digest(token: &str) -> String {
+    let mut text = String::new();
+    for byte in Sha256::digest(token.as_bytes()) {
+        // Writing to a string does not fail.
+        let _written = write!(text, "{byte:02x}");
+    }
+    text
+}
--- /dev/null
+++ b/crates/daemon/src/caller/filter/key.rs
@@ -0,0 +1,67 @@
+//! Finds the key of a non-idempotent request.
+
+use super::{Filter, Result};
+use crate::caller::exchange::{Exchange, Keyed, Order, Timed};
+use crate::caller::header;
+use crate::caller::problem::Problem;
+use crate::caller::target::Action;
+use hyper::HeaderMap;
+
+/// Keys are kept for as long as they may come back, so their size is bounded.
+const MAX_KEY_BYTES: usize = 256;
+
+/// Reads the key and the number of the send where the action needs them.
+pub(crate) struct Key;
+
+impl Filter<Exchange<Timed>> for Key {
+    type After = Exchange<Keyed>;
+
+    async fn apply(&self, before: Exchange<Timed>) -> Result<Self::After> {
+        let order = match before.head.action {
+            Action::Query => Order::Search,
+            Action::Keys => Order::Mint,
+            Action::Execute => execute(&before.head.headers)?,
+        };
+        Ok(before.pass(|timed| Keyed { timed, order }))
+    }
+}
+
+fn execute(headers: &HeaderMap) -> Result<Order> {
+    let sent = header::single(headers, header::IDEMPOTENCY_KEY)?
+        .ok_or_else(|| Problem::header(header::IDEMPOTENCY_KEY, "is missing"))?;
+    let key = unquoted(sent.trim());
+    let valid = !key.is_empty()
+        && key.len() <= MAX_KEY_BYTES
+        && key
+            .bytes()
+            .all(|byte| byte.is_ascii_graphic() && byte != b'"');
+    if !valid {
+        let detail = "is not 1 to 256 visible characters without quotes";
+        return Err(Problem::header(header::IDEMPOTENCY_KEY, detail));
+    }
+    Ok(Order::Execute {
+        key: key.to_owned(),
+        send: send(headers)?,
+    })
+}
+
+/// Takes off the quotes that the header's draft standard asks for. A caller whose library adds them
+/// on one send and not on the next would otherwise have two keys, and two runs.
+fn unquoted(text: &str) -> &str {
+    text.strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'))
+        .unwrap_or(text)
+}
+
+fn send(headers: &HeaderMap) -> Result<Option<u32>> {
+    let Some(text) = header::single(headers, header::SEND)? else {
+        return Ok(None);
+    };
+    match text.trim().parse() {
+        Ok(number) if number > 0 => Ok(Some(number)),
+        _ => Err(Problem::header(
+            header::SEND,
+            "is not a whole number above 0",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/filter/route.rs
@@ -0,0 +1,45 @@
+//! Finds the route and checks that the caller may use it.
+
+use super::{Filter, Result};
+use crate::caller::exchange::{Exchange, Identified, Routed};
+use crate::caller::problem::Problem;
+use crate::caller::target::Action;
+use monsoonring_configuration::document::{Kind, Route};
+
+/// Finds the route.
+pub(crate) struct Find;
+
+impl Filter<Exchange<Identified>> for Find {
+    type After = Exchange<Routed>;
+
+    async fn apply(&self, before: Exchange<Identified>) -> Result<Self::After> {
+        let name = &before.head.route;
+        let route = before
+            .head
+            .configuration
+            .route(name)
+            .ok_or_else(|| Problem::route(format!("there is no route `{name}`")))?
+            .clone();
+        let caller = &before.stage.caller;
+        if !route.callers.contains(caller) {
+            return Err(Problem::unauthorised(caller, name));
+        }
+        check_kind(&route, before.head.action)?;
+        Ok(before.pass(|identified| Routed { identified, route }))
+    }
+}
+
+/// A search sent as an execution would run at one backend server only, and an execution sent as a
+/// search would run at all of them.
+fn check_kind(route: &Route, action: Action) -> Result<()> {
+    let name = &route.name;
+    match (route.kind, action) {
+        (Kind::Search, Action::Query) | (Kind::Execute, Action::Keys | Action::Execute) => Ok(()),
+        (Kind::Search, Action::Keys | Action::Execute) => {
+            Err(Problem::route(format!("the route `{name}` only searches")))
+        }
+        (Kind::Execute, Action::Query) => {
+            Err(Problem::route(format!("the route `{name}` only executes")))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/ledger.rs
@@ -0,0 +1,187 @@
+//! What becomes of callers' requests: in flight, ended, cut off.
+//!
+//! Each request has an entry from its arrival until its answer is made. An entry that is dropped
+//! before then belongs to a request whose caller went away, or that a stop cut off; both are told
+//! by the stage of the stop.
+
+use super::header::request_text;
+use super::problem::{Problem, Ran};
+use crate::metrics::Metrics;
+use crate::metrics::label::{ByRoute, ClassLabel, Ended, Request};
+use crate::server::stop::{Stage, Watch};
+use monsoonring_configuration::document::Class;
+use monsoonring_configuration::id::RouteId;
+use monsoonring_decision::RequestId;
+use slog::{Logger, info, warn};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+/// Counts requests and writes a line for each that ended.
+#[derive(Clone)]
+pub(crate) struct Ledger {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    metrics: Arc<Metrics>,
+    log: Logger,
+    stop: Watch,
+    in_flight: AtomicUsize,
+    cut: AtomicUsize,
+}
+
+/// One request.
+pub(crate) struct Entry {
+    ledger: Ledger,
+    request: RequestId,
+    trace: Option<u128>,
+    arrived: Instant,
+    route: Option<RouteId>,
+    class: Option<Class>,
+    ended: bool,
+}
+
+impl Ledger {
+    /// Makes an empty ledger.
+    pub(crate) fn new(metrics: Arc<Metrics>, log: Logger, stop: Watch) -> Self {
+        Self {
+            shared: Arc::new(Shared {
+                metrics,
+                log,
+                stop,
+                in_flight: AtomicUsize::new(0),
+                cut: AtomicUsize::new(0),
+            }),
+        }
+    }
+
+    /// Returns the number of requests in flight.
+    pub(crate) fn in_flight(&self) -> usize {
+        self.shared.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests that a stop cut off.
+    pub(crate) fn cut(&self) -> usize {
+        self.shared.cut.load(Ordering::Relaxed)
+    }
+
+    /// Opens the entry of a request.
+    pub(crate) fn open(&self, request: RequestId, trace: Option<u128>, arrived: Instant) -> Entry {
+        self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
+        self.shared.metrics.in_flight.inc();
+        Entry {
+            ledger: self.clone(),
+            request,
+            trace,
+            arrived,
+            route: None,
+            class: None,
+            ended: false,
+        }
+    }
+}
+
+impl Entry {
+    /// Notes the caller's class.
+    pub(crate) fn class(&mut self, class: Class) {
+        self.class = Some(class);
+    }
+
+    /// Notes the route.
+    pub(crate) fn route(&mut self, route: &RouteId) {
+        self.route = Some(route.clone());
+    }
+
+    /// Closes the entry of a request that was answered.
+    pub(crate) fn answered(mut self, ended: Ended, coverage: Option<f64>) {
+        if let (Some(coverage), Some(route)) = (coverage, &self.route) {
+            let label = ByRoute {
+                route: route.clone(),
+            };
+            let metrics = &self.ledger.shared.metrics;
+            metrics.coverage.get_or_create(&label).observe(coverage);
+        }
+        self.close(ended, "");
+    }
+
+    /// Closes the entry of a request that was refused or failed.
+    pub(crate) fn refused(mut self, problem: &Problem) {
+        let ended = match problem.ran {
+            Ran::NotRun => Ended::NotRun,
+            Ran::Failed => Ended::Failed,
+            Ran::Unknown => Ended::Unknown,
+        };
+        self.ledger.shared.metrics.count_refusal(problem.kind);
+        self.close(ended, problem.kind);
+    }
+
+    fn close(&mut self, ended: Ended, reason: &'static str) {
+        self.ended = true;
+        self.count(ended);
+        let shared = &self.ledger.shared;
+        info!(
+            shared.log, "request";
+            "request" => request_text(self.request),
+            "trace" => self.trace.map(request_text),
+            "route" => self.route.as_deref(),
+            "class" => %ClassLabel(self.class),
+            "outcome" => %ended,
+            "reason" => reason,
+            "duration_ms" => milliseconds(self.arrived),
+        );
+    }
+
+    fn count(&self, outcome: Ended) {
+        let metrics = &self.ledger.shared.metrics;
+        let route = self.route.clone().unwrap_or_default();
+        let class = ClassLabel(self.class);
+        let label = Request {
+            route: route.clone(),
+            class,
+            outcome,
+        };
+        metrics.requests.get_or_create(&label).inc();
+        if self.route.is_some() {
+            let seconds = self.arrived.elapsed().as_secs_f64();
+            let latency = metrics.latency.get_or_create(&ByRoute { route });
+            latency.observe(seconds);
+        }
+    }
+
+    /// Notes that the request was dropped before its answer was made.
+    fn dropped(&self) {
+        let shared = &self.ledger.shared;
+        let ended = if shared.stop.stage() == Stage::Cut {
+            shared.cut.fetch_add(1, Ordering::Relaxed);
+            Ended::Cut
+        } else {
+            Ended::Abandoned
+        };
+        self.count(ended);
+        warn!(
+            shared.log, "request dropped";
+            "request" => request_text(self.request),
+            "trace" => self.trace.map(request_text),
+            "route" => self.route.as_deref(),
+            "class" => %ClassLabel(self.class),
+            "outcome" => %ended,
+            "duration_ms" => milliseconds(self.arrived),
+        );
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.dropped();
+        }
+        let shared = &self.ledger.shared;
+        shared.in_flight.fetch_sub(1, Ordering::Relaxed);
+        shared.metrics.in_flight.dec();
+    }
+}
+
+fn milliseconds(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/daemon/src/caller/status.rs
@@ -0,0 +1,94 @@
+//! From the outcome of a request to the problem that its caller is told.
+//!
+//! The status is for programs that know nothing of `outcome`: balancers, client libraries. `503`
+//! with `retry-after` invites them to send again, so it is used only where that does no harm. What
+//! may have run is `502` or `504`, which they don't repeat for a `POST`, and has no `retry-after`.
+//! A request that crashes backend servers is `422`: the fault lies in the request, and sending it
+//! to another daemon is just what must not happen.
+
+use super::problem::{DEFAULT_RETRY_AFTER, Problem, Ran};
+use crate::metrics::label;
+use hyper::StatusCode;
+use monsoonring_decision::outcome::Reason;
+use std::time::Duration;
+
+/// Status of a request whose caller is gone; nobody reads it.
+const CLIENT_CLOSED: u16 = 499;
+
+/// The problem of a request that did not run.
+pub(crate) fn not_run(reason: Reason, retry_after: Option<Duration>) -> Problem {
+    problem(reason, Ran::NotRun, retry_after)
+}
+
+/// The problem of a request that ran and failed.
+pub(crate) fn failed(reason: Reason, retry_after: Option<Duration>) -> Problem {
+    problem(reason, Ran::Failed, retry_after)
+}
+
+/// The problem of a request that may have run.
+pub(crate) fn unknown(reason: Reason) -> Problem {
+    problem(reason, Ran::Unknown, None)
+}
+
+/// The problem of a key that was used for another request before.
+pub(crate) fn conflict() -> Problem {
+    Problem::not_run(
+        StatusCode::UNPROCESSABLE_ENTITY,
+        "key_conflict",
+        "Key used for another request",
+        "the key was used before with another body or route",
+    )
+}
+
+fn problem(reason: Reason, ran: Ran, retry_after: Option<Duration>) -> Problem {
+    let status = status(reason, ran);
+    let unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+    let default = unavailable.then_some(DEFAULT_RETRY_AFTER);
+    Problem {
+        status,
+        kind: label::reason(reason),
+        title: title(reason),
+        detail: detail(ran).to_owned(),
+        ran,
+        retry_after: retry_after.or(default),
+        header: None,
+    }
+}
+
+fn status(reason: Reason, ran: Ran) -> StatusCode {
+    match (reason, ran) {
+        (Reason::Deadline, _) => StatusCode::GATEWAY_TIMEOUT,
+        (_, Ran::Unknown) => StatusCode::BAD_GATEWAY,
+        (Reason::Suspect, _) => StatusCode::UNPROCESSABLE_ENTITY,
+        (Reason::Overload | Reason::Unavailable | Reason::Stopping, _) => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
+        (Reason::Fence, _) => StatusCode::CONFLICT,
+        (Reason::BackendServer | Reason::Lost, _) => StatusCode::BAD_GATEWAY,
+        (Reason::Abandoned, _) => {
+            StatusCode::from_u16(CLIENT_CLOSED).unwrap_or(StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+fn title(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Deadline => "Deadline passed",
+        Reason::Overload => "No room in time",
+        Reason::Unavailable => "No backend server reachable",
+        Reason::Suspect => "Requests like this crash backend servers",
+        Reason::Stopping => "Daemon is stopping",
+        Reason::Abandoned => "Caller went away",
+        Reason::BackendServer => "Backend server failed",
+        Reason::Lost => "Connection to the backend server lost",
+        Reason::Fence => "Key is not valid any more",
+    }
+}
+
+fn detail(ran: Ran) -> &'static str {
+    match ran {
+        Ran::NotRun => "the request did not run",
+        Ran::Failed => "the request ran and failed; it may be sent again",
+        Ran::Unknown => "the request may have run; it will not be run again under this key",
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,5 +5,11 @@
 //! drive the decisions of `monsoonring-decision`. The two meet in [`service::Service`] alone, so
 //! that each can be tested without the other.
 
+mod caller;
+pub mod log;
+pub mod metrics;
+mod operator;
+pub mod run;
+mod server;
 pub mod service;
 pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/log.rs
@@ -0,0 +1,132 @@
+//! The log: one line for each thing that an operator may have to understand afterwards.
+//!
+//! Lines are written to standard error by a thread of their own, so that a terminal or pipe that
+//! nobody reads can't hold up a request. The queue to that thread is bounded; lines that do not fit
+//! are dropped and counted in `monsoonring_log_lines_dropped_total`.
+
+use crate::settings::{LogFormat, LogLevel};
+use monsoonring_configuration::Range;
+use monsoonring_configuration::id::BackendServerId;
+use monsoonring_decision::RequestId;
+use prometheus_client::metrics::counter::Counter;
+use slog::{Drain, Key, Level, LevelFilter, Logger, OwnedKVList, Record, Serializer};
+use slog_async::{AsyncCore, AsyncError, AsyncGuard};
+use std::io::Write;
+
+/// Lines that wait for the writing thread.
+const QUEUE_LINES: usize = 8_192;
+
+/// Keeps the writing thread; when it is dropped, the lines that wait are written first.
+#[must_use = "dropping the guard ends the log"]
+pub struct Guard {
+    _writer: AsyncGuard,
+}
+
+/// Starts the log to standard error. Lines that don't fit into the queue are counted in `dropped`.
+pub fn start(format: LogFormat, level: LogLevel, dropped: Counter) -> (Logger, Guard) {
+    start_to(std::io::stderr(), format, level, dropped)
+}
+
+/// Starts the log to `output`.
+pub fn start_to<W>(
+    output: W,
+    format: LogFormat,
+    level: LogLevel,
+    dropped: Counter,
+) -> (Logger, Guard)
+where
+    W: Write + Send + 'static,
+{
+    let (queue, writer) = match format {
+        LogFormat::Json => queue(slog_json::Json::default(output).fuse()),
+        LogFormat::Text => {
+            let decorator = slog_term::PlainSyncDecorator::new(output);
+            queue(slog_term::FullFormat::new(decorator).build().fuse())
+        }
+    };
+    let counted = Counted { queue, dropped };
+    let filtered = LevelFilter::new(counted, severity(level)).fuse();
+    (
+        Logger::root(filtered, slog::o!()),
+        Guard { _writer: writer },
+    )
+}
+
+fn queue<D>(drain: D) -> (AsyncCore, AsyncGuard)
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    AsyncCore::custom(drain)
+        .thread_name("log".to_owned())
+        .chan_size(QUEUE_LINES)
+        .blocking(false)
+        .build_with_guard()
+}
+
+fn severity(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    }
+}
+
+/// Counts the lines that the queue did not take.
+struct Counted {
+    queue: AsyncCore,
+    dropped: Counter,
+}
+
+impl Drain for Counted {
+    type Ok = ();
+    type Err = AsyncError;
+
+    fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), AsyncError> {
+        if self.queue.log(record, values).is_err() {
+            self.dropped.inc();
+        }
+        Ok(())
+    }
+}
+
+/// A routing or placement decision, for one line of the log.
+#[derive(Clone, Copy, Debug)]
+pub struct Decision<'a> {
+    /// The request decided on, if it is about one.
+    pub request: Option<RequestId>,
+    /// The route concerned.
+    pub route: &'a str,
+    /// The shard range concerned, if there is one.
+    pub range: Option<Range>,
+    /// The backend server concerned, if there is one.
+    pub backend_server: Option<BackendServerId>,
+    /// What was decided: `send`, `hedge`, `retry`, `refuse`, …
+    pub what: &'a str,
+    /// Why, with the numbers that decided.
+    pub reason: &'a str,
+}
+
+impl Decision<'_> {
+    /// Writes the decision to the log.
+    pub fn log(&self, log: &Logger) {
+        slog::info!(log, "decision"; self);
+    }
+}
+
+impl slog::KV for Decision<'_> {
+    fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        if let Some(request) = self.request {
+            serializer.emit_arguments(Key::from("request"), &format_args!("{request:032x}"))?;
+        }
+        serializer.emit_str(Key::from("route"), self.route)?;
+        if let Some(range) = self.range {
+            serializer.emit_arguments(Key::from("range"), &format_args!("{range}"))?;
+        }
+        if let Some(server) = self.backend_server {
+            serializer.emit_arguments(Key::from("backend_server"), &format_args!("{server}"))?;
+        }
+        serializer.emit_str(Key::from("decision"), self.what)?;
+        serializer.emit_str(Key::from("reason"), self.reason)
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,11 +1,15 @@
 //! The daemon's process: settings in, exit code out.
 
+use monsoonring_daemon::metrics::Metrics;
+use monsoonring_daemon::run::{self, Telemetry};
+use monsoonring_daemon::service::Unconfigured;
 use monsoonring_daemon::settings::{self, Settings};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 fn main() -> ExitCode {
     match Settings::read(std::env::args_os()) {
-        Ok(_) => ExitCode::SUCCESS,
+        Ok(settings) => serve(&settings),
         Err(settings::Error::Asked { text }) => {
             println!("{text}");
             ExitCode::SUCCESS
@@ -16,3 +20,22 @@
         }
     }
 }
+
+#[tokio::main]
+async fn serve(settings: &Settings) -> ExitCode {
+    let metrics = Arc::new(Metrics::default());
+    let dropped = metrics.log_dropped.clone();
+    let (log, _guard) =
+        monsoonring_daemon::log::start(settings.log_format, settings.log_level, dropped);
+    let telemetry = Telemetry {
+        log: log.clone(),
+        metrics,
+    };
+    match run::run(settings, Arc::new(Unconfigured), telemetry).await {
+        Ok(ended) => ended.into(),
+        Err(error) => {
+            slog::crit!(log, "not started"; "error" => %error);
+            ExitCode::from(run::EXIT_CODE_FAILED)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator/mod.rs
@@ -0,0 +1,84 @@
+//! The port of the operators.
+
+mod query;
+
+use crate::metrics::Metrics;
+use crate::server::{Handler, Standing};
+use crate::service::Service;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use std::sync::Arc;
+
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON_TYPE: &str = "application/json";
+const TEXT_TYPE: &str = "text/plain; charset=utf-8";
+
+/// The operators' side of the daemon.
+pub(crate) struct Front {
+    /// What knows the state.
+    pub(crate) service: Arc<dyn Service>,
+    /// What the daemon counts.
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request<Incoming>, _: Standing) -> Response<Full<Bytes>> {
+        if request.method() != Method::GET {
+            let mut response = text(StatusCode::METHOD_NOT_ALLOWED, "the path takes GET");
+            let headers = response.headers_mut();
+            headers.insert(ALLOW, HeaderValue::from_static("GET"));
+            return response;
+        }
+        match request.uri().path() {
+            "/health" => text(StatusCode::OK, "alive"),
+            "/metrics" => self.metrics(),
+            "/state" => json(&self.service.state().await),
+            "/explain" => {
+                self.explain(request.uri().query().unwrap_or_default())
+                    .await
+            }
+            _ => text(StatusCode::NOT_FOUND, "there is nothing at this path"),
+        }
+    }
+}
+
+impl Front {
+    fn metrics(&self) -> Response<Full<Bytes>> {
+        match self.metrics.text() {
+            Ok(output) => respond(StatusCode::OK, METRICS_TYPE, output),
+            Err(_) => text(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                "the metrics cannot be written",
+            ),
+        }
+    }
+
+    async fn explain(&self, query: &str) -> Response<Full<Bytes>> {
+        match query::parse(query) {
+            Ok(explain) => match self.service.explain(explain).await {
+                Some(value) => json(&value),
+                None => text(StatusCode::NOT_FOUND, "nothing is known of it"),
+            },
+            Err(error) => text(StatusCode::BAD_REQUEST, &error.to_string()),
+        }
+    }
+}
+
+fn json(value: &serde_json::Value) -> Response<Full<Bytes>> {
+    respond(StatusCode::OK, JSON_TYPE, value.to_string())
+}
+
+fn text(status: StatusCode, body: &str) -> Response<Full<Bytes>> {
+    respond(status, TEXT_TYPE, body.to_owned())
+}
+
+fn respond(status: StatusCode, media_type: &'static str, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(media_type));
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,301 @@
+//! The life of the process: start, serve, stop.
+//!
+//! A planned stop cuts nothing off. First the daemon says that it is not ready, and still serves
+//! everything, until the balancer has had time to look elsewhere; then it accepts no more, and ends
+//! when nothing is in flight. A second signal, or the bound on the whole, cuts off what is left,
+//! and the log says what that was.
+
+use crate::caller::{self, Ledger};
+use crate::metrics::Metrics;
+use crate::metrics::label::{Connection, Side};
+use crate::operator;
+use crate::server::Server;
+use crate::server::stop::{Control, Stage, Watch};
+use crate::service::Service;
+use crate::settings::{Limits, Settings};
+use futures::FutureExt;
+use futures::stream::{Stream, StreamExt};
+use prometheus_client::metrics::gauge::Gauge;
+use slog::{Logger, info, warn};
+use snafu::{ResultExt, Snafu};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::task::TaskTracker;
+
+/// Exit code of a process that could not start.
+pub const EXIT_CODE_FAILED: u8 = 1;
+
+/// Exit code of a process whose stop cut something off.
+pub const EXIT_CODE_CUT: u8 = 3;
+
+/// Connections of operators at the same time.
+const OPERATOR_CONNECTIONS: usize = 64;
+
+/// Why the daemon did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// An address could not be listened on.
+    #[snafu(display("cannot listen for {side}s on {address}: {source}"))]
+    Listen {
+        /// Who should have been served.
+        side: Side,
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system says.
+        source: std::io::Error,
+    },
+    /// A signal could not be listened for.
+    #[snafu(display("cannot listen for signals: {source}"))]
+    Signal {
+        /// What the operating system says.
+        source: std::io::Error,
+    },
+}
+
+/// Result of starting.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Where the daemon writes what it does.
+#[derive(Clone, Debug)]
+pub struct Telemetry {
+    /// The log.
+    pub log: Logger,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+/// How a stop ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Everything in flight was finished.
+    Planned,
+    /// Something was cut off.
+    Cut {
+        /// Number of callers' requests cut off.
+        requests: usize,
+    },
+}
+
+impl From<Ended> for ExitCode {
+    fn from(ended: Ended) -> Self {
+        match ended {
+            Ended::Planned => Self::SUCCESS,
+            Ended::Cut { .. } => Self::from(EXIT_CODE_CUT),
+        }
+    }
+}
+
+/// A daemon that serves.
+pub struct Running {
+    service: Arc<dyn Service>,
+    telemetry: Telemetry,
+    ledger: Ledger,
+    stop: Control,
+    operator_stop: Control,
+    callers: TaskTracker,
+    operators: TaskTracker,
+    caller_address: SocketAddr,
+    operator_address: SocketAddr,
+    drain_wait: Duration,
+    stop_bound: Duration,
+}
+
+/// Serves until a signal to stop, and stops.
+///
+/// # Errors
+///
+/// An address or the signals can't be listened on.
+pub async fn run(
+    settings: &Settings,
+    service: Arc<dyn Service>,
+    telemetry: Telemetry,
+) -> Result<Ended> {
+    let signals = signals()?;
+    let running = Running::start(settings, service, telemetry).await?;
+    Ok(running.until_stopped(signals).await)
+}
+
+/// Returns the signals that ask the process to stop, SIGTERM and SIGINT.
+///
+/// # Errors
+///
+/// The operating system refuses to deliver them.
+pub fn signals() -> Result<impl Stream<Item = ()> + Send> {
+    let terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+    let either = futures::stream::unfold(
+        (terminate, interrupt),
+        async |(mut terminate, mut interrupt)| {
+            tokio::select! {
+                _ = terminate.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+            Some(((), (terminate, interrupt)))
+        },
+    );
+    Ok(either)
+}
+
+impl Running {
+    /// Listens for callers and operators.
+    ///
+    /// # Errors
+    ///
+    /// One of the addresses can't be listened on.
+    pub async fn start(
+        settings: &Settings,
+        service: Arc<dyn Service>,
+        telemetry: Telemetry,
+    ) -> Result<Self> {
+        let (caller_listener, caller_address) = listen(Side::Caller, settings.listen).await?;
+        let (operator_listener, operator_address) =
+            listen(Side::Operator, settings.operator_listen).await?;
+        let (stop, watch) = Control::new();
+        let (operator_stop, operator_watch) = Control::new();
+        let ledger = Ledger::new(
+            telemetry.metrics.clone(),
+            telemetry.log.clone(),
+            watch.clone(),
+        );
+        let callers = callers(settings, service.clone(), &telemetry, ledger.clone(), watch);
+        let operators = operators(settings, service.clone(), &telemetry, operator_watch);
+        info!(
+            telemetry.log, "serving";
+            "callers" => %caller_address,
+            "operators" => %operator_address,
+            "data_centre" => &*settings.data_centre,
+        );
+        Ok(Self {
+            service,
+            telemetry,
+            ledger,
+            stop,
+            operator_stop,
+            callers: callers.start(caller_listener),
+            operators: operators.start(operator_listener),
+            caller_address,
+            operator_address,
+            drain_wait: settings.drain_wait(),
+            stop_bound: settings.stop_bound(),
+        })
+    }
+
+    /// Returns the address on which callers are served.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the address on which operators are served.
+    pub fn operator_address(&self) -> SocketAddr {
+        self.operator_address
+    }
+
+    /// Waits for the first signal, stops, and tells how that ended. A second signal cuts the stop
+    /// short. The end of the stream counts as no further signal.
+    pub async fn until_stopped(self, signals: impl Stream<Item = ()> + Send) -> Ended {
+        let mut signals = pin!(signals.chain(futures::stream::pending()));
+        signals.next().await;
+        let log = &self.telemetry.log;
+        info!(log, "stop began"; "in_flight" => self.ledger.in_flight());
+        let whole = tokio::select! {
+            () = self.finish() => true,
+            _ = signals.next() => self.give_up("second signal"),
+            () = tokio::time::sleep(self.stop_bound) => self.give_up("bound reached"),
+        };
+        self.stop.advance(Stage::Cut);
+        self.callers.wait().await;
+        self.operator_stop.advance(Stage::Cut);
+        self.operators.wait().await;
+        let requests = self.ledger.cut();
+        info!(log, "stopped"; "cut" => requests);
+        let nothing_cut = requests == 0 && self.service.drain().now_or_never().is_some();
+        if whole || nothing_cut {
+            Ended::Planned
+        } else {
+            Ended::Cut { requests }
+        }
+    }
+
+    /// The stages of a stop that cuts nothing off.
+    async fn finish(&self) {
+        self.stop.advance(Stage::Leaving);
+        self.service.leave();
+        tokio::time::sleep(self.drain_wait).await;
+        self.stop.advance(Stage::Finishing);
+        let log = &self.telemetry.log;
+        info!(log, "accepting ended"; "in_flight" => self.ledger.in_flight());
+        self.callers.wait().await;
+        self.service.drain().await;
+    }
+
+    fn give_up(&self, why: &'static str) -> bool {
+        let log = &self.telemetry.log;
+        warn!(log, "stop cut short"; "why" => why, "in_flight" => self.ledger.in_flight());
+        false
+    }
+}
+
+fn callers(
+    settings: &Settings,
+    service: Arc<dyn Service>,
+    telemetry: &Telemetry,
+    ledger: Ledger,
+    stop: Watch,
+) -> Server<caller::Front> {
+    let metrics = &telemetry.metrics;
+    let handler = caller::Front::new(
+        service,
+        ledger,
+        stop.clone(),
+        settings.limits.body_timeout(),
+        metrics.excess_connections.clone(),
+        settings.seed,
+    );
+    Server {
+        handler,
+        limits: settings.limits.clone(),
+        stop,
+        gauge: gauge(metrics, Side::Caller),
+        log: telemetry.log.clone(),
+    }
+}
+
+fn operators(
+    settings: &Settings,
+    service: Arc<dyn Service>,
+    telemetry: &Telemetry,
+    stop: Watch,
+) -> Server<operator::Front> {
+    let metrics = telemetry.metrics.clone();
+    let gauge = gauge(&metrics, Side::Operator);
+    Server {
+        handler: operator::Front { service, metrics },
+        limits: Limits {
+            max_connections: OPERATOR_CONNECTIONS,
+            ..settings.limits.clone()
+        },
+        stop,
+        gauge,
+        log: telemetry.log.clone(),
+    }
+}
+
+async fn listen(side: Side, address: SocketAddr) -> Result<(TcpListener, SocketAddr)> {
+    let context = || ListenSnafu { side, address };
+    let listener = TcpListener::bind(address)
+        .await
+        .with_context(|_| context())?;
+    let local = listener.local_addr().with_context(|_| context())?;
+    Ok((listener, local))
+}
+
+fn gauge(metrics: &Metrics, side: Side) -> Gauge {
+    metrics
+        .connections
+        .get_or_create_owned(&Connection { side })
+}
--- /dev/null
+++ b/crates/daemon/src/server/connection.rs
@@ -0,0 +1,76 @@
+//! One connection of a server.
+
+use super::socket::{Phase, Socket};
+use super::stop::Stage;
+use super::{Handler, Server, Standing};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::debug;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Time that an idle connection is kept after the end of accepting. A request that was on its way
+/// when the stop went on would otherwise meet a closed connection.
+const LINGER: Duration = Duration::from_millis(250);
+
+/// Serves the requests of a connection one after the other until either side ends it or a stop
+/// does.
+pub(super) async fn serve<H: Handler>(stream: TcpStream, server: &Server<H>, standing: Standing) {
+    let limits = &server.limits;
+    let phase = Arc::new(Phase::default());
+    let socket = Socket::new(stream, phase.clone(), limits);
+    let handle = service_fn(|request| handle(request, server, standing, &phase));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_timeout())
+        .max_buf_size(limits.max_header_bytes)
+        .serve_connection(TokioIo::new(socket), handle);
+    let mut connection = pin!(connection);
+    let mut finishing = server.stop.clone();
+    let mut cut = server.stop.clone();
+    let whole = async {
+        tokio::select! {
+            ended = connection.as_mut() => return ended,
+            () = finishing.reached(Stage::Finishing) => {}
+        }
+        if let Ok(ended) = tokio::time::timeout(LINGER, connection.as_mut()).await {
+            return ended;
+        }
+        connection.as_mut().graceful_shutdown();
+        connection.await
+    };
+    let ended = tokio::select! {
+        ended = whole => ended,
+        () = cut.reached(Stage::Cut) => Ok(()),
+    };
+    if let Err(error) = ended {
+        debug!(server.log, "connection ended"; "error" => %error);
+    }
+}
+
+async fn handle<H: Handler>(
+    request: Request<Incoming>,
+    server: &Server<H>,
+    standing: Standing,
+    phase: &Phase,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let _working = phase.work();
+    let mut response = server.handler.handle(request, standing).await;
+    // A caller that keeps its connection during a stop would send the next request just when the
+    // connection is closed, and could not tell whether it ran.
+    if standing == Standing::Excess || server.stop.stage() > Stage::Serving {
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
