--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -79,7 +79,6 @@
     facts: fact::Table,
     driver: Driver,
     list: platform::List,
-    handle: Handle,
     view: watch::Sender<View>,
     /// Documents that the holder is deciding on.
     read: BTreeMap<Version, Read>,
@@ -97,7 +96,7 @@
         let holder = Holder::new(now, ChaCha8Rng::from_rng(&mut rng));
         let own = settings.own.clone();
         let table = Table::new(own, settings.start, settings.members, now, rng);
-        let driver = Driver::new(handle.clone(), settings.peers, settings.service);
+        let driver = Driver::new(handle, settings.peers, settings.service);
         Self {
             own: settings.own,
             seeds: settings.seeds,
@@ -110,7 +109,6 @@
             facts: fact::Table::default(),
             driver,
             list: settings.list,
-            handle,
             view,
             read: BTreeMap::new(),
             in_force: None,
@@ -121,7 +119,11 @@
     }
 
     async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Input>) {
-        let seeds = self.seeds.iter().map(|&id| member::Seed { id, leaving: false }).collect();
+        let seeds = self
+            .seeds
+            .iter()
+            .map(|&id| member::Seed { id, leaving: false })
+            .collect();
         self.member(member::Event::Listed(seeds), None);
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -143,9 +145,14 @@
         let now = self.clock.now();
         self.facts.expire(now);
         if now >= self.next_list {
-            let period = if self.reader { LIST_PERIOD } else { LIST_PERIOD_OTHERS };
+            let period = if self.reader {
+                LIST_PERIOD
+            } else {
+                LIST_PERIOD_OTHERS
+            };
             self.next_list = now + period;
-            self.driver.list(&self.list, &self.view.borrow(), &self.seeds);
+            self.driver
+                .list(&self.list, &self.view.borrow(), &self.seeds);
         }
         self.publish();
     }
@@ -196,7 +203,10 @@
     /// Takes what rides on a message to those whom it concerns, and returns the message.
     fn received(&mut self, mut message: Message) -> Message {
         let attachment = std::mem::take(&mut message.attachment);
-        self.configuration(configuration::Event::Peer(message.from, attachment.configuration));
+        self.configuration(configuration::Event::Peer(
+            message.from,
+            attachment.configuration,
+        ));
         let now = self.clock.now();
         for entry in self.facts.receive(attachment.facts, now) {
             info!(self.log, "fact"; "what" => "heard", "fact" => format!("{:?}", entry.key),
@@ -214,7 +224,9 @@
 
     fn learn(&mut self, key: fact::Key, version: u64, life: Duration) {
         let now = self.clock.now();
-        let Some(entry) = self.facts.learn(key, version, life, now) else { return };
+        let Some(entry) = self.facts.learn(key, version, life, now) else {
+            return;
+        };
         info!(self.log, "fact"; "what" => "learned", "fact" => format!("{:?}", entry.key),
             "life_ms" => entry.life.as_millis());
         let _ = self.news.send(entry);
@@ -231,11 +243,21 @@
 
     fn carry_out(&mut self, action: member::Action, reply: &mut Option<probe::Reply>) {
         match action {
-            member::Action::Probe { probe, to, message, timeout } => {
+            member::Action::Probe {
+                probe,
+                to,
+                message,
+                timeout,
+            } => {
                 let message = self.attach(message);
                 self.driver.probe(probe, to, message, timeout);
             }
-            member::Action::ProbeVia { probe, target, helpers, timeout } => {
+            member::Action::ProbeVia {
+                probe,
+                target,
+                helpers,
+                timeout,
+            } => {
                 self.driver.probe_via(probe, target, helpers, timeout);
             }
             member::Action::Reply(message) => {
@@ -275,7 +297,9 @@
 
     /// Takes the answer of the service or of a peer, with the document if there is one.
     fn answered(&mut self, event: configuration::Event, document: Option<Vec<u8>>) {
-        let Some(bytes) = document else { return self.configuration(event) };
+        let Some(bytes) = document else {
+            return self.configuration(event);
+        };
         let (revision, from) = match &event {
             configuration::Event::Served(version, _) => (version.revision, None),
             configuration::Event::Fetched(peer, version, _) => (version.revision, Some(*peer)),
@@ -309,9 +333,15 @@
     }
 
     fn adopt(&mut self, version: Version) {
-        let Some(read) = self.read.remove(&version) else { return };
-        let Some(configuration) = read.configuration() else { return };
-        self.metrics.revision.set(i64::try_from(version.revision).unwrap_or(i64::MAX));
+        let Some(read) = self.read.remove(&version) else {
+            return;
+        };
+        let Some(configuration) = read.configuration() else {
+            return;
+        };
+        self.metrics
+            .revision
+            .set(i64::try_from(version.revision).unwrap_or(i64::MAX));
         self.in_force = Some((read, configuration));
         self.member(member::Event::Hurry, None);
     }
@@ -335,13 +365,23 @@
 
     fn current(&self) -> View {
         let suspect = |member: &&Member| {
-            self.table.get(member.id).is_some_and(|change| change.state == State::Suspect)
+            self.table
+                .get(member.id)
+                .is_some_and(|change| change.state == State::Suspect)
         };
         View {
-            configuration: self.in_force.as_ref().map(|(_, configuration)| configuration.clone()),
+            configuration: self
+                .in_force
+                .as_ref()
+                .map(|(_, configuration)| configuration.clone()),
             version: self.holder.in_force(),
             members: self.members.clone(),
-            suspects: self.members.iter().filter(suspect).map(|member| member.id).collect(),
+            suspects: self
+                .members
+                .iter()
+                .filter(suspect)
+                .map(|member| member.id)
+                .collect(),
             members_current: self.table.is_current(),
             configuration_current: self.holder.is_current(),
             isolated: self.table.is_isolated(),
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -40,10 +40,7 @@
 }
 
 impl Handle {
-    pub(crate) fn new(
-        inputs: mpsc::UnboundedSender<Input>,
-        view: watch::Receiver<View>,
-    ) -> Self {
+    pub(crate) fn new(inputs: mpsc::UnboundedSender<Input>, view: watch::Receiver<View>) -> Self {
         Self { inputs, view }
     }
 
@@ -98,7 +95,12 @@
     }
 
     /// Tells the members that a backend server is leaving.
-    pub(crate) fn leaving(&self, server: BackendServerId, start: Option<Incarnation>, life: Duration) {
+    pub(crate) fn leaving(
+        &self,
+        server: BackendServerId,
+        start: Option<Incarnation>,
+        life: Duration,
+    ) {
         let key = fact::Key::Leaving(server);
         self.tell(Input::Fact(key, start.unwrap_or_default(), life));
     }
--- a/crates/daemon/src/control/probe.rs
+++ b/crates/daemon/src/control/probe.rs
@@ -32,7 +32,11 @@
 
 impl Driver {
     pub(super) fn new(handle: Handle, peers: Pool, service: platform::Service) -> Self {
-        Self { handle, peers, service }
+        Self {
+            handle,
+            peers,
+            service,
+        }
     }
 
     pub(super) fn forget(&self, member: MemberId) {
@@ -61,11 +65,16 @@
     ) {
         let driver = self.clone();
         tokio::spawn(async move {
-            let asked = helpers.into_iter().map(|helper| driver.ask_for(helper, target, limit));
+            let asked = helpers
+                .into_iter()
+                .map(|helper| driver.ask_for(helper, target, limit));
             let asked: Vec<_> = asked.map(Box::pin).collect();
             let answer = match asked.is_empty() {
                 true => None,
-                false => timeout(limit, select_ok(asked)).await.ok().and_then(Result::ok),
+                false => timeout(limit, select_ok(asked))
+                    .await
+                    .ok()
+                    .and_then(Result::ok),
             };
             driver.probed(probe, target, answer.map(|(message, _)| message));
         });
@@ -96,7 +105,10 @@
     pub(super) fn pull(&self, from: MemberId, span: Span) {
         let driver = self.clone();
         tokio::spawn(async move {
-            let page = timeout(FETCH_TIMEOUT, driver.page(from, span)).await.ok().flatten();
+            let page = timeout(FETCH_TIMEOUT, driver.page(from, span))
+                .await
+                .ok()
+                .flatten();
             let event = match page {
                 Some(page) => member::Event::Pulled(from, page),
                 None => member::Event::PullFailed(from),
@@ -115,9 +127,10 @@
         tokio::spawn(async move {
             let document = timeout(FETCH_TIMEOUT, driver.document(peer, version)).await;
             let (event, bytes) = match document.ok().flatten() {
-                Some(bytes) => {
-                    (configuration::Event::Fetched(peer, version, Vec::new()), Some(bytes))
-                }
+                Some(bytes) => (
+                    configuration::Event::Fetched(peer, version, Vec::new()),
+                    Some(bytes),
+                ),
                 None => (configuration::Event::FetchFailed(peer), None),
             };
             driver.handle.tell(Input::Configuration(event, bytes));
@@ -126,7 +139,10 @@
 
     async fn document(&self, peer: MemberId, version: Version) -> Option<Vec<u8>> {
         let client = self.peers.client(peer).await.ok()?;
-        client.document(context(FETCH_TIMEOUT), version).await.ok()?
+        client
+            .document(context(FETCH_TIMEOUT), version)
+            .await
+            .ok()?
     }
 
     pub(super) fn read(&self) {
@@ -149,7 +165,10 @@
         let (event, bytes) = match value {
             Ok(Some(value)) => {
                 // The control task fills in the digest when it has read the document.
-                let version = Version { revision: value.revision, digest: 0 };
+                let version = Version {
+                    revision: value.revision,
+                    digest: 0,
+                };
                 let event = configuration::Event::Served(version, Vec::new());
                 (event, Some(value.bytes.to_vec()))
             }
@@ -162,13 +181,17 @@
     /// Reads the host list: daemons become seeds, backend servers that leave become facts.
     pub(super) fn list(&self, list: &platform::List, view: &View, seeds: &[SocketAddr]) {
         let (driver, list) = (self.clone(), list.clone());
-        let document = view.configuration.as_ref().map(|configuration| configuration.document());
+        let document = view
+            .configuration
+            .as_ref()
+            .map(|configuration| configuration.document());
         let servers = document.map(backend_servers).unwrap_or_default();
         let seeds = seeds.to_vec();
         tokio::spawn(async move {
             let Ok(hosts) = list.read().await else { return };
-            let (servers, daemons): (Vec<_>, Vec<_>) =
-                hosts.into_iter().partition(|host| servers.contains(&host.address));
+            let (servers, daemons): (Vec<_>, Vec<_>) = hosts
+                .into_iter()
+                .partition(|host| servers.contains(&host.address));
             let leaving = servers.iter().filter(|host| host.state == State::Leaving);
             let leaving = leaving.map(|host| host.address).collect();
             driver.handle.tell(Input::Listed(leaving));
@@ -180,14 +203,19 @@
             let known: BTreeSet<_> = listed.iter().map(|seed| seed.id).collect();
             let missing = seeds.into_iter().filter(|seed| !known.contains(seed));
             listed.extend(missing.map(|id| member::Seed { id, leaving: false }));
-            driver.handle.tell(Input::Member(member::Event::Listed(listed)));
+            driver
+                .handle
+                .tell(Input::Member(member::Event::Listed(listed)));
         });
     }
 }
 
 fn backend_servers(document: &Document) -> BTreeSet<BackendServerId> {
     let groups = document.routes.iter().flat_map(|route| &route.groups);
-    groups.flat_map(|group| &group.backend_servers).copied().collect()
+    groups
+        .flat_map(|group| &group.backend_servers)
+        .copied()
+        .collect()
 }
 
 fn context(limit: Duration) -> Context {
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -31,7 +31,11 @@
 impl View {
     /// Returns why no new work may be taken, if that is so.
     pub(crate) fn ready(&self) -> Result<(), &'static str> {
-        match (&self.configuration, self.members_current, self.configuration_current) {
+        match (
+            &self.configuration,
+            self.members_current,
+            self.configuration_current,
+        ) {
             (None, ..) => Err("no configuration"),
             (_, false, _) => Err("members not refreshed"),
             (_, _, false) => Err("configuration not refreshed"),
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -41,7 +41,10 @@
 
 impl Book {
     pub(super) fn new(ledger: Ledger) -> Self {
-        Self { ledger: Mutex::new(ledger), joined: Mutex::default() }
+        Self {
+            ledger: Mutex::new(ledger),
+            joined: Mutex::default(),
+        }
     }
 
     pub(super) fn ledger(&self) -> MutexGuard<'_, Ledger> {
@@ -79,7 +82,8 @@
         }
         // No home answers: this daemon issues the key itself, and passes the run on later.
         let key = self.mint_here(&call);
-        key.map(|key| key.to_string()).map_err(|refusal| refusal.outcome().into())
+        key.map(|key| key.to_string())
+            .map_err(|refusal| refusal.outcome().into())
     }
 
     async fn mint_at(&self, home: MemberId, call: &Call) -> Option<Key> {
@@ -90,7 +94,9 @@
 
     pub(crate) fn mint_here(&self, call: &Call) -> Result<Key, Refusal> {
         let now = self.clock.now();
-        self.ledger.ledger().mint(&call.caller, &call.route.name, now)
+        self.ledger
+            .ledger()
+            .mint(&call.caller, &call.route.name, now)
     }
 
     pub(super) async fn execute_call(
@@ -100,7 +106,11 @@
         send: Option<u32>,
     ) -> Execution {
         let Ok(key) = key.parse::<Key>() else {
-            return Outcome::NotRun { reason: Reason::Fence, retry_after: None }.into();
+            return Outcome::NotRun {
+                reason: Reason::Fence,
+                retry_after: None,
+            }
+            .into();
         };
         if self.control.view().ready().is_err() {
             return unavailable().into();
@@ -117,7 +127,11 @@
     async fn offer(self: &Arc<Self>, call: Call) -> Execution {
         let outcome = Outcome::from(Refusal::Unmarked.outcome());
         let offered_key = self.mint_call(call).await.ok();
-        Execution { outcome, offered_key, conflict: false }
+        Execution {
+            outcome,
+            offered_key,
+            conflict: false,
+        }
     }
 
     /// Takes one send of a non-idempotent request, from a caller or passed on by a peer.
@@ -170,7 +184,9 @@
         self.ledger.joined().remove(&call.request);
         match outcome {
             Ok(Ok(outcome)) => outcome,
-            _ => Outcome::Unknown { reason: Reason::Deadline },
+            _ => Outcome::Unknown {
+                reason: Reason::Deadline,
+            },
         }
     }
 
@@ -178,7 +194,10 @@
     async fn run(self: &Arc<Self>, permit: Permit<Unsent>, call: Call, key: &Key) -> Outcome {
         let (run, may) = Run::Unsent(permit).sent(self.clock.now());
         if !may {
-            let outcome = Outcome::NotRun { reason: Reason::Deadline, retry_after: None };
+            let outcome = Outcome::NotRun {
+                reason: Reason::Deadline,
+                retry_after: None,
+            };
             return self.conclude(run, outcome);
         }
         let node = self.clone();
@@ -194,31 +213,48 @@
             };
             node.conclude(run, outcome)
         });
-        running.await.unwrap_or(Outcome::Unknown { reason: Reason::Lost })
+        running.await.unwrap_or(Outcome::Unknown {
+            reason: Reason::Lost,
+        })
     }
 
     fn conclude(&self, run: Run, outcome: Outcome) -> Outcome {
-        let ended = self.ledger.ledger().conclude(run, outcome, self.clock.now());
+        let ended = self
+            .ledger
+            .ledger()
+            .conclude(run, outcome, self.clock.now());
         self.ledger.tell(ended)
     }
 
     /// Brings a request to a home, and to another only where the first declined it unrun.
     async fn run_at_home(&self, call: &Call, key: &Arc<str>) -> Outcome {
-        let Some(entry) = self.routes.get(&call.route.name) else { return unavailable() };
+        let Some(entry) = self.routes.get(&call.route.name) else {
+            return unavailable();
+        };
         let mut tried = Vec::new();
         while tried.len() < MAX_HOMES {
-            let Some(home) = self.choose(&entry, call.request, &tried) else { break };
+            let Some(home) = self.choose(&entry, call.request, &tried) else {
+                break;
+            };
             tried.push(home);
             if home == self.own.id {
-                let Some(handle) = &entry.handle else { continue };
+                let Some(handle) = &entry.handle else {
+                    continue;
+                };
                 return handle.run(self.local(call, Some(key.clone()))).await;
             }
-            let Ok(client) = self.peers.client(home).await else { continue };
+            let Ok(client) = self.peers.client(home).await else {
+                continue;
+            };
             let answer = client.run(context(call.deadline), self.passed(call), key.to_string());
             match answer.await {
                 Ok(Ok(outcome)) => return outcome,
                 Ok(Err(Declined::NotHome | Declined::Ledger(_))) => {}
-                Err(_) => return Outcome::Unknown { reason: Reason::Lost },
+                Err(_) => {
+                    return Outcome::Unknown {
+                        reason: Reason::Lost,
+                    };
+                }
             }
         }
         unavailable()
@@ -232,7 +268,13 @@
     }
 
     /// Passes a send to the incarnation that its key names, or to who holds its fence now.
-    async fn pass_to(self: &Arc<Self>, fence: Fence, call: Call, key: Key, send: Option<u32>) -> Sent {
+    async fn pass_to(
+        self: &Arc<Self>,
+        fence: Fence,
+        call: Call,
+        key: Key,
+        send: Option<u32>,
+    ) -> Sent {
         let sent = self.send_to(fence.member, &call, &key, send).await;
         match sent {
             Some(Sent::Refused(Refusal::Moved(to))) => {
@@ -255,7 +297,11 @@
         send: Option<u32>,
     ) -> Option<Sent> {
         let client = self.peers.client(member).await.ok()?;
-        let message = Send { request: self.passed(call), key: key.clone(), send };
+        let message = Send {
+            request: self.passed(call),
+            key: key.clone(),
+            send,
+        };
         match client.send(context(call.deadline), message).await {
             Ok(sent) => Some(sent),
             Err(_) => {
@@ -266,7 +312,13 @@
     }
 
     /// Asks members what they know of a key, and does what follows.
-    async fn ask(self: &Arc<Self>, question: Question, call: Call, key: Key, send: Option<u32>) -> Sent {
+    async fn ask(
+        self: &Arc<Self>,
+        question: Question,
+        call: Call,
+        key: Key,
+        send: Option<u32>,
+    ) -> Sent {
         let members = self.asked(&call);
         let mut poll = Poll::new(members.iter().copied());
         let mut conclusion = poll.conclude();
@@ -274,7 +326,9 @@
             if conclusion.is_some() {
                 break;
             }
-            let answer = self.ask_member(member, question.clone(), call.deadline).await;
+            let answer = self
+                .ask_member(member, question.clone(), call.deadline)
+                .await;
             conclusion = poll.answered(member, answer);
         }
         match conclusion {
@@ -291,11 +345,15 @@
     /// Members to be asked: homes of the route first, since they are who issues keys.
     fn asked(&self, call: &Call) -> Vec<MemberId> {
         let entry = self.routes.get(&call.route.name);
-        let mut asked: Vec<MemberId> =
-            entry.map(|entry| entry.homes.to_vec()).unwrap_or_default();
+        let mut asked: Vec<MemberId> = entry.map(|entry| entry.homes.to_vec()).unwrap_or_default();
         let view = self.control.view();
         let others: Vec<_> = view.members.iter().map(|member| member.id).collect();
-        asked.extend(others.into_iter().filter(|id| !asked.contains(id)).collect::<Vec<_>>());
+        asked.extend(
+            others
+                .into_iter()
+                .filter(|id| !asked.contains(id))
+                .collect::<Vec<_>>(),
+        );
         asked.retain(|id| *id != self.own.id);
         asked.truncate(MAX_ASKED);
         asked
@@ -312,7 +370,9 @@
             let client = self.peers.client(member).await.ok()?;
             client.ask(context(deadline), question).await.ok()
         };
-        tokio::time::timeout_at(deadline.into(), asking).await.ok()?
+        tokio::time::timeout_at(deadline.into(), asking)
+            .await
+            .ok()?
     }
 
     /// Answers a peer's question from the ledger.
@@ -327,12 +387,18 @@
 }
 
 fn unknown() -> Sent {
-    Sent::Ended(Outcome::Unknown { reason: Reason::Fence })
+    Sent::Ended(Outcome::Unknown {
+        reason: Reason::Fence,
+    })
 }
 
 fn conflict() -> Execution {
     let outcome = Refusal::Mismatch.outcome().into();
-    Execution { outcome, offered_key: None, conflict: true }
+    Execution {
+        outcome,
+        offered_key: None,
+        conflict: true,
+    }
 }
 
 fn name(decision: &Decision) -> &'static str {
--- a/crates/daemon/src/node/hop.rs
+++ b/crates/daemon/src/node/hop.rs
@@ -31,19 +31,31 @@
     /// Counts a request as outstanding until the guard is dropped.
     pub(super) fn begin(&self, member: MemberId) -> Guard<'_> {
         self.lock().entry(member).or_default().outstanding += 1;
-        Guard { hops: self, member, answered: None }
+        Guard {
+            hops: self,
+            member,
+            answered: None,
+        }
     }
 
     /// Returns what placement needs to know of a member.
     pub(super) fn standing(&self, id: MemberId, near: bool, suspected: bool) -> Standing {
         let seen = self.lock().get(&id).copied().unwrap_or_default();
-        let silent = seen.silent_since.is_some_and(|since| since.elapsed() < AVOID);
-        Standing { id, near, suspect: suspected || silent, outstanding: seen.outstanding }
+        let silent = seen
+            .silent_since
+            .is_some_and(|since| since.elapsed() < AVOID);
+        Standing {
+            id,
+            near,
+            suspect: suspected || silent,
+            outstanding: seen.outstanding,
+        }
     }
 
     /// Forgets members that are gone.
     pub(super) fn retain(&self, keep: impl Fn(&MemberId) -> bool) {
-        self.lock().retain(|id, seen| keep(id) || seen.outstanding > 0);
+        self.lock()
+            .retain(|id, seen| keep(id) || seen.outstanding > 0);
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<MemberId, Seen>> {
@@ -68,7 +80,9 @@
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
         let mut seen = self.hops.lock();
-        let Some(seen) = seen.get_mut(&self.member) else { return };
+        let Some(seen) = seen.get_mut(&self.member) else {
+            return;
+        };
         seen.outstanding = seen.outstanding.saturating_sub(1);
         match self.answered {
             Some(true) => seen.silent_since = None,
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) mod state;
 mod stop;
 
-pub use start::start;
+pub(crate) use start::start;
 
 use crate::clock::Clock;
 use crate::control;
@@ -63,14 +63,17 @@
     ) -> Option<Message> {
         let probing = async {
             let client = self.peers.client(target).await.ok()?;
-            client.probe(hop::context(Instant::now() + limit), message).await.ok()?
+            client
+                .probe(hop::context(Instant::now() + limit), message)
+                .await
+                .ok()?
         };
         tokio::time::timeout(limit, probing).await.ok()?
     }
 }
 
 /// The daemon as the front sees it.
-pub struct Front(Arc<Node>);
+pub(crate) struct Front(Arc<Node>);
 
 impl Service for Front {
     fn document(&self) -> Option<Arc<Configuration>> {
--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -35,7 +35,12 @@
 
 impl Routes {
     pub(super) fn new(own: MemberId, log: Logger, spawn: Spawn) -> Self {
-        Self { own, log, spawn, entries: Mutex::default() }
+        Self {
+            own,
+            log,
+            spawn,
+            entries: Mutex::default(),
+        }
     }
 
     pub(super) fn get(&self, route: &str) -> Option<Entry> {
@@ -57,12 +62,16 @@
 
     /// Follows a change of configuration or members, and returns the homes that begin here.
     pub(super) fn update(&self, view: &View) -> Vec<Handle> {
-        let Some(configuration) = &view.configuration else { return Vec::new() };
+        let Some(configuration) = &view.configuration else {
+            return Vec::new();
+        };
         let mut begun = Vec::new();
         let mut entries = self.lock();
         let mut old = std::mem::take(&mut *entries);
         for route in &configuration.document().routes {
-            let Some(route) = configuration.route(&route.name) else { continue };
+            let Some(route) = configuration.route(&route.name) else {
+                continue;
+            };
             let old = old.remove(&route.name);
             let was_home = old.as_ref().is_some_and(|old| old.handle.is_some());
             let entry = self.follow(route, old, view);
@@ -80,7 +89,10 @@
         let homes: Arc<[MemberId]> = placement::select(&route.name, &view.members, count).into();
         let is_home = homes.contains(&self.own);
         let handle = match old {
-            Some(Entry { handle: Some(handle), .. }) if !is_home => {
+            Some(Entry {
+                handle: Some(handle),
+                ..
+            }) if !is_home => {
                 self.end(&route.name, Some(handle), "other members rank higher");
                 None
             }
@@ -91,7 +103,11 @@
             _ if is_home => Some(self.begin(route, homes.len())),
             _ => None,
         };
-        Entry { route: route.clone(), homes, handle }
+        Entry {
+            route: route.clone(),
+            homes,
+            handle,
+        }
     }
 
     fn begin(&self, route: &Arc<Route>, homes: usize) -> Handle {
--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -1,8 +1,8 @@
 //! Searches: here, or one hop away.
 
+use super::Node;
 use super::hop::context;
 use super::routes::Entry;
-use super::Node;
 use crate::service::Call;
 use monsoonring_decision::home::event;
 use monsoonring_decision::member::MemberId;
@@ -22,7 +22,10 @@
 
 /// "Not run", for want of a home.
 pub(super) fn unavailable() -> Outcome {
-    Outcome::NotRun { reason: Reason::Unavailable, retry_after: Some(RETRY_AFTER) }
+    Outcome::NotRun {
+        reason: Reason::Unavailable,
+        retry_after: Some(RETRY_AFTER),
+    }
 }
 
 impl Node {
@@ -30,10 +33,14 @@
         if self.control.view().ready().is_err() {
             return unavailable();
         }
-        let Some(entry) = self.routes.get(&call.route.name) else { return unavailable() };
+        let Some(entry) = self.routes.get(&call.route.name) else {
+            return unavailable();
+        };
         let mut tried = Vec::new();
         while tried.len() < MAX_HOPS && Instant::now() < call.deadline {
-            let Some(home) = self.choose(&entry, call.request, &tried) else { break };
+            let Some(home) = self.choose(&entry, call.request, &tried) else {
+                break;
+            };
             if let Some(outcome) = self.search_at(home, &entry, &call).await {
                 return outcome;
             }
@@ -41,7 +48,10 @@
         }
         match Instant::now() < call.deadline {
             true => unavailable(),
-            false => Outcome::Failed { reason: Reason::Deadline, retry_after: Some(RETRY_AFTER) },
+            false => Outcome::Failed {
+                reason: Reason::Deadline,
+                retry_after: Some(RETRY_AFTER),
+            },
         }
     }
 
@@ -59,7 +69,8 @@
         };
         let homes = entry.homes.iter().filter(|home| !tried.contains(home));
         let standings = homes.map(|home| {
-            self.hops.standing(*home, data_centre(home), view.suspects.contains(home))
+            self.hops
+                .standing(*home, data_centre(home), view.suspects.contains(home))
         });
         let standings: Vec<_> = standings.collect();
         placement::choose(self.own.id, request, &standings)
@@ -78,7 +89,9 @@
             guard.answered(false);
             return None;
         };
-        let answer = client.search(context(call.deadline), self.passed(call)).await;
+        let answer = client
+            .search(context(call.deadline), self.passed(call))
+            .await;
         guard.answered(answer.is_ok());
         match answer {
             Ok(Ok(outcome)) => Some(outcome),
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -31,7 +31,7 @@
 const LEDGER_TICK: Duration = Duration::from_secs(1);
 
 /// Starts the controllers of a daemon and serves its peers on `peers`.
-pub fn start(
+pub(crate) fn start(
     settings: &Settings,
     peers: TcpListener,
     advertised: SocketAddr,
@@ -40,9 +40,15 @@
 ) -> Front {
     let clock = Clock::start();
     let mut random = random(settings.seed);
-    let own = Member { id: advertised, data_centre: settings.data_centre.clone() };
+    let own = Member {
+        id: advertised,
+        data_centre: settings.data_centre.clone(),
+    };
     let start = start_number();
-    let ring = Ring { current: settings.key.clone(), previous: settings.previous_key.clone() };
+    let ring = Ring {
+        current: settings.key.clone(),
+        previous: settings.previous_key.clone(),
+    };
     let pool = Pool::new(ring.clone());
     let (news, heard) = mpsc::unbounded_channel();
     let control = control::spawn(control::Settings {
@@ -61,9 +67,24 @@
     });
     let (facts, found) = mpsc::unbounded_channel();
     let recent = Recent::default();
-    let routes = routes(&own, &log, &metrics, clock, facts, recent.clone(), random.random());
-    let fence = Fence { member: own.id, start };
-    let ledger = Ledger::new(fence, Secret::from(random.random::<[u8; 32]>()), Limits::default());
+    let routes = routes(
+        &own,
+        &log,
+        &metrics,
+        clock,
+        facts,
+        recent.clone(),
+        random.random(),
+    );
+    let fence = Fence {
+        member: own.id,
+        start,
+    };
+    let ledger = Ledger::new(
+        fence,
+        Secret::from(random.random::<[u8; 32]>()),
+        Limits::default(),
+    );
     let node = Arc::new(Node {
         own,
         clock,
@@ -95,7 +116,9 @@
 /// Start number of this process: higher than that of any earlier one on this address, as long as the
 /// host's clock does not go back by more than the time that a restart takes.
 fn start_number() -> Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -131,6 +154,7 @@
         node.brief(&begun).await;
         let known = |id: &SocketAddr| view.members.iter().any(|member| member.id == *id);
         node.hops.retain(known);
+        node.peers.retain(known);
         node.metrics_of(&view);
     }
 }
@@ -152,7 +176,11 @@
                 node.control.leaving(server, start, control::LEAVING_LIFE);
             }
             Fact::Suspect(fingerprint, life) => {
-                node.control.tell(control::Input::Fact(fact::Key::Suspect(fingerprint), 0, life));
+                node.control.tell(control::Input::Fact(
+                    fact::Key::Suspect(fingerprint),
+                    0,
+                    life,
+                ));
             }
         }
     }
@@ -196,6 +224,7 @@
 
     fn metrics_of(&self, view: &control::View) {
         let suspects = view.suspects.len();
-        self.metrics.set_members(view.members.len() - suspects, suspects);
+        self.metrics
+            .set_members(view.members.len() - suspects, suspects);
     }
 }
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -22,7 +22,9 @@
         route: &str,
         decision: &monsoonring_decision::home::action::Decision,
     ) {
-        let Some(request) = decision.request else { return };
+        let Some(request) = decision.request else {
+            return;
+        };
         let line = json!({
             "at_ms": at.as_millis(),
             "route": route,
@@ -49,7 +51,11 @@
     pub(super) async fn describe(&self) -> Value {
         let view = self.control.view();
         let members = view.members.iter().map(|member| {
-            let state = if view.suspects.contains(&member.id) { "suspect" } else { "alive" };
+            let state = if view.suspects.contains(&member.id) {
+                "suspect"
+            } else {
+                "alive"
+            };
             json!({ "address": member.id, "data_centre": &*member.data_centre, "state": state })
         });
         let members: Vec<_> = members.collect();
@@ -59,7 +65,8 @@
                 Some(handle) => handle.state().await,
                 None => None,
             };
-            routes.push(json!({ "name": &*entry.route.name, "homes": &*entry.homes, "home": home }));
+            routes
+                .push(json!({ "name": &*entry.route.name, "homes": &*entry.homes, "home": home }));
         }
         let ready = self.stopping.ready().and_then(|()| view.ready());
         json!({
@@ -84,16 +91,23 @@
             Explain::Request(request) => {
                 let decisions = self.recent.of(request);
                 let known = !decisions.is_empty();
-                known.then(|| json!({
-                    "request": format!("{request:032x}"),
-                    "decisions": decisions,
-                }))
+                known.then(|| {
+                    json!({
+                        "request": format!("{request:032x}"),
+                        "decisions": decisions,
+                    })
+                })
             }
-            Explain::BackendServer { route, backend_server } => {
+            Explain::BackendServer {
+                route,
+                backend_server,
+            } => {
                 let state = self.routes.get(&route)?.handle?.state().await?;
                 let servers = state.get("backend_servers")?.as_array()?.clone();
                 let address = json!(backend_server);
-                let server = servers.into_iter().find(|server| server["address"] == address)?;
+                let server = servers
+                    .into_iter()
+                    .find(|server| server["address"] == address)?;
                 Some(json!({ "route": &*route, "backend_server": server }))
             }
         }
--- a/crates/daemon/src/node/stop.rs
+++ b/crates/daemon/src/node/stop.rs
@@ -68,7 +68,9 @@
         while self.stopping.passed_on.load(Ordering::Acquire) > 0 {
             tokio::time::sleep(POLL).await;
         }
-        let Some(successor) = self.successor() else { return };
+        let Some(successor) = self.successor() else {
+            return;
+        };
         let limit = HANDOVER_TIMEOUT;
         match tokio::time::timeout(limit, self.hand_over(successor)).await {
             Ok(Some(())) => info!(self.log, "stop"; "what" => "handed over", "to" => %successor),
@@ -78,7 +80,10 @@
 
     async fn hand_over(&self, successor: MemberId) -> Option<()> {
         let start = self.control.start(successor).await?;
-        let to = Fence { member: successor, start };
+        let to = Fence {
+            member: successor,
+            start,
+        };
         let handover = self.close(to)?;
         let client = self.peers.client(successor).await.ok()?;
         let deadline = context(Instant::now() + HANDOVER_TIMEOUT);
@@ -95,9 +100,13 @@
     /// Returns the member that takes the ledger: in this data centre if there is one.
     fn successor(&self) -> Option<MemberId> {
         let view = self.control.view();
-        let others = view.members.iter().filter(|member| member.id != self.own.id);
-        let (near, far): (Vec<_>, Vec<_>) =
-            others.cloned().partition(|member| member.data_centre == self.own.data_centre);
+        let others = view
+            .members
+            .iter()
+            .filter(|member| member.id != self.own.id);
+        let (near, far): (Vec<_>, Vec<_>) = others
+            .cloned()
+            .partition(|member| member.data_centre == self.own.data_centre);
         let pool = if near.is_empty() { far } else { near };
         placement::select(SUCCESSION, &pool, 1).first().copied()
     }
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -89,12 +89,18 @@
 
     async fn search(self, context: Context, request: Request) -> Result<Outcome, Declined> {
         let _in_flight = self.0.passed_on();
-        let call = self.0.call(request, deadline(&context)).ok_or(Declined::NotHome)?;
+        let call = self
+            .0
+            .call(request, deadline(&context))
+            .ok_or(Declined::NotHome)?;
         self.0.search_passed(call).await
     }
 
     async fn mint(self, context: Context, request: Request) -> Result<Key, Declined> {
-        let call = self.0.call(request, deadline(&context)).ok_or(Declined::NotHome)?;
+        let call = self
+            .0
+            .call(request, deadline(&context))
+            .ok_or(Declined::NotHome)?;
         self.0.mint_here(&call).map_err(Declined::Ledger)
     }
 
@@ -113,7 +119,10 @@
         key: String,
     ) -> Result<Outcome, Declined> {
         let _in_flight = self.0.passed_on();
-        let call = self.0.call(request, deadline(&context)).ok_or(Declined::NotHome)?;
+        let call = self
+            .0
+            .call(request, deadline(&context))
+            .ok_or(Declined::NotHome)?;
         self.0.run_passed(call, key).await
     }
 
@@ -128,5 +137,8 @@
 
 /// Returns the deadline of the request that a call carries.
 fn deadline(context: &Context) -> Instant {
-    context.deadline.checked_sub(GRACE).unwrap_or(context.deadline)
+    context
+        .deadline
+        .checked_sub(GRACE)
+        .unwrap_or(context.deadline)
 }
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -20,15 +20,35 @@
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum Error {
     #[snafu(display("calling {peer}{path}: {source}"))]
-    Call { peer: SocketAddr, path: String, source: hyper_util::client::legacy::Error },
+    Call {
+        peer: SocketAddr,
+        path: String,
+        source: hyper_util::client::legacy::Error,
+    },
     #[snafu(display("building the call to {peer}{path}: {source}"))]
-    Build { peer: SocketAddr, path: String, source: hyper::http::Error },
+    Build {
+        peer: SocketAddr,
+        path: String,
+        source: hyper::http::Error,
+    },
     #[snafu(display("calling {peer}{path}: no answer within {limit:?}"))]
-    Timeout { peer: SocketAddr, path: String, limit: Duration },
+    Timeout {
+        peer: SocketAddr,
+        path: String,
+        limit: Duration,
+    },
     #[snafu(display("reading the answer of {peer}{path}: {reason}"))]
-    Body { peer: SocketAddr, path: String, reason: String },
+    Body {
+        peer: SocketAddr,
+        path: String,
+        reason: String,
+    },
     #[snafu(display("{peer}{path} answered with status {status}"))]
-    Status { peer: SocketAddr, path: String, status: u16 },
+    Status {
+        peer: SocketAddr,
+        path: String,
+        status: u16,
+    },
 }
 
 /// Result of a call to the platform.
@@ -43,7 +63,9 @@
 
 impl Client {
     pub(crate) fn new(peer: SocketAddr) -> Self {
-        let http = Http::builder(TokioExecutor::new()).pool_max_idle_per_host(1).build_http();
+        let http = Http::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(1)
+            .build_http();
         Self { peer, http }
     }
 
@@ -56,11 +78,19 @@
 
     async fn exchange(&self, path: &str) -> Result<(Parts, Bytes)> {
         let peer = self.peer;
-        let uri = format!("http://{peer}{path}").parse::<Uri>().map_err(Into::into);
+        let uri = format!("http://{peer}{path}")
+            .parse::<Uri>()
+            .map_err(Into::into);
         let uri: Result<Uri, hyper::http::Error> = uri;
         let uri = uri.context(BuildSnafu { peer, path })?;
-        let request = Request::get(uri).body(Empty::new()).context(BuildSnafu { peer, path })?;
-        let response = self.http.request(request).await.context(CallSnafu { peer, path })?;
+        let request = Request::get(uri)
+            .body(Empty::new())
+            .context(BuildSnafu { peer, path })?;
+        let response = self
+            .http
+            .request(request)
+            .await
+            .context(CallSnafu { peer, path })?;
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|error| Error::Body {
@@ -73,11 +103,19 @@
 
     /// Makes the error for an unexpected status.
     pub(crate) fn status(&self, path: &str, head: &Parts) -> Error {
-        Error::Status { peer: self.peer, path: path.to_owned(), status: head.status.as_u16() }
+        Error::Status {
+            peer: self.peer,
+            path: path.to_owned(),
+            status: head.status.as_u16(),
+        }
     }
 
     /// Makes the error for an unreadable answer.
     pub(crate) fn unreadable(&self, path: &str, reason: impl ToString) -> Error {
-        Error::Body { peer: self.peer, path: path.to_owned(), reason: reason.to_string() }
+        Error::Body {
+            peer: self.peer,
+            path: path.to_owned(),
+            reason: reason.to_string(),
+        }
     }
 }
--- a/crates/daemon/src/platform/configuration.rs
+++ b/crates/daemon/src/platform/configuration.rs
@@ -33,7 +33,9 @@
 
 impl Service {
     pub(crate) fn new(peer: SocketAddr) -> Self {
-        Self { client: Client::new(peer) }
+        Self {
+            client: Client::new(peer),
+        }
     }
 
     /// Reads the value as it is now.
@@ -55,7 +57,10 @@
             StatusCode::OK => {}
             _ => return Err(self.client.status(path, &head)),
         }
-        let revision = head.headers.get(REVISION).and_then(|value| value.to_str().ok());
+        let revision = head
+            .headers
+            .get(REVISION)
+            .and_then(|value| value.to_str().ok());
         let revision = revision.and_then(|text| text.parse().ok());
         let revision = revision.ok_or_else(|| self.client.unreadable(path, "no revision"))?;
         Ok(Some(Value { revision, bytes }))
--- a/crates/daemon/src/platform/hosts.rs
+++ b/crates/daemon/src/platform/hosts.rs
@@ -44,7 +44,9 @@
 
 impl List {
     pub(crate) fn new(peer: SocketAddr) -> Self {
-        Self { client: Client::new(peer) }
+        Self {
+            client: Client::new(peer),
+        }
     }
 
     /// Reads the list as it is now.
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -62,7 +62,9 @@
     controller.perform(actions);
     let mut open = true;
     while open || controller.home.in_progress() > 0 {
-        let wake = controller.clock.instant(controller.wake.unwrap_or(controller.clock.now() + IDLE));
+        let wake = controller
+            .clock
+            .instant(controller.wake.unwrap_or(controller.clock.now() + IDLE));
         tokio::select! {
             input = queue.recv(), if open => match input {
                 Some(input) => controller.input(input),
@@ -164,7 +166,7 @@
             Action::Send(send) => self.send(send),
             Action::Cancel(attempt, backend_server) => {
                 let endpoint = self.endpoint.clone();
-                self.metrics.cancelled(&self.route);
+                self.metrics.count_cancelled(&self.route);
                 tokio::spawn(async move { endpoint.cancel(backend_server, attempt).await });
             }
             Action::Finish(request, outcome) => self.finish(request, outcome),
@@ -182,7 +184,7 @@
     }
 
     fn log(&self, decision: &Decision) {
-        self.metrics.decision(&self.route, decision.what);
+        self.metrics.count_decision(&self.route, decision.what);
         self.recent.keep(self.clock.now(), &self.route, decision);
         log::Decision {
             request: decision.request,
@@ -200,7 +202,7 @@
             "in_progress": self.home.in_progress(),
             "index_version": self.home.index_version(),
             "connections": self.connections.len(),
-            "backend_servers": self.home.fleet().snapshot(),
+            "backend_servers": self.home.fleet().snapshot(self.clock.now()),
         })
     }
 
--- a/crates/daemon/src/route/handle.rs
+++ b/crates/daemon/src/route/handle.rs
@@ -31,14 +31,22 @@
     /// Runs a request. Dropping the future tells the home that the caller went away.
     pub(crate) async fn run(&self, request: Request) -> Outcome {
         let (sender, receiver) = oneshot::channel();
-        let mut guard = Guard { handle: self, request: Some(request.id) };
+        let mut guard = Guard {
+            handle: self,
+            request: Some(request.id),
+        };
         if self.inputs.send(Input::Request(request, sender)).is_err() {
             guard.request = None;
-            return Outcome::NotRun { reason: Reason::Stopping, retry_after: None };
+            return Outcome::NotRun {
+                reason: Reason::Stopping,
+                retry_after: None,
+            };
         }
         let outcome = receiver.await;
         guard.request = None;
-        outcome.unwrap_or(Outcome::Unknown { reason: Reason::Stopping })
+        outcome.unwrap_or(Outcome::Unknown {
+            reason: Reason::Stopping,
+        })
     }
 
     /// Tells the home of an event. A home that has ended does not need it any more.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -76,6 +76,8 @@
     Item: for<'de> serde::Deserialize<'de>,
     SinkItem: serde::Serialize,
 {
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_framed(stream);
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME)
+        .new_framed(stream);
     tarpc::serde_transport::new(codec, Bincode::default())
 }
