Add the operators' command: query, execute, status and explain

Cause: operators and scripts need to ask and to look without a console. Not run yet: tests; check is a placeholder until the configuration's check is there.

--- /dev/null
+++ b/crates/cli/src/command/mod.rs
@@ -0,0 +1,9 @@
+//! The subcommands, one module each.
+
+pub(crate) mod check;
+pub(crate) mod execute;
+pub(crate) mod explain;
+mod input;
+pub(crate) mod query;
+mod request;
+pub(crate) mod status;
