Test the command against canned answers; an answer without a revision is unreadable

Seen failing: status_code unreadable_state gave exit 0 for the body [] (serde reads a sequence into a struct of defaults); the revision is required now.

--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -13,19 +13,23 @@
 use tokio::task::JoinSet;
 
 /// The facts of `GET /state` that the command shows.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(default)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct State {
-    /// Revision of the configuration in force; none before the first.
+    /// Revision of the configuration in force; none before the first. It has to be there: an answer
+    /// without it comes from something else than a daemon and must not count as one that agrees.
+    #[serde(deserialize_with = "Option::deserialize")]
     revision: Option<u64>,
     /// Digest of that configuration.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     digest: Option<String>,
     /// The daemons that this one knows.
+    #[serde(default)]
     members: Vec<Member>,
     /// Backend servers that get no new work.
+    #[serde(default)]
     leaving: Vec<SocketAddr>,
     /// Requests refused since the start, by reason.
+    #[serde(default)]
     refused: BTreeMap<String, u64>,
 }
 
--- /dev/null
+++ b/crates/cli/tests/command.rs
@@ -0,0 +1,205 @@
+//! Golden files of `monsoonring` as a script or a person sees it, against a daemon of canned answers.
+
+mod stub;
+
+use stub::{Reaction, Stub, answer, run};
+use test_case::test_case;
+
+const COMPLETE: &str = r#"{"request":"0a","status":"complete","coverage":1.0,"index_version":7,
+"missing":[],"items":[{"key":3,"value":{"street":"Rue 3","dry":false}},{"key":8,"value":null}]}"#;
+const PARTIAL: &str = r#"{"request":"0b","status":"partial","coverage":0.9,"index_version":7,
+"missing":[{"start":90,"end":100}],"items":[]}"#;
+const NOT_RUN: &str = r#"{"type":"about:blank","title":"overload","status":503,
+"detail":"no room in time","request":"0c","outcome":"not_run"}"#;
+const FAILED: &str = r#"{"title":"backend_server","status":502,"request":"0d","outcome":"failed"}"#;
+const UNKNOWN: &str = r#"{"title":"lost","status":504,"request":"0e","outcome":"unknown"}"#;
+const EXECUTED: &str = r#"{"request":"0f","status":"executed","value":{"ticket":41}}"#;
+/// A document that claims success under a status that denies it.
+const MISLEADING: &str = r#"{"title":"odd","status":500,"outcome":"complete"}"#;
+
+const QUERY_PATH: &str = "/routes/dispatch/query";
+const KEYS_PATH: &str = "/routes/tickets/keys";
+const EXECUTE_PATH: &str = "/routes/tickets/execute";
+
+fn query(reaction: Reaction, json: bool) -> String {
+    let stub = Stub::start(vec![(QUERY_PATH, reaction)]);
+    let address = stub.address.to_string();
+    let mut arguments = vec!["query", "--daemon", &address, "--caller", "dispatcher"];
+    arguments.extend([
+        "--deadline-ms",
+        "500",
+        "--token",
+        "secret",
+        "dispatch",
+        r#"{"near":3}"#,
+    ]);
+    arguments.extend(json.then_some("--json"));
+    let seen_after = |text: String| format!("{text}--- requests\n{}\n", stub.seen());
+    seen_after(run(&arguments)).replace(&address, "DAEMON")
+}
+
+fn retry_after(status: u16, body: &str) -> Reaction {
+    Reaction::Answer(
+        status,
+        vec![("monsoonring-retry-after-ms", "250")],
+        body.to_owned(),
+    )
+}
+
+#[test_case("complete", || answer(200, COMPLETE))]
+#[test_case("partial", || answer(200, PARTIAL))]
+#[test_case("not_run", || retry_after(503, NOT_RUN))]
+#[test_case("failed", || answer(502, FAILED))]
+#[test_case("misleading", || answer(500, MISLEADING))]
+#[test_case("no_json", || answer(200, "<html>"))]
+#[test_case("hang_up", || Reaction::HangUp)]
+fn query_outcome(name: &str, reaction: fn() -> Reaction) {
+    insta::assert_snapshot!(format!("query_{name}"), query(reaction(), false));
+    insta::assert_snapshot!(format!("query_{name}_json"), query(reaction(), true));
+}
+
+fn execute(reactions: Vec<(&'static str, Reaction)>, more: &[&str]) -> String {
+    let stub = Stub::start(reactions);
+    let address = stub.address.to_string();
+    let mut arguments = vec!["execute", "--daemon", &address, "--caller", "inspector"];
+    arguments.extend(more);
+    arguments.extend(["tickets", r#"{"hydrant":3}"#]);
+    let text = run(&arguments);
+    format!("{text}--- requests\n{}\n", stub.seen()).replace(&address, "DAEMON")
+}
+
+fn issued() -> (&'static str, Reaction) {
+    let headers = vec![("idempotency-key", "key-1")];
+    (KEYS_PATH, Reaction::Answer(201, headers, String::new()))
+}
+
+#[test_case("executed", || answer(200, EXECUTED))]
+#[test_case("unknown", || answer(504, UNKNOWN))]
+#[test_case("not_run", || retry_after(503, NOT_RUN))]
+fn execute_outcome(name: &str, reaction: fn() -> Reaction) {
+    let text = execute(vec![issued(), (EXECUTE_PATH, reaction())], &[]);
+    insta::assert_snapshot!(format!("execute_{name}"), text);
+}
+
+#[test]
+fn execute_given_key_is_sent_as_it_is() {
+    let reactions = vec![(EXECUTE_PATH, answer(200, EXECUTED))];
+    let text = execute(
+        reactions,
+        &["--idempotency-key", "mine", "--send", "2", "--json"],
+    );
+    insta::assert_snapshot!("execute_given_key", text);
+}
+
+#[test]
+fn execute_refused_key_did_not_run() {
+    let text = execute(vec![(KEYS_PATH, answer(404, "{}"))], &[]);
+    insta::assert_snapshot!("execute_refused_key", text);
+}
+
+// Symptom: a script sends a repair ticket again with a new key, and two teams drive to one valve.
+// Events: the ticket leaves, the daemon runs it, the connection ends before the answer arrives.
+// Cause: an exchange without an answer is taken for one that never began.
+#[test_case("hang_up", || Reaction::HangUp)]
+#[test_case("no_json", || answer(200, "<html>"))]
+#[test_case("no_problem", || answer(502, "bad gateway"))]
+fn execute_lost_answer_is_unknown(name: &str, reaction: fn() -> Reaction) {
+    let text = execute(vec![issued(), (EXECUTE_PATH, reaction())], &[]);
+    assert!(text.starts_with("exit 6\n"), "{name}: {text}");
+    assert!(text.contains("idempotency-key: key-1"), "{name}: {text}");
+}
+
+#[test_case(&["query", "--caller", "x", "--daemon", "127.0.0.1:1", "r", "{"], 2 ; "body is no json")]
+#[test_case(&["query", "--caller", "x", "r", "{}"], 2 ; "no daemon")]
+#[test_case(&["explain", "--daemon", "127.0.0.1:1", "--route", "r"], 2 ; "route without server")]
+#[test_case(&["query", "--caller", "x", "--daemon", "127.0.0.1:1", "r", "{}"], 7 ; "query unreachable")]
+#[test_case(&["execute", "--caller", "x", "--daemon", "127.0.0.1:1", "r", "{}"], 7 ; "execute unreachable")]
+#[test_case(&["execute", "--caller", "x", "--daemon", "127.0.0.1:1", "--idempotency-key", "k", "r", "{}"], 7 ; "execute with key unreachable")]
+#[test_case(&["explain", "--daemon", "127.0.0.1:1", "--request", "0a"], 7 ; "explain unreachable")]
+fn run_code(arguments: &[&str], code: i32) {
+    let text = run(arguments);
+    assert!(text.starts_with(&format!("exit {code}\n")), "{text}");
+}
+
+#[test]
+fn run_help_names_the_codes() {
+    insta::assert_snapshot!("help", run(&["--help"]));
+}
+
+const SEVEN: &str = r#"{"revision":7,"digest":"aa","members":[
+{"address":"127.0.0.1:4001","operator":"127.0.0.1:5001","data_centre":"tunis-1","state":"alive"},
+{"address":"127.0.0.1:4002","data_centre":"tunis-2","state":"suspect"}],
+"leaving":["127.0.0.1:8003"],"refused":{"overload":3,"suspect":1},"more":"than the command knows"}"#;
+const SEVEN_OTHERWISE: &str = r#"{"revision":7,"digest":"bb"}"#;
+const SIX: &str = r#"{"revision":6,"digest":"cc"}"#;
+const STARTING: &str = r#"{"revision":null}"#;
+
+fn status(bodies: &[&str], silent: bool, json: bool) -> String {
+    let stub = |body: &&str| Stub::start(vec![("/state", answer(200, body))]);
+    let mut stubs: Vec<Stub> = bodies.iter().map(stub).collect();
+    stubs.sort_by_key(|stub| stub.address);
+    let mut addresses: Vec<String> = stubs.iter().map(|stub| stub.address.to_string()).collect();
+    addresses.extend(silent.then(|| "127.0.0.1:1".to_owned()));
+    let mut arguments = vec!["status"];
+    for address in &addresses {
+        arguments.extend(["--daemon", address]);
+    }
+    arguments.extend(json.then_some("--json"));
+    run(&arguments)
+}
+
+#[test]
+fn status_one_daemon() {
+    let stub = Stub::start(vec![("/state", answer(200, SEVEN))]);
+    let address = stub.address.to_string();
+    let text = |json: &[&str]| {
+        let arguments = [&["status", "--daemon", &address], json].concat();
+        run(&arguments).replace(&address, "127.0.0.1:DAEMON")
+    };
+    insta::assert_snapshot!("status", text(&[]));
+    insta::assert_snapshot!("status_json", text(&["--json"]));
+}
+
+#[test]
+fn status_all_asks_the_members_too() {
+    let other = Stub::start(vec![("/state", answer(200, SIX))]);
+    let seven = SEVEN.replace("127.0.0.1:5001", &other.address.to_string());
+    let first = Stub::start(vec![("/state", answer(200, &seven))]);
+    let address = first.address.to_string();
+    let alone = run(&["status", "--daemon", &address]);
+    assert!(alone.starts_with("exit 0\n"), "{alone}");
+    let all = run(&["status", "--daemon", &address, "--all"]);
+    assert!(all.starts_with("exit 8\n"), "{all}");
+    assert!(all.contains("revisions 6, 7"), "{all}");
+}
+
+#[test_case(&[SEVEN, SEVEN], false, 0 ; "agreement")]
+#[test_case(&[SEVEN, SIX], false, 8 ; "two revisions")]
+#[test_case(&[SEVEN, SEVEN_OTHERWISE], false, 8 ; "one revision of two digests")]
+#[test_case(&[SEVEN, STARTING], false, 8 ; "one without a configuration")]
+#[test_case(&[SEVEN], true, 7 ; "one unreachable")]
+#[test_case(&[SEVEN, SIX], true, 8 ; "disagreement goes before unreachable")]
+#[test_case(&["[]"], false, 7 ; "unreadable state")]
+#[test_case(&["{}"], false, 7 ; "state without a revision")]
+fn status_code(bodies: &[&str], silent: bool, code: i32) {
+    let text = status(bodies, silent, false);
+    assert!(text.starts_with(&format!("exit {code}\n")), "{text}");
+    let json = status(bodies, silent, true);
+    assert!(json.starts_with(&format!("exit {code}\n")), "{json}");
+}
+
+const DECISIONS: &str = r#"{"decisions":[
+{"at_ms":120,"request":"0a","what":"send","backend_server":"127.0.0.1:8001","why":"outstanding 0 of 3"},
+{"at_ms":131,"request":"0a","what":"hedge","backend_server":"127.0.0.1:8002","why":"11 ms > p95 9 ms"}]}"#;
+
+#[test_case("request", &["--request", "0a"], "/explain?request=0a")]
+#[test_case("backend_server", &["--route", "dispatch", "--backend-server", "127.0.0.1:8001"],
+    "/explain?route=dispatch&backend_server=127.0.0.1:8001")]
+fn explain_decisions(name: &str, which: &[&str], path: &'static str) {
+    let stub = Stub::start(vec![(path, answer(200, DECISIONS))]);
+    let address = stub.address.to_string();
+    let arguments = [&["explain", "--daemon", &address], which].concat();
+    insta::assert_snapshot!(format!("explain_{name}"), run(&arguments));
+    let json = run(&[&arguments[..], &["--json"]].concat());
+    insta::assert_snapshot!(format!("explain_{name}_json"), json);
+}
