--- /dev/null
+++ b/crates/experiment/src/report/mod.rs
@@ -0,0 +1,128 @@
+//! Samples of a run, summed up.
+
+pub mod plot;
+mod table;
+
+pub use table::{csv, markdown};
+
+use crate::sample::{Outcome, Sample};
+use hdrhistogram::Histogram;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Significant digits of recorded latencies.
+const LATENCY_DIGITS: u8 = 3;
+const PERCENT: f64 = 100.0;
+
+/// Attempts as the backend servers counted them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// Attempts that were the first of their request at their group.
+    pub first: u64,
+    /// All attempts.
+    pub all: u64,
+}
+
+impl Attempts {
+    /// Returns the attempts beyond the first ones, in per cent of these.
+    pub fn extra_percent(&self) -> f64 {
+        let extra = self.all.saturating_sub(self.first);
+        PERCENT * extra as f64 / self.first.max(1) as f64
+    }
+}
+
+/// Latencies in microseconds.
+pub type Latencies = Histogram<u64>;
+
+/// One row of a report.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Name of the scenario.
+    pub scenario: String,
+    /// Name of the policy.
+    pub policy: String,
+    /// What was measured.
+    pub summary: Summary,
+}
+
+/// What a run measured.
+#[derive(Clone, Debug)]
+pub struct Summary {
+    /// Requests sent.
+    pub requests: usize,
+    /// Requests by outcome.
+    pub outcomes: BTreeMap<Outcome, usize>,
+    /// Latencies of the answered requests.
+    pub latencies: Latencies,
+    /// Answers within the deadline, a second.
+    pub goodput: f64,
+    /// Mean coverage over all requests; one without an answer counts as 0.
+    pub coverage_mean: f64,
+    /// Least coverage of an answer.
+    pub coverage_min: f64,
+    /// Answers that contradict themselves or the data.
+    pub untrue: usize,
+    /// Attempts at the backend servers.
+    pub attempts: Attempts,
+    /// Largest delay of the load generator itself.
+    pub lag_max: Duration,
+}
+
+impl Summary {
+    /// Sums up samples of a run of the given length.
+    pub fn new(
+        samples: &[Sample],
+        duration: Duration,
+        deadline: Duration,
+        attempts: Attempts,
+    ) -> Self {
+        let answers = || samples.iter().filter(|sample| sample.outcome.is_answer());
+        let in_time = answers()
+            .filter(|sample| sample.latency <= deadline)
+            .count();
+        let coverage: f64 = answers().map(|sample| sample.coverage).sum();
+        Self {
+            requests: samples.len(),
+            outcomes: count(samples),
+            latencies: latencies(answers()),
+            goodput: in_time as f64 / duration.as_secs_f64(),
+            coverage_mean: coverage / samples.len().max(1) as f64,
+            coverage_min: answers().map(|sample| sample.coverage).fold(1.0, f64::min),
+            untrue: samples.iter().filter(|sample| sample.untrue).count(),
+            attempts,
+            lag_max: samples.iter().map(|s| s.lag).max().unwrap_or_default(),
+        }
+    }
+
+    /// Returns the latency below which the given share, from 0 to 1, of the answers stayed.
+    pub fn latency(&self, share: f64) -> Duration {
+        Duration::from_micros(self.latencies.value_at_quantile(share))
+    }
+
+    /// Returns the number of requests with this outcome.
+    pub fn outcome(&self, outcome: Outcome) -> usize {
+        self.outcomes.get(&outcome).copied().unwrap_or(0)
+    }
+}
+
+fn count(samples: &[Sample]) -> BTreeMap<Outcome, usize> {
+    let mut outcomes = BTreeMap::new();
+    for sample in samples {
+        *outcomes.entry(sample.outcome).or_default() += 1;
+    }
+    outcomes
+}
+
+fn latencies<'a>(samples: impl Iterator<Item = &'a Sample>) -> Latencies {
+    let mut latencies = empty();
+    for sample in samples {
+        let micros = u64::try_from(sample.latency.as_micros()).unwrap_or(u64::MAX);
+        latencies.saturating_record(micros);
+    }
+    latencies
+}
+
+/// A histogram over any latency.
+fn empty() -> Latencies {
+    Histogram::new(LATENCY_DIGITS).expect("the number of digits is between 0 and 5")
+}
