--- a/crates/experiment/src/report/mod.rs
+++ b/crates/experiment/src/report/mod.rs
@@ -12,6 +12,8 @@
 
 /// Significant digits of recorded latencies.
 const LATENCY_DIGITS: u8 = 3;
+/// Longest latency that is told apart, in microseconds: ten minutes.
+const LONGEST_MICROS: u64 = 600_000_000;
 const PERCENT: f64 = 100.0;
 
 /// Attempts as the backend servers counted them.
@@ -122,7 +124,8 @@
     latencies
 }
 
-/// A histogram over any latency.
+/// A histogram up to the longest latency that is told apart. An unbounded one, which grows while it
+/// records, would take a saturating record for its current size and cut every latency down to it.
 fn empty() -> Latencies {
-    Histogram::new(LATENCY_DIGITS).expect("the number of digits is between 0 and 5")
+    Histogram::new_with_bounds(1, LONGEST_MICROS, LATENCY_DIGITS).expect("the bounds are in order")
 }
