--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,10 +5,15 @@
 //! generator. The daemon is a driver around this crate; golden sessions, property tests and a bench
 //! drive exactly the code that runs in production.
 
+pub mod admission;
 pub mod attempt;
+pub mod backend;
+pub mod budget;
 pub mod home;
+pub mod idempotency;
 pub mod outcome;
 pub mod reply;
+pub mod stop;
 
 /// Monotonic time since the start of the process that decides.
 pub type Time = std::time::Duration;
