--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -220,6 +220,15 @@
         Ok(key.context(missing)?.to_owned())
     }
 
+    /// Tells whether a daemon says that it is ready.
+    pub async fn ready(&self, daemon: SocketAddr) -> bool {
+        let Ok(address) = format!("http://{daemon}/ready").parse() else {
+            return false;
+        };
+        let response = tokio::time::timeout(PATIENCE, self.client.get(address)).await;
+        matches!(response, Ok(Ok(response)) if response.status().is_success())
+    }
+
     async fn ask(&self, daemon: SocketAddr, question: Question) -> Answer {
         let executes = question.key.is_some();
         match self.exchange(daemon, question).await {
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -5,13 +5,18 @@
 //! leave at times drawn beforehand, and latency is counted from those times, so that a slow answer
 //! can't hide the wait of the requests behind it. Everything random is drawn from a seed.
 //!
-//! A run goes through these modules: a [`scenario`] says what is tried, [`load`] sends and records
-//! [`sample`]s by way of the [`caller`] client, [`verify`] holds each answer against what the
-//! stand-ins hold, and [`report`] turns the samples into tables and plots.
+//! A [`trial`] goes through these modules: a [`scenario`] says what is tried, [`deployment`] starts
+//! stand-ins and daemons, [`load`] sends and records [`sample`]s by way of the [`caller`] client while
+//! [`fault`] breaks something, [`verify`] holds each answer against what the stand-ins hold, and
+//! [`report`] turns the samples into tables and plots.
 
 pub mod arrival;
 pub mod caller;
+pub mod deployment;
+pub mod fault;
 pub mod load;
 pub mod report;
 pub mod sample;
+pub mod scenario;
+pub mod trial;
 pub mod verify;
--- a/crates/experiment/src/report/mod.rs
+++ b/crates/experiment/src/report/mod.rs
@@ -8,6 +8,7 @@
 use crate::sample::{Outcome, Sample};
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
+use std::ops::AddAssign;
 use std::time::Duration;
 
 /// Significant digits of recorded latencies.
@@ -23,6 +24,16 @@
     pub first: u64,
     /// All attempts.
     pub all: u64,
+    /// Processes of backend servers that crashed.
+    pub crashes: u64,
+}
+
+impl AddAssign for Attempts {
+    fn add_assign(&mut self, other: Self) {
+        self.first += other.first;
+        self.all += other.all;
+        self.crashes += other.crashes;
+    }
 }
 
 impl Attempts {
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -15,7 +15,7 @@
     value: fn(&Summary) -> String,
 }
 
-const COLUMNS: [Column; 15] = [
+const COLUMNS: [Column; 16] = [
     column("requests", |s| s.requests.to_string()),
     column("p50 ms", |s| millis(s.latency(MEDIAN))),
     column("p99 ms", |s| millis(s.latency(P99))),
@@ -37,6 +37,7 @@
         let silent = s.outcome(Outcome::Silent);
         (silent + s.outcome(Outcome::Unreachable)).to_string()
     }),
+    column("crashes", |s| s.attempts.crashes.to_string()),
     column("untrue", |s| s.untrue.to_string()),
 ];
 
--- /dev/null
+++ b/crates/experiment/src/trial.rs
@@ -0,0 +1,152 @@
+//! One run of one scenario under one policy.
+
+use crate::deployment::{self, Deployment, Launch};
+use crate::fault;
+use crate::load::{self, Plan};
+use crate::report::{Attempts, Row, Summary};
+use crate::sample::Sample;
+use crate::scenario::{Policy, Scenario};
+use crate::verify::Data;
+use monsoonring_configuration::Range;
+use monsoonring_fakes::backend_server::{Attempt, Server};
+use monsoonring_fakes::fleet::Shape;
+use std::collections::HashSet;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Share of the run for which load is sent first without being measured.
+const WARM_UP_SHARE: f64 = 0.25;
+/// Time after which the last attempts of the warm-up have reached the backend servers.
+const SETTLE: Duration = Duration::from_millis(500);
+
+/// How trials are run.
+#[derive(Clone, Debug)]
+pub struct Bench {
+    /// Number of daemons.
+    pub daemons: usize,
+    /// How the daemons are started.
+    pub launch: Launch,
+    /// Seed of the intended times.
+    pub seed: u64,
+    /// Runs of each scenario under each policy.
+    pub rounds: u64,
+}
+
+impl Bench {
+    /// Runs a scenario under each policy. The policies take turns in each round, so that a machine
+    /// that is busier for a while harms all of them alike.
+    ///
+    /// # Errors
+    ///
+    /// [`deployment::Error`] where the daemons did not come up.
+    pub async fn compare(
+        &self,
+        scenario: &Scenario,
+        policies: &[Policy],
+    ) -> deployment::Result<Vec<Row>> {
+        let mut runs: Vec<(Vec<Sample>, Attempts)> = vec![Default::default(); policies.len()];
+        for round in 0..self.rounds {
+            for (policy, run) in policies.iter().zip(&mut runs) {
+                let (samples, attempts) = self.run(scenario, policy, self.seed + round).await?;
+                run.0.extend(samples);
+                run.1 += attempts;
+            }
+        }
+        let rounds = u32::try_from(self.rounds).unwrap_or(u32::MAX);
+        let duration = scenario.duration * rounds;
+        let deadline = scenario.fleet().deadline;
+        let rows = policies.iter().zip(runs);
+        Ok(rows
+            .map(|(policy, (samples, attempts))| Row {
+                scenario: scenario.name(),
+                policy: policy.name.clone(),
+                summary: Summary::new(&samples, duration, deadline, attempts),
+            })
+            .collect())
+    }
+
+    async fn run(
+        &self,
+        scenario: &Scenario,
+        policy: &Policy,
+        seed: u64,
+    ) -> deployment::Result<(Vec<Sample>, Attempts)> {
+        let mut shape = scenario.fleet();
+        fault::prepare(scenario.fault, &mut shape);
+        let setup = deployment::Setup {
+            shapes: vec![shape.clone()],
+            policy: policy.clone(),
+            daemons: self.daemons,
+            launch: self.launch.clone(),
+        };
+        let deployment = Deployment::start(setup).await?;
+        let mut plan = plan(scenario, &shape, &deployment, seed);
+        plan.duration = scenario.duration.mul_f64(WARM_UP_SHARE);
+        load::run(&plan).await;
+        sleep(SETTLE).await;
+        plan.duration = scenario.duration;
+        let before = counts(&deployment);
+        let fault = async {
+            sleep(scenario.fault_after()).await;
+            fault::inject(scenario, &deployment).await;
+        };
+        let (samples, ()) = tokio::join!(load::run(&plan), fault);
+        sleep(SETTLE).await;
+        let attempts = attempts(&deployment, &shape, &before);
+        deployment.stop().await;
+        Ok((samples, attempts))
+    }
+}
+
+/// Returns the load on a shape of a deployment.
+pub fn plan(scenario: &Scenario, shape: &Shape, deployment: &Deployment, seed: u64) -> Plan {
+    Plan {
+        rate: scenario.rate(),
+        duration: scenario.duration,
+        seed,
+        daemons: deployment.callers(),
+        route: shape.route.clone(),
+        kind: shape.kind,
+        caller: shape.caller.name.clone(),
+        deadline: shape.deadline,
+        data: data(deployment, shape),
+    }
+}
+
+/// Returns what a whole answer of a shape holds.
+pub fn data(deployment: &Deployment, shape: &Shape) -> Data {
+    let document = deployment.fleet.document();
+    let route = document.routes.iter().find(|r| r.name == shape.route);
+    Data {
+        keys: route.map_or(Range::new(0, 0), |route| route.keys),
+        item_every: shape.settings.item_every,
+    }
+}
+
+/// Attempts and crashes that each backend server has counted so far.
+type Counts = Vec<(usize, u64)>;
+
+fn counts(deployment: &Deployment) -> Counts {
+    let count = |server: &Server| (server.attempts().len(), server.counters().crashes);
+    deployment.fleet.servers().map(count).collect()
+}
+
+/// Counts the attempts since `before`. The first one that a request has at a group isn't extra; a
+/// backend server that it is cancelled at or that refuses it has had the load all the same.
+fn attempts(deployment: &Deployment, shape: &Shape, before: &Counts) -> Attempts {
+    let servers: Vec<&Server> = deployment.fleet.servers().collect();
+    let replicas = shape.replicas.max(1);
+    let groups = servers.chunks(replicas).zip(before.chunks(replicas));
+    let mut total = Attempts::default();
+    for (group, before) in groups {
+        let mut requests = HashSet::new();
+        for (server, (seen, crashes)) in group.iter().zip(before) {
+            let attempts: Vec<Attempt> = server.attempts().split_off(*seen);
+            total.all += attempts.len() as u64;
+            total.crashes += server.counters().crashes - crashes;
+            requests.extend(attempts.into_iter().map(|attempt| attempt.request));
+        }
+        total.first += requests.len() as u64;
+    }
+    total
+}
--- a/crates/experiment/tests/report.rs
+++ b/crates/experiment/tests/report.rs
@@ -26,6 +26,7 @@
     let attempts = Attempts {
         first: 1_000,
         all: 1_025,
+        crashes: 0,
     };
     let duration = Duration::from_secs(2);
     let deadline = Duration::from_millis(150);
