--- a/crates/experiment/src/deployment/mod.rs
+++ b/crates/experiment/src/deployment/mod.rs
@@ -55,6 +55,13 @@
     Processes(PathBuf),
 }
 
+impl Launch {
+    /// Returns processes of the binary where a path is given.
+    pub fn new(processes: Option<PathBuf>) -> Self {
+        Self::Processes(processes.unwrap_or_else(|| PathBuf::from("monsoonringd")))
+    }
+}
+
 /// What is to be started.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -155,7 +162,10 @@
             ("--operator-listen", daemon.operator.to_string()),
             ("--peer-listen", daemon.peer.to_string()),
             ("--data-centre", data_centre.to_owned()),
-            ("--configuration-service", self.service.address().to_string()),
+            (
+                "--configuration-service",
+                self.service.address().to_string(),
+            ),
             ("--host-list", self.hosts.address().to_string()),
         ];
         let flags = flags.into_iter();
--- a/crates/experiment/src/deployment/process.rs
+++ b/crates/experiment/src/deployment/process.rs
@@ -10,8 +10,7 @@
 const KEY_VARIABLE: &str = "MONSOONRING_KEY";
 
 /// Result of starting a process.
-pub(super) type Result<T, E = Box<dyn std::error::Error + Send + Sync>> =
-    std::result::Result<T, E>;
+pub(super) type Result<T, E = Box<dyn std::error::Error + Send + Sync>> = std::result::Result<T, E>;
 
 #[derive(Debug, Snafu)]
 #[snafu(display("run {}: {source}", path.display()))]
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! A [`trial`] goes through these modules: a [`scenario`] says what is tried, [`deployment`] starts
 //! stand-ins and daemons, [`load`] sends and records [`sample`]s by way of the [`caller`] client while
-//! [`fault`] breaks something, [`verify`] holds each answer against what the stand-ins hold, and
+//! [`fault`] breaks something and [`tally`] counts, [`verify`] holds each answer against what the stand-ins hold, and
 //! [`report`] turns the samples into tables and plots.
 
 pub mod arrival;
@@ -18,5 +18,6 @@
 pub mod report;
 pub mod sample;
 pub mod scenario;
+pub mod tally;
 pub mod trial;
 pub mod verify;
--- a/crates/experiment/src/trial.rs
+++ b/crates/experiment/src/trial.rs
@@ -6,11 +6,10 @@
 use crate::report::{Attempts, Row, Summary};
 use crate::sample::Sample;
 use crate::scenario::{Policy, Scenario};
+use crate::tally::Tally;
 use crate::verify::Data;
 use monsoonring_configuration::Range;
-use monsoonring_fakes::backend_server::{Attempt, Server};
 use monsoonring_fakes::fleet::Shape;
-use std::collections::HashSet;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -80,29 +79,39 @@
             launch: self.launch.clone(),
         };
         let deployment = Deployment::start(setup).await?;
-        let mut plan = plan(scenario, &shape, &deployment, seed);
-        plan.duration = scenario.duration.mul_f64(WARM_UP_SHARE);
-        load::run(&plan).await;
-        sleep(SETTLE).await;
-        plan.duration = scenario.duration;
-        let before = counts(&deployment);
+        let plan = Plan {
+            rate: scenario.rate(),
+            ..plan(&shape, &deployment, scenario.duration, seed)
+        };
+        warm_up(&plan).await;
+        let tally = Tally::begin(&deployment.fleet, &shape);
         let fault = async {
             sleep(scenario.fault_after()).await;
             fault::inject(scenario, &deployment).await;
         };
         let (samples, ()) = tokio::join!(load::run(&plan), fault);
         sleep(SETTLE).await;
-        let attempts = attempts(&deployment, &shape, &before);
+        let attempts = tally.end();
         deployment.stop().await;
         Ok((samples, attempts))
     }
 }
 
-/// Returns the load on a shape of a deployment.
-pub fn plan(scenario: &Scenario, shape: &Shape, deployment: &Deployment, seed: u64) -> Plan {
+async fn warm_up(plan: &Plan) {
+    let duration = plan.duration.mul_f64(WARM_UP_SHARE);
+    let plan = Plan {
+        duration,
+        ..plan.clone()
+    };
+    load::run(&plan).await;
+    sleep(SETTLE).await;
+}
+
+/// Returns a plan for a shape of a deployment, at no rate yet.
+pub fn plan(shape: &Shape, deployment: &Deployment, duration: Duration, seed: u64) -> Plan {
     Plan {
-        rate: scenario.rate(),
-        duration: scenario.duration,
+        rate: 0.0,
+        duration,
         seed,
         daemons: deployment.callers(),
         route: shape.route.clone(),
@@ -122,31 +131,3 @@
         item_every: shape.settings.item_every,
     }
 }
-
-/// Attempts and crashes that each backend server has counted so far.
-type Counts = Vec<(usize, u64)>;
-
-fn counts(deployment: &Deployment) -> Counts {
-    let count = |server: &Server| (server.attempts().len(), server.counters().crashes);
-    deployment.fleet.servers().map(count).collect()
-}
-
-/// Counts the attempts since `before`. The first one that a request has at a group isn't extra; a
-/// backend server that it is cancelled at or that refuses it has had the load all the same.
-fn attempts(deployment: &Deployment, shape: &Shape, before: &Counts) -> Attempts {
-    let servers: Vec<&Server> = deployment.fleet.servers().collect();
-    let replicas = shape.replicas.max(1);
-    let groups = servers.chunks(replicas).zip(before.chunks(replicas));
-    let mut total = Attempts::default();
-    for (group, before) in groups {
-        let mut requests = HashSet::new();
-        for (server, (seen, crashes)) in group.iter().zip(before) {
-            let attempts: Vec<Attempt> = server.attempts().split_off(*seen);
-            total.all += attempts.len() as u64;
-            total.crashes += server.counters().crashes - crashes;
-            requests.extend(attempts.into_iter().map(|attempt| attempt.request));
-        }
-        total.first += requests.len() as u64;
-    }
-    total
-}
--- a/crates/experiment/tests/verify.rs
+++ b/crates/experiment/tests/verify.rs
@@ -42,17 +42,17 @@
     }
 }
 
-#[test_case(whole(), true ; "whole")]
-#[test_case(half(), true ; "half")]
-#[test_case(Answer { outcome: Outcome::NotRun, ..half() }, true ; "no answer claims nothing")]
-#[test_case(Answer { outcome: Outcome::Complete, ..half() }, false ; "half that claims to be whole")]
-#[test_case(Answer { missing: Vec::new(), ..half() }, false ; "partial without a hole")]
-#[test_case(Answer { coverage: 0.6, ..half() }, false ; "overstated coverage")]
-#[test_case(Answer { items: half().items, ..whole() }, false ; "items lost")]
-#[test_case(Answer { items: whole().items, ..half() }, false ; "items of a missing range")]
-#[test_case(Answer { index_version: None, ..whole() }, false ; "no snapshot named")]
-fn is_true_answer(answer: Answer, expected: bool) {
-    assert_eq!(is_true(&answer, &DATA), expected);
+#[test_case(&whole(), true ; "whole")]
+#[test_case(&half(), true ; "half")]
+#[test_case(&Answer { outcome: Outcome::NotRun, ..half() }, true ; "no answer claims nothing")]
+#[test_case(&Answer { outcome: Outcome::Complete, ..half() }, false ; "half that claims to be whole")]
+#[test_case(&Answer { missing: Vec::new(), ..half() }, false ; "partial without a hole")]
+#[test_case(&Answer { coverage: 0.6, ..half() }, false ; "overstated coverage")]
+#[test_case(&Answer { items: half().items, ..whole() }, false ; "items lost")]
+#[test_case(&Answer { items: whole().items, ..half() }, false ; "items of a missing range")]
+#[test_case(&Answer { index_version: None, ..whole() }, false ; "no snapshot named")]
+fn is_true_answer(answer: &Answer, expected: bool) {
+    assert_eq!(is_true(answer, &DATA), expected);
 }
 
 #[test]
