--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -106,9 +106,6 @@
     /// The operator address of a daemon; may be given several times.
     #[arg(long = "daemon", value_name = "ADDR", required = true)]
     pub(crate) daemons: Vec<SocketAddr>,
-    /// Ask every other member that those daemons know of, too.
-    #[arg(long)]
-    pub(crate) all: bool,
     /// Time to wait for each daemon, in milliseconds.
     #[arg(long, value_name = "MS", default_value_t = 2_000)]
     pub(crate) timeout_ms: u64,
--- a/crates/cli/src/command/explain.rs
+++ b/crates/cli/src/command/explain.rs
@@ -8,6 +8,7 @@
 use hyper::StatusCode;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
+use serde_json::{Map, Value};
 use std::fmt::{self, Formatter};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,24 +18,27 @@
 #[serde(default)]
 struct Decision {
     at_ms: Option<u64>,
-    request: Option<String>,
-    what: String,
+    route: String,
+    decision: String,
     backend_server: Option<SocketAddr>,
-    why: String,
+    reason: String,
 }
 
+/// What a daemon explains: a request by the decisions on it, a backend server by what is known of it.
 #[derive(Debug, Deserialize)]
-struct Explanation {
-    decisions: Vec<Decision>,
+#[serde(untagged)]
+enum Explanation {
+    Request { decisions: Vec<Decision> },
+    BackendServer { backend_server: Map<String, Value> },
 }
 
-/// The daemon's explanation, whole for scripts and as a table for people.
+/// An explanation, whole for scripts and as a table for people.
 #[derive(Debug, Serialize)]
 #[serde(transparent)]
 struct Report {
     raw: Box<RawValue>,
     #[serde(skip)]
-    decisions: Vec<Decision>,
+    explanation: Explanation,
 }
 
 /// Asks the daemon and reports its decisions.
@@ -82,8 +86,8 @@
         return Err(format!("status {}", answer.status.as_u16()));
     }
     let raw: Box<RawValue> = read(&answer.body)?;
-    let Explanation { decisions } = read(&answer.body)?;
-    Ok(Report { raw, decisions })
+    let explanation = read(&answer.body)?;
+    Ok(Report { raw, explanation })
 }
 
 fn read<'a, T: Deserialize<'a>>(body: &'a [u8]) -> Result<T, String> {
@@ -92,24 +96,43 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let mut table = Table::new(&["at", "request", "decision", "backend server", "why"]);
-        for decision in &self.decisions {
-            table.row(decision.cells());
-        }
+        let table = match &self.explanation {
+            Explanation::Request { decisions } => table_of(decisions),
+            Explanation::BackendServer { backend_server } => fields(backend_server),
+        };
         write!(f, "{table}")
     }
 }
 
+fn table_of(decisions: &[Decision]) -> Table {
+    let mut table = Table::new(&["at", "route", "decision", "backend server", "reason"]);
+    for decision in decisions {
+        table.row(decision.cells());
+    }
+    table
+}
+
+fn fields(server: &Map<String, Value>) -> Table {
+    let mut table = Table::new(&["field", "value"]);
+    for (name, value) in server {
+        let text = value
+            .as_str()
+            .map_or_else(|| value.to_string(), str::to_owned);
+        table.row(vec![name.clone(), text]);
+    }
+    table
+}
+
 impl Decision {
     fn cells(&self) -> Vec<String> {
         let none = || "-".to_owned();
         vec![
             self.at_ms.map_or_else(none, |at| format!("{at} ms")),
-            self.request.clone().unwrap_or_else(none),
-            self.what.clone(),
+            self.route.clone(),
+            self.decision.clone(),
             self.backend_server
                 .map_or_else(none, |server| server.to_string()),
-            self.why.clone(),
+            self.reason.clone(),
         ]
     }
 }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -6,4 +6,5 @@
 mod input;
 pub(crate) mod query;
 mod request;
+mod state;
 pub(crate) mod status;
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -59,7 +59,21 @@
 /// Writes rows as CSV.
 pub fn csv(rows: &[Row]) -> String {
     let lines = std::iter::once(headings()).chain(rows.iter().map(cells));
-    lines.map(|cells| cells.join(",") + "\n").collect()
+    lines.map(|cells| record(&cells)).collect()
+}
+
+fn record(cells: &[String]) -> String {
+    let quoted: Vec<String> = cells.iter().map(|cell| quote(cell)).collect();
+    quoted.join(",") + "\n"
+}
+
+/// Names of scenarios and policies have commas, which would shift the columns behind them.
+fn quote(cell: &str) -> String {
+    if cell.contains([',', '"']) {
+        format!("\"{}\"", cell.replace('"', "\"\""))
+    } else {
+        cell.to_owned()
+    }
 }
 
 fn line(cells: &[String]) -> String {
--- a/crates/experiment/tests/report.rs
+++ b/crates/experiment/tests/report.rs
@@ -77,6 +77,15 @@
     }
 }
 
+#[test]
+fn csv_name_with_a_comma_is_one_cell() {
+    let row = Row {
+        policy: "no hedge, no retry".to_owned(),
+        ..row()
+    };
+    assert!(csv(&[row]).contains("gate desk,\"no hedge, no retry\",100,"));
+}
+
 #[test]
 fn plot_names_each_policy() {
     let directory = std::env::temp_dir().join(format!("monsoonring-plot-{}", std::process::id()));
