--- a/crates/fakes/src/fleet.rs
+++ b/crates/fakes/src/fleet.rs
@@ -114,6 +114,18 @@
 }
 
 impl Shape {
+    /// A hedge would run a non-idempotent request twice.
+    fn hedge(&self) -> Hedge {
+        let budget_percent = match self.kind {
+            Kind::Search => Hedge::default().budget_percent,
+            Kind::Execute => 0.0,
+        };
+        Hedge {
+            budget_percent,
+            ..Hedge::default()
+        }
+    }
+
     /// Multiplies all times: service, connections, deadlines.
     #[must_use]
     pub fn scaled(mut self, factor: f64) -> Self {
@@ -156,7 +168,7 @@
             callers: vec![self.caller.name.clone()],
             deadline_ms: milliseconds(self.deadline),
             soft_deadline: self.soft_deadline,
-            hedge: Hedge::default(),
+            hedge: self.hedge(),
             retry: Retry::default(),
             capacity: Capacity {
                 slots: self.settings.slots as u32,
