--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -49,7 +49,7 @@
         current: settings.key.clone(),
         previous: settings.previous_key.clone(),
     };
-    let pool = Pool::new(ring.clone());
+    let pool = Pool::new(settings.peer_listen.ip(), ring.clone());
     let (news, heard) = mpsc::unbounded_channel();
     let control = control::spawn(control::Settings {
         own: own.clone(),
--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -7,7 +7,7 @@
 use monsoonring_wire::key::Ring;
 use monsoonring_wire::peer::{self, PeerClient};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::OnceCell;
 
@@ -17,13 +17,15 @@
 /// Clients by peer.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
+    own: IpAddr,
     ring: Ring,
     slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
 }
 
 impl Pool {
-    pub(crate) fn new(ring: Ring) -> Self {
+    pub(crate) fn new(own: IpAddr, ring: Ring) -> Self {
         Self {
+            own,
             ring,
             slots: Arc::default(),
         }
@@ -39,7 +41,7 @@
         // Callers that come at the same time wait for the one who opens, so that a restart of a peer
         // does not meet as many connections as there are queries.
         let client = slot
-            .get_or_try_init(|| peer::connect(peer, &self.ring))
+            .get_or_try_init(|| peer::connect(peer, self.own, &self.ring))
             .await?;
         Ok(client.clone())
     }
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -12,10 +12,10 @@
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use snafu::{OptionExt, ResultExt, Snafu};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -94,14 +94,15 @@
 
 /// Opens a stream to a peer.
 ///
+/// The stream comes from the address `own`, so that firewalls and peers see a daemon under one IP
+/// number in both directions; the unspecified address leaves the choice to the system.
+///
 /// # Errors
 ///
 /// Fails where the peer can't be reached, does not answer in time or does not hold the key.
-pub async fn connect(peer: SocketAddr, ring: &Ring) -> Result<Box<dyn Stream>> {
+pub async fn connect(peer: SocketAddr, own: IpAddr, ring: &Ring) -> Result<Box<dyn Stream>> {
     let opening = async {
-        let stream = TcpStream::connect(peer)
-            .await
-            .context(ConnectSnafu { peer })?;
+        let stream = dial(peer, own).await.context(ConnectSnafu { peer })?;
         // Small calls would wait for the acknowledgement of the one before.
         stream.set_nodelay(true).context(ConnectSnafu { peer })?;
         match &ring.current {
@@ -115,6 +116,17 @@
         .context(TimeoutSnafu { peer })?
 }
 
+async fn dial(peer: SocketAddr, own: IpAddr) -> std::io::Result<TcpStream> {
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if !own.is_unspecified() && own.is_ipv4() == peer.is_ipv4() {
+        socket.bind(SocketAddr::new(own, 0))?;
+    }
+    socket.connect(peer).await
+}
+
 /// Takes a stream that a peer has opened.
 ///
 /// # Errors
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -8,7 +8,7 @@
 use monsoonring_decision::idempotency::{Handover, Key, Receipt};
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
 use monsoonring_decision::outcome::Outcome;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
@@ -59,13 +59,13 @@
 pub type Calls<Item, SinkItem> =
     Transport<Box<dyn Stream>, Item, SinkItem, Bincode<Item, SinkItem>>;
 
-/// Opens a client to a peer.
+/// Opens a client to a peer, from the address `own`.
 ///
 /// # Errors
 ///
 /// Fails where no stream to the peer can be opened.
-pub async fn connect(peer: SocketAddr, ring: &Ring) -> channel::Result<PeerClient> {
-    let stream = channel::connect(peer, ring).await?;
+pub async fn connect(peer: SocketAddr, own: IpAddr, ring: &Ring) -> channel::Result<PeerClient> {
+    let stream = channel::connect(peer, own, ring).await?;
     let calls = transport(stream);
     Ok(PeerClient::new(tarpc::client::Config::default(), calls).spawn())
 }
