--- a/crates/configuration/src/section.rs
+++ b/crates/configuration/src/section.rs
@@ -93,6 +93,8 @@
 ///
 /// The index may be a selection, see [`Index::select`]; the document then has only those routes.
 /// The result is in canonical form and has passed [`check::document`].
+/// Its identity is the digest of the index that came with it and not that of another [`split`]: the
+/// sender's build may write canonical bytes that differ from this one's.
 ///
 /// # Errors
 ///
--- a/crates/configuration/tests/difference.rs
+++ b/crates/configuration/tests/difference.rs
@@ -99,31 +99,67 @@
     insta::assert_json_snapshot!("split_group_json", after(split_group));
 }
 
-/// A group that only gets another name, or is cut in two halves that stay where they are, moves
-/// nothing: a change that reads like a move would make an operator wait for a copy of data.
+fn keys_moved(difference: &difference::Difference) -> Vec<(&str, Range)> {
+    let effects = difference.effects.iter();
+    effects
+        .filter_map(|effect| match effect {
+            Effect::KeysMoved { route, keys, .. } => Some((&**route, *keys)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// A group that only gets another name moves nothing: a change that reads like a move would make an
+/// operator wait for a copy of data.
 #[test]
-fn between_split_in_place_moves_nothing() {
+fn between_renamed_group_moves_nothing() {
+    let difference = after(|document| document.routes[3].groups[0].name = "renamed".into());
+    assert!(!difference.is_empty());
+    assert_eq!(keys_moved(&difference), []);
+}
+
+/// Only the upper half of a group goes elsewhere.
+#[test]
+fn between_split_group_moves_one_half() {
     let difference = after(|document| {
-        let route = &mut document.routes[3];
-        route.groups[0].name = "renamed".into();
-        let group = &mut document.routes[0].groups[1];
-        let mut half = group.clone();
+        let route = &mut document.routes[0];
+        let mut half = route.groups[1].clone();
+        route.groups[1].keys = Range::new(1000, 1400);
         half.name = "other-half".into();
-        group.keys = Range::new(1000, 1400);
         half.keys = Range::new(1400, 2000);
-        group.backend_servers.truncate(3);
-        let servers = half.backend_servers.split_off(3);
-        assert!(servers.is_empty());
         half.backend_servers = vec![([10, 30, 1, 77], 7100).into()];
-        document.routes[0].groups.push(half);
+        route.groups.push(half);
     });
-    let moves: Vec<_> = difference
-        .effects
-        .iter()
-        .filter_map(|effect| match effect {
-            Effect::KeysMoved { route, keys, .. } => Some((route.to_string(), *keys)),
-            _ => None,
-        })
-        .collect();
-    assert_eq!(moves, [("gate-desk".to_owned(), Range::new(1400, 2000))]);
+    let upper = ("gate-desk", Range::new(1400, 2000));
+    assert_eq!(keys_moved(&difference), [upper]);
+}
+
+/// Two groups become one elsewhere: two moves, since the keys come from different backend servers.
+#[test]
+fn between_merged_groups_moves_from_each() {
+    let difference = after(|document| {
+        let groups = &mut document.routes[0].groups;
+        groups.remove(1);
+        groups[0].keys = Range::new(0, 2000);
+        groups[0].backend_servers = vec![([10, 30, 1, 77], 7100).into()];
+    });
+    let moved = [(0, 1000), (1000, 2000)].map(|(start, end)| ("gate-desk", Range::new(start, end)));
+    assert_eq!(keys_moved(&difference), moved);
+}
+
+/// A group is cut in two, and both halves exchange the same replica: one move.
+#[test]
+fn between_group_replaced_across_a_new_border_is_one_move() {
+    let old = document(example::BEET);
+    let mut new = old.clone();
+    let groups = &mut new.routes[3].groups;
+    groups[0].backend_servers[0] = ([10, 33, 9, 1], 7100).into();
+    let mut upper = groups[0].clone();
+    groups[0].keys.end = 400;
+    upper.name = "upper".into();
+    upper.keys.start = 400;
+    groups.push(upper);
+    let difference = difference::between(&old, &new);
+    let whole = ("payout-ledger", Range::new(0, 1000));
+    assert_eq!(keys_moved(&difference), [whole]);
 }
--- a/crates/configuration/tests/faults.rs
+++ b/crates/configuration/tests/faults.rs
@@ -186,6 +186,23 @@
     assert_eq!(document.routes[0].deadline_ms, 500);
 }
 
+/// The wide range comes first, so that each later one overlaps it without touching its neighbour.
+#[test]
+fn parse_range_inside_another_is_refused() {
+    let mut edited = valid();
+    let groups = [(0, 100), (10, 20), (50, 60)].map(|(start, end)| {
+        json!({"name": format!("g{start}"), "keys": {"start": start, "end": end},
+               "backend_servers": [format!("10.0.0.1:{}", start + 1)]})
+    });
+    edited["routes"][0]["groups"] = json!(groups);
+    let found = faults(&edited);
+    let paths: Vec<_> = found.iter().map(|(path, _)| path.as_str()).collect();
+    assert_eq!(
+        paths,
+        ["routes[0].groups[1].keys", "routes[0].groups[2].keys"]
+    );
+}
+
 /// One document with as many faults of different kinds as fit, so that a change of any message, or
 /// a fault that hides another, shows in the golden list.
 #[test]
--- a/crates/configuration/tests/sections.rs
+++ b/crates/configuration/tests/sections.rs
@@ -1,5 +1,6 @@
 //! Sections and their digests.
 
+use monsoonring_configuration::document::SoftDeadline;
 use monsoonring_configuration::section::{self, Digest, Error, Index, Name, Section};
 use monsoonring_configuration::{Document, canonical, check, example};
 use std::sync::Arc;
@@ -25,6 +26,61 @@
     insta::assert_json_snapshot!("index", (&index, index.digest()));
 }
 
+fn upper_case_token(document: &mut Document) {
+    document.callers[0].token_sha256 = Some("AB".repeat(32));
+}
+
+fn lower_case_token(document: &mut Document) {
+    document.callers[0].token_sha256 = Some("ab".repeat(32));
+}
+
+fn negative_zero(document: &mut Document) {
+    document.routes[0].hedge.budget_percent = -0.0;
+    document.routes[0].hedge.quantile = -0.0;
+    document.routes[0].retry.budget_percent = -0.0;
+    document.routes[0].soft_deadline = Some(soft_deadline(-0.0));
+}
+
+fn zero(document: &mut Document) {
+    document.routes[0].hedge.budget_percent = 0.0;
+    document.routes[0].hedge.quantile = 0.0;
+    document.routes[0].retry.budget_percent = 0.0;
+    document.routes[0].soft_deadline = Some(soft_deadline(0.0));
+}
+
+fn soft_deadline(coverage: f64) -> SoftDeadline {
+    let after_ms = 1;
+    SoftDeadline { after_ms, coverage }
+}
+
+fn unchanged(_: &mut Document) {}
+
+fn reverse_lists(document: &mut Document) {
+    document.callers.reverse();
+    document.routes.reverse();
+    for route in &mut document.routes {
+        route.callers.reverse();
+        route.groups.reverse();
+        for group in &mut route.groups {
+            group.backend_servers.reverse();
+        }
+    }
+}
+
+#[test_case(upper_case_token, lower_case_token; "case_of_digits")]
+#[test_case(negative_zero, zero; "sign_of_zero")]
+#[test_case(reverse_lists, unchanged; "order_of_lists")]
+fn digest_of_same_meaning_is_equal(left: fn(&mut Document), right: fn(&mut Document)) {
+    let digest = |edit: fn(&mut Document)| {
+        let mut document = document();
+        edit(&mut document);
+        check::document(&document).expect("the edit keeps the document valid");
+        let sections = section::split(&document).expect("a document can be written");
+        Index::of(&sections).digest()
+    };
+    assert_eq!(digest(left), digest(right));
+}
+
 #[test]
 fn digest_of_nothing_is_the_standard_one() {
     let empty = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
