Build the paths of a check only where they are needed

Cause: each JSON value that was read copied the path to it, field names included. Change: the reader keeps one path and steps up and down; field names known to the build aren't copied; addresses seen before are remembered by reference.

--- a/crates/configuration/src/check/node.rs
+++ b/crates/configuration/src/check/node.rs
@@ -22,14 +22,14 @@
         }
     }
 
-    pub(crate) fn field(&self, name: &str) -> Option<Self> {
+    pub(crate) fn field(&self, name: &'static str) -> Option<Self> {
         let value = self.value.get(name)?;
         let path = self.path.field(name);
         Some(Self { path, value })
     }
 
     /// The items of the array in the field `name`; none if there is no such array.
-    pub(crate) fn items(&self, name: &str) -> Vec<Self> {
+    pub(crate) fn items(&self, name: &'static str) -> Vec<Self> {
         let array = self.value.get(name).and_then(Value::as_array);
         let path = self.path.field(name);
         array
@@ -48,7 +48,7 @@
     }
 
     pub(crate) fn read_field<T: Deserialize<'a>>(&self, name: &str) -> Option<T> {
-        self.field(name)?.read()
+        T::deserialize(self.value.get(name)?).ok()
     }
 
     pub(crate) fn fault(&self, wrong: impl Into<String>, right: impl Into<String>) -> Fault {
--- a/crates/configuration/src/check/path.rs
+++ b/crates/configuration/src/check/path.rs
@@ -2,6 +2,7 @@
 
 use derive_more::Display;
 use serde::{Serialize, Serializer};
+use std::borrow::Cow;
 use std::fmt;
 
 /// One step down into a JSON value.
@@ -12,7 +13,7 @@
     Index(usize),
     /// Into a field of an object.
     #[display("{_0}")]
-    Field(String),
+    Field(Cow<'static, str>),
 }
 
 /// The way to a place in a JSON document, written `routes[2].groups[0].keys.end`.
@@ -28,8 +29,8 @@
     }
 
     /// Returns the path of a field of the object at this path.
-    pub fn field(&self, name: &str) -> Self {
-        self.step(Step::Field(name.to_owned()))
+    pub fn field(&self, name: impl Into<Cow<'static, str>>) -> Self {
+        self.step(Step::Field(name.into()))
     }
 
     /// Returns the steps from the document down.
@@ -37,8 +38,17 @@
         &self.0
     }
 
+    pub(super) fn push(&mut self, step: Step) {
+        self.0.push(step);
+    }
+
+    pub(super) fn pop(&mut self) {
+        self.0.pop();
+    }
+
     fn step(&self, step: Step) -> Self {
-        let mut steps = self.0.clone();
+        let mut steps = Vec::with_capacity(self.0.len() + 1);
+        steps.extend_from_slice(&self.0);
         steps.push(step);
         Self(steps)
     }
--- a/crates/configuration/src/check/reader.rs
+++ b/crates/configuration/src/check/reader.rs
@@ -3,7 +3,7 @@
 //! The usual reader keeps the last of two equal keys. An operator who edits a copied block then
 //! sees one value in the file and another in force, and nothing complains. Here both are a fault.
 
-use super::{Fault, Path};
+use super::{Fault, Path, Step};
 use serde::de::{DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Value};
 use std::fmt;
@@ -18,8 +18,9 @@
 pub(super) fn read(bytes: &[u8]) -> Result<Read, Fault> {
     let mut faults = Vec::new();
     let mut deserializer = serde_json::Deserializer::from_slice(bytes);
+    let mut path = Path::default();
     let seed = Seed {
-        path: Path::default(),
+        path: &mut path,
         faults: &mut faults,
     };
     let value = seed
@@ -38,8 +39,11 @@
 }
 
 /// Reads the value at `path`.
+///
+/// Invariant: each step down is taken back, so that `path` is the same before and after. After an
+/// error it isn't, but then nothing is read any more.
 struct Seed<'a> {
-    path: Path,
+    path: &'a mut Path,
     faults: &'a mut Vec<Fault>,
 }
 
@@ -84,26 +88,32 @@
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
         let mut items = Vec::new();
-        while let Some(item) = access.next_element_seed(Seed {
-            path: self.path.index(items.len()),
-            faults: &mut *self.faults,
-        })? {
-            items.push(item);
+        loop {
+            self.path.push(Step::Index(items.len()));
+            let item = access.next_element_seed(Seed {
+                path: &mut *self.path,
+                faults: &mut *self.faults,
+            })?;
+            self.path.pop();
+            match item {
+                Some(item) => items.push(item),
+                None => return Ok(items.into()),
+            }
         }
-        Ok(items.into())
     }
 
     fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
         let mut fields = Map::new();
         while let Some(name) = access.next_key::<String>()? {
-            let path = self.path.field(&name);
+            self.path.push(Step::Field(name.clone().into()));
             if fields.contains_key(&name) {
-                self.faults.push(duplicate_fault(path.clone()));
+                self.faults.push(duplicate_fault(self.path.clone()));
             }
             let value = access.next_value_seed(Seed {
-                path,
+                path: &mut *self.path,
                 faults: &mut *self.faults,
             })?;
+            self.path.pop();
             fields.insert(name, value);
         }
         Ok(fields.into())
--- a/crates/configuration/src/check/rule.rs
+++ b/crates/configuration/src/check/rule.rs
@@ -5,6 +5,7 @@
 use super::tiling;
 use crate::document::{Hedge, Kind};
 use crate::id::BackendServerId;
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 
 /// Finds all breaches of the rules in a document.
@@ -54,37 +55,44 @@
 }
 
 fn server_faults(groups: &[Node<'_>]) -> Vec<Fault> {
-    let mut faults = Vec::new();
-    let mut first = HashMap::new();
-    for server in groups
+    let servers: Vec<Node<'_>> = groups
         .iter()
         .flat_map(|group| group.items("backend_servers"))
-    {
+        .collect();
+    let mut faults = Vec::new();
+    let mut first = HashMap::new();
+    for server in &servers {
         let Some(address) = server.read::<BackendServerId>() else {
-            faults.extend(address_fault(&server));
+            faults.extend(spelling_fault(server));
             continue;
         };
-        if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
-            faults.push(server.fault(
-                format!("nothing can be connected to at {address}"),
-                "the IP and port on which the backend server listens",
-            ));
-        }
-        let path = server.path.clone();
-        if let Some(earlier) = first.get(&address) {
-            faults.push(server.fault(
-                format!("{address} already stands at {earlier}"),
+        faults.extend(address_fault(server, address));
+        match first.entry(address) {
+            Entry::Vacant(entry) => {
+                entry.insert(&server.path);
+            }
+            Entry::Occupied(entry) => faults.push(server.fault(
+                format!("{address} already stands at {}", entry.get()),
                 "each backend server once in a route",
-            ));
-        } else {
-            first.insert(address, path);
+            )),
         }
     }
     faults
 }
 
+fn address_fault(server: &Node<'_>, address: BackendServerId) -> Option<Fault> {
+    let ip = address.ip();
+    let is_reachable = address.port() != 0 && !ip.is_unspecified() && !ip.is_multicast();
+    (!is_reachable).then(|| {
+        server.fault(
+            format!("nothing can be connected to at {address}"),
+            "the IP and port on which the backend server listens",
+        )
+    })
+}
+
 /// A string that isn't an address; of other types the schema has already complained.
-fn address_fault(server: &Node<'_>) -> Option<Fault> {
+fn spelling_fault(server: &Node<'_>) -> Option<Fault> {
     let text = server.read::<&str>()?;
     Some(server.fault(
         format!("{text:?} isn't an IP address with a port"),
--- a/crates/configuration/src/check/structure.rs
+++ b/crates/configuration/src/check/structure.rs
@@ -56,7 +56,7 @@
         .unwrap_or_default();
     known.sort();
     Fault::new(
-        path.field(name),
+        path.field(name.to_owned()),
         "there is no field of this name",
         format!("one of {}", known.join(", ")),
     )
@@ -72,7 +72,11 @@
         })
         .and_then(Value::as_str)
         .unwrap_or("a value");
-    Fault::new(path.field(name), "the field is missing", one_line(meaning))
+    Fault::new(
+        path.field(name.to_owned()),
+        "the field is missing",
+        one_line(meaning),
+    )
 }
 
 /// Why a value doesn't fit, to be read after the value itself.
@@ -151,7 +155,7 @@
         let index = value.is_array().then(|| name.parse().ok()).flatten();
         (path, value) = match index {
             Some(index) => (path.index(index), &value[index]),
-            None => (path.field(&name), &value[name.as_str()]),
+            None => (path.field(name.clone()), &value[name.as_str()]),
         };
     }
     path
