--- a/crates/configuration/src/check/structure.rs
+++ b/crates/configuration/src/check/structure.rs
@@ -50,12 +50,13 @@
 }
 
 fn unknown_field(path: &Path, name: &str, error: &ValidationError<'_>) -> Fault {
-    let known: Vec<String> = schema_part(error)
+    let mut known: Vec<String> = schema_part(error)
         .and_then(|part| part.get("properties")?.as_object())
         .map(|fields| fields.keys().map(|name| format!("`{name}`")).collect())
         .unwrap_or_default();
+    known.sort();
     Fault::new(
-        path.field(name),
+        path.field(name.to_owned()),
         "there is no field of this name",
         format!("one of {}", known.join(", ")),
     )
@@ -71,7 +72,11 @@
         })
         .and_then(Value::as_str)
         .unwrap_or("a value");
-    Fault::new(path.field(name), "the field is missing", one_line(meaning))
+    Fault::new(
+        path.field(name.to_owned()),
+        "the field is missing",
+        one_line(meaning),
+    )
 }
 
 /// Why a value doesn't fit, to be read after the value itself.
@@ -99,10 +104,14 @@
             TypeKind::Multiple(_) => "a value of another type".to_owned(),
         },
         ValidationErrorKind::Pattern { pattern } => format!("a string of the form {pattern}"),
-        ValidationErrorKind::Minimum { limit } => format!("{limit} or more"),
-        ValidationErrorKind::ExclusiveMinimum { limit } => format!("more than {limit}"),
-        ValidationErrorKind::Maximum { limit } => format!("{limit} or less"),
-        ValidationErrorKind::ExclusiveMaximum { limit } => format!("less than {limit}"),
+        ValidationErrorKind::Minimum { limit } => format!("{} or more", schema::shown(limit)),
+        ValidationErrorKind::ExclusiveMinimum { limit } => {
+            format!("more than {}", schema::shown(limit))
+        }
+        ValidationErrorKind::Maximum { limit } => format!("{} or less", schema::shown(limit)),
+        ValidationErrorKind::ExclusiveMaximum { limit } => {
+            format!("less than {}", schema::shown(limit))
+        }
         ValidationErrorKind::MinItems { limit } => format!("{limit} or more items"),
         ValidationErrorKind::MaxItems { limit } => format!("{limit} or fewer items"),
         _ => known_values(error),
@@ -146,7 +155,7 @@
         let index = value.is_array().then(|| name.parse().ok()).flatten();
         (path, value) = match index {
             Some(index) => (path.index(index), &value[index]),
-            None => (path.field(&name), &value[name.as_str()]),
+            None => (path.field(name.clone()), &value[name.as_str()]),
         };
     }
     path
