Try capnp-rpc for the control exchange, and measure it against tarpc

Question: which library carries the control exchange. Both are asked for; the same messages went over both, both ends in one thread, bytes counted at the stream.

What capnp-rpc gives more is a schema that grows. The rule for mixed versions has to come otherwise: methods and messages are only ever added.

--- a/crates/wire/examples/exchange.rs
+++ b/crates/wire/examples/exchange.rs
@@ -3,8 +3,9 @@
 //! Both ends run in one thread, so that the processor time is that of a whole exchange: a message
 //! written, sent, read, answered and the answer read. Bytes are counted at the stream.
 
+use capnp::capability::Promise;
 use capnp_rpc::rpc_twoparty_capnp::Side;
-use capnp_rpc::{RpcSystem, twoparty};
+use capnp_rpc::{RpcSystem, pry, twoparty};
 use futures::StreamExt;
 use monsoonring_decision::configuration::Version;
 use monsoonring_decision::fact;
@@ -19,7 +20,6 @@
 use nix::sys::resource::{UsageWho, getrusage};
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
@@ -199,15 +199,15 @@
 }
 
 impl control::Server for Echo {
-    async fn probe(
-        self: Rc<Self>,
+    fn probe(
+        &mut self,
         parameters: control::ProbeParams,
         mut results: control::ProbeResults,
-    ) -> Result<(), capnp::Error> {
-        let message = read(parameters.get()?.get_message()?);
-        let message = message.map_err(|error| capnp::Error::failed(error.to_string()))?;
-        write(&message, results.get().init_message());
-        Ok(())
+    ) -> Promise<(), capnp::Error> {
+        let message = pry!(pry!(parameters.get()).get_message());
+        let message = read(message).map_err(|error| capnp::Error::failed(error.to_string()));
+        write(&pry!(message), results.get().init_message());
+        Promise::ok(())
     }
 }
 
