--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,10 +5,6 @@
 //! every byte goes through the [`channel`] that only holders of a key can open.
 
 pub mod channel;
-pub mod control;
 pub mod key;
 pub mod message;
 pub mod peer;
-
-// The generated module names itself from the root.
-use control::control_capnp;
