--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -7,11 +7,12 @@
 
 use super::action::{Action, Send};
 use super::flight::{Flight, Owner};
-use super::state::{Home, Waiting};
+use super::state::Home;
 use super::timer::Timer;
 use crate::attempt::{AttemptId, ConnectionId};
 use crate::backend::pool::Command;
 use crate::query::coverage::Set;
+use crate::query::run::Waiter;
 use crate::{RequestId, Time};
 use monsoonring_configuration::document::Kind;
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
@@ -23,6 +24,9 @@
 /// be lost from the home's share for good.
 const ANSWER_GRACE: Duration = Duration::from_secs(1);
 
+/// How many of those who wait may find no room before the others are not asked any more.
+const MISSES_AT_MOST: usize = 4;
+
 /// What a new attempt is about.
 pub(super) struct Task<'a> {
     pub(super) owner: Owner,
@@ -207,23 +211,57 @@
     }
 
     /// Lets those try again whose group has changed or whose turn may have come.
-    pub(super) fn serve(&mut self, now: Time) {
+    fn serve_held(&mut self, now: Time) {
         for fingerprint in std::mem::take(&mut self.freed) {
             let held = self.held.remove(&fingerprint).unwrap_or_default();
-            self.resume(held, now);
+            for waiter in held {
+                self.resume(waiter, now);
+            }
+        }
+    }
+
+    /// Serves those who wait: all of a group whose servers changed, and of a group that only has
+    /// room again as many as find some. Past saturation there are many who wait, and asking them
+    /// all after each reply would cost more than the replies.
+    pub(super) fn serve(&mut self, now: Time) {
+        self.serve_held(now);
+        for group in std::mem::take(&mut self.changed) {
+            self.touched.remove(&group);
+            self.serve_group(group, usize::MAX, now);
         }
         for group in std::mem::take(&mut self.touched) {
-            let waiting = self.waiting.remove(&group).unwrap_or_default();
-            self.resume(waiting, now);
+            self.serve_group(group, MISSES_AT_MOST, now);
         }
     }
 
-    fn resume(&mut self, waiting: Waiting, now: Time) {
-        for (_, _, request, part) in waiting {
-            match part {
-                Some(part) => self.resume_part(request, part, now),
-                None => self.resume_execution(request, now),
-            }
+    fn serve_group(&mut self, group: usize, misses_at_most: usize, now: Time) {
+        let Some(mut waiting) = self.waiting.remove(&group) else {
+            return;
+        };
+        let mut misses = 0;
+        while misses < misses_at_most {
+            let Some(waiter) = waiting.pop_first() else {
+                return;
+            };
+            let queued = self.next_attempt;
+            self.resume(waiter, now);
+            misses += usize::from(self.next_attempt == queued);
+        }
+        self.waiting.entry(group).or_default().append(&mut waiting);
+    }
+
+    /// Takes one who waits off the lists. Without this, a group whose servers are all gone would
+    /// collect one entry for each request of that time.
+    pub(super) fn forget(&mut self, group: usize, waiter: &Waiter) {
+        if let Some(waiting) = self.waiting.get_mut(&group) {
+            waiting.remove(waiter);
+        }
+    }
+
+    fn resume(&mut self, waiter: Waiter, now: Time) {
+        match waiter.3 {
+            Some(part) => self.resume_part(waiter.2, part, now),
+            None => self.resume_execution(waiter.2, now),
         }
     }
 
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -85,7 +85,10 @@
         if !run.agrees(version, self.route.minimum_index_version) {
             let why = format!("version {version:?}, pinned {:?}", run.pin);
             self.log(Some(run.request.id), "discard", Some(flight.server), why);
-            run.exclude(part, flight.server);
+            // One that was asked for no version may serve the pinned one as well.
+            if flight.version.is_some() {
+                run.exclude(part, flight.server);
+            }
             self.again(run, part, Cause::Retry, now);
             return;
         }
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -84,7 +84,7 @@
     fn hold_execution(&mut self, execution: Execution) {
         let request = &execution.request;
         let held = self.held.entry(request.fingerprint).or_default();
-        held.insert((request.class, execution.started, request.id, None));
+        held.insert(execution.waiter());
         self.executions.insert(request.id, execution);
     }
 
@@ -99,7 +99,7 @@
         }
         for group in 0..self.route.groups.len() {
             let waiting = self.waiting.entry(group).or_default();
-            waiting.insert((request.class, execution.started, request.id, None));
+            waiting.insert(execution.waiter());
         }
         self.executions.insert(request.id, execution);
     }
@@ -228,6 +228,9 @@
         if let Some(attempt) = execution.attempt() {
             self.disown(attempt, now);
         }
+        for group in 0..self.route.groups.len() {
+            self.forget(group, &execution.waiter());
+        }
         let request = execution.request.clone();
         let began = execution.started;
         let outcome = execution.give_up(reason);
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -6,7 +6,8 @@
 //!
 //! [`Home`] is one state machine in several files, by what happens: `search` and `execute` start
 //! requests, choose servers and end requests; `dispatch` brings attempts onto connections; `ending`
-//! takes in how attempts end; `server` takes in what is learned of backend servers, and the route;
+//! takes in how attempts end; `server` takes in what is learned of backend servers, and `reroute`
+//! a new configuration;
 //! `timer` keeps what is due.
 
 pub mod action;
@@ -15,6 +16,8 @@
 pub mod event;
 mod execute;
 mod flight;
+mod placement;
+mod reroute;
 mod search;
 mod server;
 mod state;
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -68,8 +68,10 @@
     /// Returns the version at which a run begins again: once, if its own has vanished and there is
     /// time for a reply at a newer one.
     fn restart_version(&self, run: &Run, now: Time) -> Option<IndexVersion> {
-        let part = run.parts.values().find(|part| part.vanished)?;
         let pinned = run.pin?;
+        let is_low = pinned < self.route.minimum_index_version;
+        let gone = |part: &&Part| part.vanished || is_low;
+        let part = run.parts.values().find(gone)?;
         let newer = self.pin.version().filter(|version| *version > pinned)?;
         let server = self.route.groups.get(part.group)?.backend_servers.first()?;
         let needed = self.fleet.hedge_delay(*server, RESTART_QUANTILE, now);
@@ -95,13 +97,17 @@
         }
     }
 
-    /// Tries again for a part that waited.
-    pub(super) fn resume_part(&mut self, request: RequestId, part: PartId, now: Time) {
+    /// Tries again for a part that waited, or for which no server was in sight.
+    pub(super) fn resume_part(&mut self, request: RequestId, id: PartId, now: Time) {
         self.with_run(request, now, |home, run| {
-            let waits = |part: &Part| part.live.is_empty() && part.given_up.is_none();
-            if run.parts.get(&part).is_some_and(waits) {
-                let cause = run.parts[&part].cause;
-                home.assign(run, part, cause, now);
+            let Some(part) = run.parts.get_mut(&id) else {
+                return;
+            };
+            if part.live.is_empty() {
+                part.given_up = None;
+                part.vanished = false;
+                let cause = part.cause;
+                home.assign(run, id, cause, now);
             }
         });
     }
@@ -112,14 +118,18 @@
         let Some(part) = run.parts.get_mut(&id) else {
             return;
         };
-        part.cause = cause;
+        if cause != Cause::Hedge {
+            part.cause = cause;
+        }
         if cause == Cause::Retry && part.attempts >= self.route.retry.attempts {
             part.give_up();
             return;
         }
         if !self.suspects.may_send(run.request.fingerprint, now) {
-            let held = self.held.entry(run.request.fingerprint).or_default();
-            held.insert((run.request.class, run.started, run.request.id, Some(id)));
+            if part.live.is_empty() {
+                let held = self.held.entry(run.request.fingerprint).or_default();
+                held.insert(run.waiter(id));
+            }
             return;
         }
         match self.pick(run, id, now) {
@@ -196,20 +206,23 @@
         part.live.push(self.enqueue(task, now));
     }
 
-    /// Lets a part wait for room, or gives it up where none is to be expected in time.
+    /// Lets a part wait for room. Where none is to be expected in time it counts as given up, so
+    /// that the answer waits for nothing; but as long as other parts are in progress, a server that
+    /// comes back is asked.
     fn park(&mut self, run: &mut Run, id: PartId) {
         let (version, deadline) = (run.pin, run.request.deadline);
+        let waiter = run.waiter(id);
         let Some(part) = run.parts.get_mut(&id) else {
             return;
         };
         if !part.live.is_empty() {
             return;
         }
+        let waiting = self.waiting.entry(part.group).or_default();
+        waiting.insert(waiter);
         let candidates = self.candidates(part);
         let hopeful = |server: &BackendServerId| self.is_hopeful(*server, version, deadline);
         if candidates.iter().any(hopeful) {
-            let waiting = self.waiting.entry(part.group).or_default();
-            waiting.insert((run.request.class, run.started, run.request.id, Some(id)));
             return;
         }
         part.vanished = self.has_vanished(part.group, version);
@@ -239,6 +252,13 @@
             let at = run.started + Duration::from_millis(soft.after_ms);
             self.timers.clear(at, Timer::Soft(run.request.id));
         }
+        let waits = run
+            .parts
+            .iter()
+            .map(|(id, part)| (part.group, run.waiter(*id)));
+        for (group, waiter) in waits {
+            self.forget(group, &waiter);
+        }
         let request = run.request.clone();
         let began = run.started;
         let outcome = run.finish(&self.route, reason);
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -3,74 +3,13 @@
 use super::action::Action;
 use super::flight::Owner;
 use super::state::Home;
-use crate::Time;
-use crate::attempt::{AttemptId, ConnectionId, Failure};
+use crate::attempt::{ConnectionId, Failure};
 use crate::backend::News;
-use crate::query::coverage::Set;
 use crate::query::pin;
-use crate::query::run::{Cause, Part, PartId, Run};
+use crate::query::run::{Cause, Part, PartId};
 use crate::reply::Report;
-use monsoonring_configuration::document::Route;
+use crate::{RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
-use std::collections::BTreeMap;
-use std::sync::Arc;
-
-/// Which groups a backend server is in.
-#[derive(Debug, Default)]
-pub(super) struct Placement {
-    groups: BTreeMap<BackendServerId, Vec<usize>>,
-    replicas: BTreeMap<BackendServerId, Vec<BackendServerId>>,
-    servers: Vec<BackendServerId>,
-    /// What each server was last known to be able to serve; empty while it is not usable.
-    serving: BTreeMap<BackendServerId, Serving>,
-}
-
-/// What a backend server was last known to be able to serve.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Serving {
-    usable: bool,
-    versions: Vec<IndexVersion>,
-}
-
-impl Placement {
-    pub(super) fn new(route: &Route) -> Self {
-        let mut placement = Self::default();
-        for (index, group) in route.groups.iter().enumerate() {
-            for server in &group.backend_servers {
-                placement.groups.entry(*server).or_default().push(index);
-                let replicas = placement.replicas.entry(*server).or_default();
-                replicas.extend(&group.backend_servers);
-            }
-        }
-        placement.servers = placement.groups.keys().copied().collect();
-        placement
-    }
-
-    /// Returns all servers of the route.
-    pub(super) fn servers(&self) -> &[BackendServerId] {
-        &self.servers
-    }
-
-    /// Returns the servers that hold what `server` holds, itself included.
-    pub(super) fn replicas(&self, server: BackendServerId) -> &[BackendServerId] {
-        self.replicas.get(&server).map_or(&[], Vec::as_slice)
-    }
-
-    fn groups(&self, server: BackendServerId) -> &[usize] {
-        self.groups.get(&server).map_or(&[], Vec::as_slice)
-    }
-
-    /// Takes in what a server can serve. Returns whether that is new.
-    fn learn(&mut self, server: BackendServerId, usable: bool, versions: &[IndexVersion]) -> bool {
-        let serving = self.serving.entry(server).or_default();
-        if serving.usable == usable && serving.versions == versions {
-            return false;
-        }
-        serving.usable = usable;
-        serving.versions = versions.to_vec();
-        true
-    }
-}
 
 impl Home {
     /// Lets those who wait for a server of the same groups look again.
@@ -79,6 +18,13 @@
         self.touched.extend(groups);
     }
 
+    /// Lets all who wait for a server of the same groups look again: it became usable, or ceased to
+    /// be.
+    pub(super) fn changed(&mut self, server: BackendServerId) {
+        let groups = self.placement.groups(server);
+        self.changed.extend(groups);
+    }
+
     /// Tells whether new work may ever be given to a server, as far as known now.
     fn is_usable(&self, server: BackendServerId) -> bool {
         !self.fleet.is_leaving(server) && self.pool.is_reachable(server)
@@ -137,7 +83,7 @@
             self.back_offs.remove(&server);
             let leaving = self.fleet.is_leaving(server);
             self.pool.set_leaving(server, leaving, now);
-            self.touch(server);
+            self.changed(server);
         }
         if news.leaving {
             let start = self.fleet.start(server);
@@ -165,7 +111,7 @@
         self.pool.set_leaving(server, true, now);
         self.evacuate(server, now);
         self.learn(server);
-        self.touch(server);
+        self.changed(server);
     }
 
     /// Moves what waits for a connection to a server to others.
@@ -183,7 +129,7 @@
         }
     }
 
-    fn move_part(&mut self, request: u128, part: PartId, now: Time) {
+    fn move_part(&mut self, request: RequestId, part: PartId, now: Time) {
         self.with_run(request, now, |home, run| {
             let idle = |part: &Part| part.live.is_empty();
             if run.parts.get(&part).is_some_and(idle) {
@@ -232,6 +178,7 @@
         self.fleet.set_reachable(server, false, now);
         self.evacuate(server, now);
         self.learn(server);
+        self.changed(server);
     }
 
     /// Looks again at what a server can serve, and at the pin if that has changed.
@@ -239,11 +186,12 @@
         let usable = self.is_usable(server);
         let versions = self.fleet.versions(server);
         if self.placement.learn(server, usable, versions) {
+            self.changed(server);
             self.repin();
         }
     }
 
-    fn repin(&mut self) {
+    pub(super) fn repin(&mut self) {
         let groups: Vec<pin::Group> = (0..self.route.groups.len())
             .map(|group| self.support(group))
             .collect();
@@ -265,90 +213,4 @@
                 .collect(),
         }
     }
-
-    /// Takes over a new configuration of the route. Queries in progress keep what they have merged;
-    /// what they lack is asked of the servers that hold it now.
-    pub(super) fn reroute(&mut self, route: Arc<Route>, now: Time) {
-        self.fleet.reconfigure(&route, now);
-        self.pool.reconfigure(&route, now);
-        self.gate.reconfigure(&route);
-        self.hedges.set_percent(route.hedge.budget_percent);
-        self.retries.set_percent(route.retry.budget_percent);
-        let gone = self.replace(route);
-        for server in gone {
-            self.evacuate(server, now);
-        }
-        let groups = 0..self.route.groups.len();
-        self.touched.extend(groups);
-        for id in self.runs.keys().copied().collect::<Vec<_>>() {
-            self.with_run(id, now, |home, run| home.redeal(run, now));
-        }
-        self.repin();
-    }
-
-    /// Puts the route in force; returns the servers that are no longer in it.
-    fn replace(&mut self, route: Arc<Route>) -> Vec<BackendServerId> {
-        let new = Placement::new(&route);
-        let old = std::mem::replace(&mut self.placement, new);
-        let serving = old.serving.into_iter();
-        let stays = |server: &BackendServerId| self.placement.groups.contains_key(server);
-        let kept: BTreeMap<_, _> = serving.filter(|(server, _)| stays(server)).collect();
-        let gone = old.servers.into_iter().filter(|server| !stays(server));
-        let gone: Vec<BackendServerId> = gone.collect();
-        self.placement.serving = kept;
-        let waiting = std::mem::take(&mut self.waiting);
-        self.waiting
-            .insert(0, waiting.into_values().flatten().collect());
-        self.route = route;
-        gone
-    }
-
-    /// Deals the missing keys of a run out again by the new placement. A part that its servers
-    /// still hold as a whole stays as it is. Of the others, attempts that were sent may still bring
-    /// what they were asked for, and what they bring first is not asked again.
-    fn redeal(&mut self, run: &mut Run, now: Time) {
-        let mut lacking = Set::default();
-        for (id, part) in std::mem::take(&mut run.parts) {
-            match self.home_of(&part) {
-                Some(group) => {
-                    run.parts.insert(id, Part { group, ..part });
-                }
-                None => {
-                    lacking.join(&part.wanted);
-                    self.detach(run, &part.live, now);
-                }
-            }
-        }
-        lacking.join(&run.unplanned(&self.route));
-        for part in run.deal(&lacking, &self.route, &Part::default()) {
-            self.assign(run, part, Cause::Rest, now);
-        }
-    }
-
-    /// Returns the group that holds a part as a whole and has all servers that work on it. A part
-    /// on which nobody works has none: it is dealt out again.
-    fn home_of(&self, part: &Part) -> Option<usize> {
-        let servers: Vec<BackendServerId> = part
-            .live
-            .iter()
-            .filter_map(|id| self.flights.get(*id))
-            .map(|flight| flight.server)
-            .collect();
-        if servers.is_empty() {
-            return None;
-        }
-        self.route.groups.iter().position(|group| {
-            let holds = part.wanted.difference(&Set::from(group.keys)).is_empty();
-            holds && servers.iter().all(|s| group.backend_servers.contains(s))
-        })
-    }
-
-    /// Leaves attempts without a part: those not yet sent are taken back.
-    fn detach(&mut self, run: &mut Run, live: &[AttemptId], now: Time) {
-        for id in live {
-            if self.withdraw(*id, now).is_none() {
-                run.detached.push(*id);
-            }
-        }
-    }
 }
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -3,7 +3,7 @@
 use super::action::{Action, Decision};
 use super::event::{Event, Request};
 use super::flight;
-use super::server::Placement;
+use super::placement::Placement;
 use super::timer::{self, Timer};
 use crate::admission::{Admission, Gate};
 use crate::attempt::AttemptId;
@@ -15,9 +15,9 @@
 use crate::query::attempt::Unrun;
 use crate::query::execution::Execution;
 use crate::query::pin::Pin;
-use crate::query::run::{PartId, Run};
+use crate::query::run::{Run, Waiter};
 use crate::{Fingerprint, RequestId, Time};
-use monsoonring_configuration::document::{Class, Kind, Route};
+use monsoonring_configuration::document::{Kind, Route};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -28,8 +28,8 @@
 /// Id of the first connection of a home.
 const FIRST_CONNECTION: u64 = 1;
 
-/// Something that waits for a server with room, in the order in which it is served.
-pub(super) type Waiting = BTreeSet<(Class, Time, RequestId, Option<PartId>)>;
+/// Those who wait, in the order in which they are served.
+pub(super) type Waiting = BTreeSet<Waiter>;
 
 /// One route at one of its homes.
 pub struct Home {
@@ -50,8 +50,10 @@
     pub(super) waiting: BTreeMap<usize, Waiting>,
     /// By fingerprint in quarantine: what waits until its turn.
     pub(super) held: BTreeMap<Fingerprint, Waiting>,
-    /// Groups whose servers changed in a way that those who wait have to see.
+    /// Groups in which a server may have room again.
     pub(super) touched: BTreeSet<usize>,
+    /// Groups in which a server became usable, or ceased to be: all who wait have to look again.
+    pub(super) changed: BTreeSet<usize>,
     /// Fingerprints for which an attempt ended.
     pub(super) freed: BTreeSet<Fingerprint>,
     /// Servers, with the number of connections to be asked for.
@@ -84,6 +86,7 @@
             waiting: BTreeMap::new(),
             held: BTreeMap::new(),
             touched: BTreeSet::new(),
+            changed: BTreeSet::new(),
             freed: BTreeSet::new(),
             callable: BTreeMap::new(),
             back_offs: BTreeMap::new(),
@@ -239,7 +242,7 @@
         }
         if self.fleet.next_wake().is_some_and(|at| at <= now) {
             for server in self.fleet.tick(now) {
-                self.touch(server);
+                self.changed(server);
             }
             self.suspects.tick(now);
         }
@@ -255,8 +258,10 @@
 
     /// Serves those who wait, brings attempts onto connections, and returns what is to be done.
     fn conclude(&mut self, now: Time) -> Vec<Action> {
-        self.serve(now);
-        self.transmit(now);
+        while self.has_work() {
+            self.serve(now);
+            self.transmit(now);
+        }
         self.command(now);
         let fleet = self.fleet.next_wake();
         let other = fleet.into_iter().chain(self.pool.next_wake()).min();
@@ -266,6 +271,11 @@
         std::mem::take(&mut self.actions)
     }
 
+    fn has_work(&self) -> bool {
+        let waits = self.touched.is_empty() && self.changed.is_empty();
+        !(waits && self.freed.is_empty() && self.callable.is_empty())
+    }
+
     pub(super) fn log(
         &mut self,
         request: Option<RequestId>,
--- a/crates/decision/src/query/execution.rs
+++ b/crates/decision/src/query/execution.rs
@@ -5,7 +5,7 @@
 //! no way from the last state to another server but through a failure that gives the proof back.
 
 use super::attempt::{Attempt, Queued, Sent, Unrun};
-use super::run::{self, Cause};
+use super::run::{self, Cause, Waiter};
 use crate::Time;
 use crate::attempt::{AttemptId, Failure};
 use crate::home::event::Request;
@@ -90,6 +90,12 @@
         matches!(self.state, State::Waiting(_))
     }
 
+    /// Returns the request's place among those who wait.
+    pub(crate) fn waiter(&self) -> Waiter {
+        let request = &self.request;
+        (request.class, self.started, request.id, None)
+    }
+
     /// Returns the attempt that is queued or sent.
     pub(crate) fn attempt(&self) -> Option<AttemptId> {
         match &self.state {
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -8,12 +8,12 @@
 use super::attempt::Fanout;
 use super::coverage::{self, Set};
 use super::merge::Merge;
-use crate::Time;
 use crate::attempt::{AttemptId, Failure, Refusal};
 use crate::home::event::Request;
 use crate::outcome::{Answer, Outcome, Reason};
 use crate::reply::Reply;
-use monsoonring_configuration::document::Route;
+use crate::{RequestId, Time};
+use monsoonring_configuration::document::{Class, Route};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +21,9 @@
 /// Id of a part, unique within its run.
 pub(crate) type PartId = u32;
 
+/// A request, or a part of one, that waits: the most urgent class goes first, then the oldest.
+pub(crate) type Waiter = (Class, Time, RequestId, Option<PartId>);
+
 /// Why an attempt is made; it decides what the attempt costs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum Cause {
@@ -157,6 +160,12 @@
         made
     }
 
+    /// Returns the place of a part among those who wait.
+    pub(crate) fn waiter(&self, part: PartId) -> Waiter {
+        let request = &self.request;
+        (request.class, self.started, request.id, Some(part))
+    }
+
     /// Takes a reply of the pinned version, and says who is not needed any more.
     pub(crate) fn accept(&mut self, part: PartId, asked: &Set, reply: Reply) -> Change {
         let new = self.merge.accept(asked, reply);
@@ -288,9 +297,13 @@
         let here = coverage::share(self.merge.covered(), route);
         let before = self
             .previous
+            .filter(|(version, _)| *version >= route.minimum_index_version)
             .filter(|(_, merge)| coverage::share(merge.covered(), route) > here);
         let merged = before.or(self.pin.map(|version| (version, self.merge)));
-        match merged.filter(|(_, merge)| !merge.covered().is_empty()) {
+        let minimum = route.minimum_index_version;
+        let may =
+            |found: &(IndexVersion, Merge)| found.0 >= minimum && !found.1.covered().is_empty();
+        match merged.filter(may) {
             Some((version, merge)) => Outcome::Answered(answer(version, merge, route)),
             None => refusal(&self.fanout, reason, self.retry_after),
         }
--- /dev/null
+++ b/crates/decision/tests/coverage.rs
@@ -0,0 +1,133 @@
+//! Coverage in keys, and merging by keys.
+
+mod session;
+
+use monsoonring_configuration::Range;
+use monsoonring_decision::query::coverage::{Set, missing, share};
+use monsoonring_decision::query::merge::{Error, Merge, check};
+use proptest::prelude::*;
+use session::{VERSION, reply, route};
+use std::collections::BTreeSet;
+use test_case::test_case;
+
+const KEY_SPACE: u64 = 60;
+
+fn set(ranges: &[(u64, u64)]) -> Set {
+    let ranges = ranges.iter().map(|(start, end)| Range::new(*start, *end));
+    ranges.collect()
+}
+
+fn keys(set: &Set) -> BTreeSet<u64> {
+    set.ranges()
+        .iter()
+        .flat_map(|range| range.start..range.end)
+        .collect()
+}
+
+#[test_case(&[], 0.0; "nothing")]
+#[test_case(&[(0, 400)], 1.0; "everything")]
+#[test_case(&[(0, 100), (100, 150)], 0.375; "one group and a half")]
+#[test_case(&[(0, 100), (0, 100)], 0.25; "the same twice")]
+#[test_case(&[(50, 150)], 0.25; "across a border")]
+#[test_case(&[(390, 500)], 0.025; "beyond the route")]
+fn share_of_equal_groups_counts_keys(ranges: &[(u64, u64)], expected: f64) {
+    assert!((share(&set(ranges), &route(4, 1)) - expected).abs() < 1e-12);
+}
+
+#[test]
+fn share_weights_are_as_published() {
+    let mut route = route(2, 1);
+    route.groups[0].weight = 3.0;
+    assert!((share(&set(&[(0, 50)]), &route) - 0.375).abs() < 1e-12);
+}
+
+#[test]
+fn share_lacking_a_weightless_key_is_not_complete() {
+    // Symptom: "complete" on an answer that misses keys.
+    // Events: all groups but one of weight 0 answer.
+    // Cause: the sum of weights is all there; completeness has to be asked of the keys.
+    let mut route = route(2, 1);
+    route.groups[1].weight = 0.0;
+    let covered = set(&[(0, 100)]);
+    assert!(share(&covered, &route) < 1.0);
+    assert_eq!(missing(&covered, &route), set(&[(100, 200)]));
+}
+
+#[test]
+fn accept_overlapping_replies_takes_no_item_twice() {
+    // Symptom: a delivery is credited twice.
+    // Events: a group was split in mid-query; the old and the new server both answer for the keys
+    // between them.
+    // Cause: replies are counted by server; only the keys tell what was merged before.
+    let mut merge = Merge::default();
+    let asked = set(&[(0, 100)]);
+    let first = merge.accept(&asked, reply(&[Range::new(0, 60)], VERSION));
+    assert_eq!(first, set(&[(0, 60)]));
+    let second = merge.accept(
+        &asked,
+        reply(&[Range::new(0, 40), Range::new(40, 100)], VERSION),
+    );
+    assert_eq!(second, set(&[(60, 100)]));
+    let merged: Vec<u64> = merge.into_items().iter().map(|item| item.key).collect();
+    assert_eq!(
+        merged,
+        [0],
+        "items at 0 and 40 were covered by the first reply"
+    );
+}
+
+#[test]
+fn accept_unasked_keys_are_left_out() {
+    let mut merge = Merge::default();
+    let asked = set(&[(0, 10)]);
+    merge.accept(
+        &asked,
+        reply(&[Range::new(0, 10), Range::new(20, 30)], VERSION),
+    );
+    assert_eq!(merge.covered(), &asked);
+    assert_eq!(merge.into_items().len(), 1);
+}
+
+#[test]
+fn check_item_outside_the_claim_is_an_error() {
+    let mut wrong = reply(&[Range::new(0, 10)], VERSION);
+    wrong.items[0].key = 10;
+    assert_eq!(check(&wrong), Err(Error::Outside { key: 10 }));
+}
+
+fn some_ranges() -> impl Strategy<Value = Vec<(u64, u64)>> {
+    prop::collection::vec((0..KEY_SPACE, 0..KEY_SPACE), 0..8)
+}
+
+proptest! {
+    #[test]
+    fn set_operations_agree_with_sets_of_keys(left in some_ranges(), right in some_ranges()) {
+        let (a, b) = (set(&left), set(&right));
+        let (ka, kb) = (keys(&a), keys(&b));
+        let by_hand: BTreeSet<u64> = left.iter().flat_map(|(start, end)| *start..*end).collect();
+        prop_assert_eq!(&ka, &by_hand);
+        prop_assert_eq!(keys(&a.intersection(&b)), ka.intersection(&kb).copied().collect::<BTreeSet<_>>());
+        prop_assert_eq!(keys(&a.difference(&b)), ka.difference(&kb).copied().collect::<BTreeSet<_>>());
+        for key in 0..KEY_SPACE {
+            prop_assert_eq!(a.contains(key), ka.contains(&key));
+        }
+        let gaps = a.ranges().windows(2).all(|pair| pair[0].end < pair[1].start);
+        prop_assert!(gaps, "ranges overlap or touch: {:?}", a);
+    }
+
+    #[test]
+    fn accept_any_replies_merge_each_key_once(replies in prop::collection::vec((some_ranges(), some_ranges()), 0..6)) {
+        let mut merge = Merge::default();
+        let mut added = 0;
+        for (asked, claimed) in replies {
+            let claimed = set(&claimed);
+            let mut full = reply(claimed.ranges(), VERSION);
+            full.items = keys(&claimed).into_iter().map(|key| monsoonring_decision::reply::Item { key, value: "".into() }).collect();
+            added += keys(&merge.accept(&set(&asked), full)).len();
+        }
+        let covered = keys(merge.covered());
+        prop_assert_eq!(covered.len(), added);
+        let items: Vec<u64> = merge.into_items().iter().map(|item| item.key).collect();
+        prop_assert_eq!(items, covered.into_iter().collect::<Vec<_>>());
+    }
+}
