--- a/crates/decision/tests/home_properties.rs
+++ b/crates/decision/tests/home_properties.rs
@@ -22,7 +22,7 @@
 const QUIET_MS: u64 = 5000;
 
 /// Something that happens; numbers choose among what there is.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 enum Step {
     Ask,
     Answer { nth: usize, keys: u64, version: u64 },
