--- a/crates/decision/tests/home_properties.rs
+++ b/crates/decision/tests/home_properties.rs
@@ -187,6 +187,16 @@
         }
     }
 
+    /// Returns the connection on which a step brings a reply that does not match its attempt.
+    fn spoils(&self, step: Step) -> Option<u64> {
+        let nth = match step {
+            Step::Wrong(nth) | Step::Fail { nth, kind: 1 } => nth,
+            _ => return None,
+        };
+        let in_flight = |send: &Send| !self.ended.contains_key(&send.attempt);
+        self.nth(nth).filter(in_flight).map(|send| send.connection)
+    }
+
     fn server(&self, nth: usize) -> std::net::SocketAddr {
         server(nth / REPLICAS, nth % REPLICAS)
     }
@@ -301,10 +311,13 @@
     fn search_connection_carries_one_attempt_at_a_time(steps in prop::collection::vec(step(), 0..60)) {
         let mut trial = Trial::new(tight(route(GROUPS, REPLICAS)));
         let mut on: BTreeMap<u64, AttemptId> = BTreeMap::new();
+        let mut spoiled: BTreeSet<u64> = BTreeSet::new();
         let mut seen = 0;
         for step in steps {
+            spoiled.extend(trial.spoils(step));
             trial.step(step);
             for send in &trial.session.sends[seen..] {
+                prop_assert!(!spoiled.contains(&send.connection), "a reply on it did not match");
                 let before = on.insert(send.connection, send.attempt);
                 let free = before.is_none_or(|before| trial.ended.contains_key(&before));
                 prop_assert!(free, "connection {} is taken", send.connection);
