--- /dev/null
+++ b/crates/daemon/src/launch.rs
@@ -0,0 +1,44 @@
+//! A whole daemon: the front and the controllers behind it.
+
+use crate::metrics::label::Side;
+use crate::node;
+use crate::run::{self, Ended, Result, Running, Telemetry};
+use crate::settings::Settings;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// A daemon that serves callers, operators and peers.
+pub struct Launched {
+    /// The front.
+    pub running: Running,
+    /// The address on which peers are served.
+    pub peer_address: SocketAddr,
+}
+
+/// Starts a daemon.
+///
+/// # Errors
+///
+/// One of the addresses can't be listened on.
+pub async fn launch(settings: &Settings, telemetry: Telemetry) -> Result<Launched> {
+    let (peers, peer_address) = run::listen(Side::Peer, settings.peer_listen).await?;
+    let advertised = settings.advertise.unwrap_or(peer_address);
+    let (log, metrics) = (telemetry.log.clone(), telemetry.metrics.clone());
+    let service = Arc::new(node::start(settings, peers, advertised, log, metrics));
+    let running = Running::start(settings, service, telemetry).await?;
+    Ok(Launched {
+        running,
+        peer_address,
+    })
+}
+
+/// Serves until a signal to stop, and stops.
+///
+/// # Errors
+///
+/// One of the addresses or the signals can't be listened on.
+pub async fn run(settings: &Settings, telemetry: Telemetry) -> Result<Ended> {
+    let signals = run::signals()?;
+    let launched = launch(settings, telemetry).await?;
+    Ok(launched.running.until_stopped(signals).await)
+}
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -101,6 +101,7 @@
         deadline: now + ms(1000),
         fingerprint: id as u64,
         body: "{}".into(),
+        execute_key: None,
     }
 }
 
