--- a/crates/daemon/src/caller/status.rs
+++ b/crates/daemon/src/caller/status.rs
@@ -88,7 +88,7 @@
 fn detail(ran: Ran) -> &'static str {
     match ran {
         Ran::NotRun => "the request did not run",
-        Ran::Failed => "the request ran and failed; it may be sent again",
+        Ran::Failed => "the request failed, or was given up on, after it had begun",
         Ran::Unknown => "the request may have run; it will not be run again under this key",
     }
 }
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -218,7 +218,7 @@
         let counter = ConstCounter::new(seconds(usage.user_time()) + seconds(usage.system_time()));
         let metric = encoder.encode_descriptor(
             "process_cpu",
-            "Processor time that the process has used",
+            "Processor time that the process has used.",
             Some(&Unit::Seconds),
             counter.metric_type(),
         )?;
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -148,9 +148,9 @@
     Error,
     /// Something failed that the daemon copes with.
     Warning,
-    /// Starts, stops, changes of state, refusals.
+    /// Each request, each decision, starts and stops.
     Info,
-    /// Every decision on every request.
+    /// Ends of connections and other detail.
     Debug,
 }
 
--- /dev/null
+++ b/crates/daemon/tests/caller.rs
@@ -0,0 +1,255 @@
+//! What callers are told: each refusal, each outcome, and what reaches the service.
+
+mod support;
+
+use monsoonring_configuration::document::Class;
+use monsoonring_daemon::service::Execution;
+use monsoonring_decision::outcome::{Answer, Outcome, Reason};
+use std::fmt::Write;
+use std::time::Duration;
+use support::Daemon;
+use support::http::{ask, get, post, search};
+use support::service::{Fake, answer};
+use test_case::test_case;
+
+const QUERY: &str = "/routes/hydrants/query";
+const EXECUTE: &str = "/routes/tickets/execute";
+const DISPATCH: &str = "monsoonring-caller: dispatch";
+const CLERK: &str = "monsoonring-caller: clerk";
+const KEY: &str = "idempotency-key: k1";
+
+#[test_case(&get("/elsewhere"), 404, "path"; "unknown_path_is_not_found")]
+#[test_case(&get(QUERY), 405, "method"; "get_of_a_query_is_not_allowed")]
+#[test_case(&post("/ready", &[], ""), 405, "method"; "post_of_ready_is_not_allowed")]
+#[test_case(&post(QUERY, &[], "1"), 401, "caller"; "without_caller_is_unidentified")]
+#[test_case(&post(QUERY, &["monsoonring-caller: x"], "1"), 401, "caller"; "unknown_caller_is_unidentified")]
+#[test_case(&post(QUERY, &[CLERK], "1"), 401, "caller"; "missing_token_is_unidentified")]
+#[test_case(&post(QUERY, &[CLERK, "authorization: Bearer wrong"], "1"), 401, "caller"; "wrong_token_is_unidentified")]
+#[test_case(&post(QUERY, &[DISPATCH, DISPATCH], "1"), 400, "header"; "caller_given_twice_is_refused")]
+#[test_case(&post(QUERY, &["monsoonring-caller: planner"], "1"), 403, "authorisation"; "route_of_others_is_forbidden")]
+#[test_case(&post("/routes/none/query", &[DISPATCH], "1"), 404, "route"; "unknown_route_is_not_found")]
+#[test_case(&post("/routes/tickets/query", &[DISPATCH], "1"), 404, "route"; "query_of_an_execute_route_is_not_found")]
+#[test_case(&post("/routes/hydrants/execute", &[DISPATCH, KEY], "1"), 404, "route"; "execute_of_a_search_route_is_not_found")]
+#[test_case(&post(QUERY, &[DISPATCH, "monsoonring-deadline-ms: soon"], "1"), 400, "header"; "deadline_unparsable_is_refused")]
+#[test_case(&post(QUERY, &[DISPATCH, "monsoonring-deadline-ms: -5"], "1"), 400, "header"; "deadline_below_zero_is_refused")]
+#[test_case(&post(QUERY, &[DISPATCH, "monsoonring-deadline-ms: 0"], "1"), 504, "deadline"; "deadline_passed_is_not_run")]
+#[test_case(&post(QUERY, &[DISPATCH], "{\"a\":"), 400, "body"; "body_malformed_is_refused")]
+#[test_case(&post(QUERY, &[DISPATCH], ""), 400, "body"; "body_empty_is_refused")]
+#[test_case(&post(QUERY, &[DISPATCH], &"[".repeat(60)), 400, "body"; "body_unclosed_is_refused")]
+#[test_case(&post(QUERY, &[DISPATCH], &"1".repeat(65)), 413, "body_size"; "body_above_the_limit_is_refused")]
+#[test_case(&chunked(&"1".repeat(65)), 413, "body_size"; "body_of_unknown_length_above_the_limit_is_refused")]
+#[test_case(&post(EXECUTE, &[DISPATCH], "1"), 400, "header"; "execute_without_key_is_refused")]
+#[test_case(&post(EXECUTE, &[DISPATCH, "idempotency-key: a b"], "1"), 400, "header"; "execute_with_a_key_with_spaces_is_refused")]
+#[test_case(&post(EXECUTE, &[DISPATCH, KEY, "monsoonring-send: 0"], "1"), 400, "header"; "execute_with_send_zero_is_refused")]
+#[tokio::test]
+async fn request(request: &str, status: u16, kind: &str) {
+    // Symptom: a caller is refused and can't tell whether its request ran.
+    // Events: a request that a filter refuses, for each reason that the filters have.
+    // Cause: a refusal without a problem document, or one whose request went on to the service.
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    let response = ask(daemon.callers, request).await;
+    assert_eq!(
+        (response.status, response.problem()),
+        (status, (kind.into(), "not_run".into()))
+    );
+    assert!(
+        daemon.service.seen().is_empty(),
+        "nothing reached the service"
+    );
+    daemon.signal();
+    daemon.ended().await;
+}
+
+fn chunked(body: &str) -> String {
+    let head = search("").replace("content-length: 0", "transfer-encoding: chunked");
+    format!("{head}{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
+}
+
+#[tokio::test]
+async fn request_before_the_first_configuration_is_not_run() {
+    let service = Fake {
+        configuration: None,
+        ..Fake::default()
+    };
+    let daemon = Daemon::start(service, &[]).await;
+    let response = ask(daemon.callers, &search("1")).await;
+    assert_eq!(response.problem(), ("starting".into(), "not_run".into()));
+    assert_eq!(response.header("retry-after"), Some("1"));
+    assert_eq!(ask(daemon.callers, &get("/ready")).await.status, 503);
+    assert_eq!(ask(daemon.callers, &get("/health")).await.status, 200);
+}
+
+#[tokio::test]
+async fn search_reaches_the_service_as_sent() {
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    let headers = [
+        CLERK,
+        "authorization: bearer secret",
+        "monsoonring-deadline-ms: 5000",
+    ];
+    let response = ask(
+        daemon.callers,
+        &post(QUERY, &headers, " {\"b\":1, \"a\":2}"),
+    )
+    .await;
+    assert_eq!(response.status, 200);
+    let calls = daemon.service.seen();
+    let call = calls.first().expect("it reached the service");
+    assert_eq!((&*call.caller, call.class), ("clerk", Class::Normal));
+    assert_eq!(&*call.body, " {\"b\":1, \"a\":2}");
+    assert_eq!(
+        response.header("monsoonring-request"),
+        Some(&*format!("{:032x}", call.request))
+    );
+}
+
+#[test_case("{\"a\":1,\"b\":[2]}", "{ \"b\": [2],\n\"a\": 1 }", true; "ignores_order_and_space")]
+#[test_case("{\"a\":1}", "{\"a\":2}", false; "differs_by_value")]
+#[test_case("[1,[2]]", "[[1],2]", false; "differs_by_nesting")]
+#[test_case("\"1\"", "1", false; "differs_by_type")]
+#[tokio::test]
+async fn fingerprint(one: &str, other: &str, same: bool) {
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    for body in [one, other] {
+        assert_eq!(ask(daemon.callers, &search(body)).await.status, 200);
+    }
+    let prints: Vec<u64> = daemon
+        .service
+        .seen()
+        .iter()
+        .map(|call| call.fingerprint)
+        .collect();
+    assert_eq!(prints[0] == prints[1], same);
+}
+
+#[tokio::test]
+async fn request_ids_of_one_trace_differ() {
+    // Symptom: a dispatcher is shown the answer to another question of the same dispatch.
+    // Events: a caller sends two searches at a time with one `traceparent`.
+    // Cause: the trace id taken as request id, by which daemons tell requests apart.
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    let trace = "traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    for body in ["1", "2"] {
+        let request = post(QUERY, &[DISPATCH, trace], body);
+        assert_eq!(ask(daemon.callers, &request).await.status, 200);
+    }
+    let calls = daemon.service.seen();
+    assert_ne!(
+        calls[0].request, calls[1].request,
+        "two requests have two ids"
+    );
+}
+
+#[tokio::test]
+async fn key_with_and_without_quotes_is_the_same() {
+    // Symptom: a repair ticket is made twice.
+    // Events: a caller sends its key in quotes, as the draft standard has it, and once without.
+    // Cause: two texts taken for two keys.
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    for key in ["idempotency-key: \"k1\"", KEY] {
+        let request = post(EXECUTE, &[DISPATCH, key, "monsoonring-send: 2"], "1");
+        assert_eq!(ask(daemon.callers, &request).await.status, 200);
+    }
+    let executed = daemon
+        .service
+        .executed
+        .lock()
+        .expect("not poisoned")
+        .clone();
+    assert_eq!(executed, vec![("k1".to_owned(), Some(2)); 2]);
+}
+
+fn outcomes() -> Vec<Outcome> {
+    let reasons = [
+        Reason::Deadline,
+        Reason::Overload,
+        Reason::Unavailable,
+        Reason::Suspect,
+        Reason::Stopping,
+        Reason::Abandoned,
+        Reason::BackendServer,
+        Reason::Lost,
+        Reason::Fence,
+    ];
+    let complete = Answer {
+        coverage: 1.0,
+        missing: Vec::new(),
+        ..answer()
+    };
+    let mut outcomes = vec![Outcome::Answered(complete), Outcome::Answered(answer())];
+    for reason in reasons {
+        let retry_after = (reason == Reason::Overload).then_some(Duration::from_millis(1_200));
+        outcomes.push(Outcome::NotRun {
+            reason,
+            retry_after,
+        });
+        outcomes.push(Outcome::Failed {
+            reason,
+            retry_after,
+        });
+        outcomes.push(Outcome::Unknown { reason });
+    }
+    outcomes
+}
+
+#[tokio::test]
+async fn outcome_each_is_told_truly() {
+    let mut session = String::new();
+    for outcome in outcomes() {
+        let title = match &outcome {
+            Outcome::Answered(answer) => format!("Answered with coverage {}", answer.coverage),
+            outcome => format!("{outcome:?}"),
+        };
+        let daemon = Daemon::start(Fake::with(outcome), &[]).await;
+        let response = ask(daemon.callers, &search("1")).await;
+        write!(session, "# {title}\n{}\n", response.golden()).expect("a string takes all");
+    }
+    insta::assert_snapshot!(session);
+}
+
+#[tokio::test]
+async fn execution_session_is_told_truly() {
+    let offered = Some("issued-9".to_owned());
+    let conflict = Execution {
+        conflict: true,
+        ..Outcome::NotRun {
+            reason: Reason::Fence,
+            retry_after: None,
+        }
+        .into()
+    };
+    let executions = [
+        Fake::default().execution,
+        Execution {
+            offered_key: offered.clone(),
+            ..Fake::default().execution
+        },
+        Execution {
+            offered_key: offered,
+            ..Outcome::Unknown {
+                reason: Reason::Lost,
+            }
+            .into()
+        },
+        conflict,
+    ];
+    let mut session = String::new();
+    for execution in executions {
+        let daemon = Daemon::start(
+            Fake {
+                execution,
+                ..Fake::default()
+            },
+            &[],
+        )
+        .await;
+        let keys = ask(
+            daemon.callers,
+            &post("/routes/tickets/keys", &[DISPATCH], ""),
+        )
+        .await;
+        let response = ask(daemon.callers, &post(EXECUTE, &[DISPATCH, KEY], "{}")).await;
+        write!(session, "{}\n{}\n", keys.golden(), response.golden()).expect("a string takes all");
+    }
+    insta::assert_snapshot!(session);
+}
--- /dev/null
+++ b/crates/daemon/tests/fuzz.rs
@@ -0,0 +1,138 @@
+//! Whatever bytes arrive at the callers' port, the daemon goes on.
+
+mod support;
+
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use support::http::{Client, ask, post, search};
+use support::service::Fake;
+use support::{Daemon, within};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const CASES: u32 = 256;
+const MAX_BYTES: usize = 512;
+const MAX_CHANGES: usize = 8;
+
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
+/// One change to a valid request.
+#[derive(Clone, Debug)]
+enum Change {
+    Put(prop::sample::Index, u8),
+    Insert(prop::sample::Index, Vec<u8>),
+    Remove(prop::sample::Index),
+    Repeat(prop::sample::Index),
+    Cut(prop::sample::Index),
+}
+
+impl Change {
+    fn apply(&self, bytes: &mut Vec<u8>) {
+        if bytes.is_empty() {
+            return;
+        }
+        let length = bytes.len();
+        match self {
+            Self::Put(index, byte) => bytes[index.index(length)] = *byte,
+            Self::Insert(index, more) => {
+                let at = index.index(length);
+                bytes.splice(at..at, more.iter().copied());
+            }
+            Self::Remove(index) => {
+                bytes.remove(index.index(length));
+            }
+            Self::Repeat(index) => bytes.extend_from_within(index.index(length)..),
+            Self::Cut(index) => bytes.truncate(index.index(length)),
+        }
+    }
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let index = any::<prop::sample::Index>;
+    prop_oneof![
+        (index(), any::<u8>()).prop_map(|(index, byte)| Change::Put(index, byte)),
+        (index(), prop::collection::vec(any::<u8>(), 1..9))
+            .prop_map(|(index, bytes)| Change::Insert(index, bytes)),
+        index().prop_map(Change::Remove),
+        index().prop_map(Change::Repeat),
+        index().prop_map(Change::Cut),
+    ]
+}
+
+fn valid() -> impl Strategy<Value = Vec<u8>> {
+    let caller = "monsoonring-caller: dispatch";
+    let key = "idempotency-key: \"k\"";
+    prop::sample::select(vec![
+        search("{\"a\":[1,2.5e3,\"\\u00e9\"]}").into_bytes(),
+        post(
+            "/routes/tickets/execute",
+            &[caller, key, "monsoonring-send: 1"],
+            "{}",
+        )
+        .into_bytes(),
+        post(
+            "/routes/tickets/keys",
+            &[caller, "monsoonring-deadline-ms: 9"],
+            "",
+        )
+        .into_bytes(),
+        search("")
+            .replace("content-length: 0", "transfer-encoding: chunked")
+            .into_bytes(),
+    ])
+}
+
+fn bytes() -> impl Strategy<Value = Vec<u8>> {
+    let changed = (valid(), prop::collection::vec(change(), 0..MAX_CHANGES)).prop_map(
+        |(mut bytes, changes)| {
+            changes.iter().for_each(|change| change.apply(&mut bytes));
+            bytes
+        },
+    );
+    prop_oneof![
+        1 => prop::collection::vec(any::<u8>(), 0..MAX_BYTES),
+        3 => changed,
+    ]
+}
+
+/// Sends the bytes and nothing more, and reads whatever comes until the other side ends.
+async fn disturb(address: SocketAddr, bytes: &[u8]) {
+    let mut client = Client::connect(address).await;
+    // The daemon may have closed the connection before it had read everything.
+    let _closed = client.0.write_all(bytes).await;
+    let _closed = client.0.shutdown().await;
+    let _closed = within(client.0.read_to_end(&mut Vec::new())).await;
+}
+
+#[test]
+fn bytes_of_any_kind_leave_the_daemon_serving() {
+    // Symptom: a daemon answers nobody after one odd request.
+    // Events: bytes that are no request, or a request with bytes changed, cut or repeated.
+    // Cause: a panic, or a connection that holds something up for the others.
+    let quiet = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        PANICS.fetch_add(1, Ordering::Relaxed);
+        quiet(info);
+    }));
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let daemon = runtime.block_on(Daemon::start(Fake::default(), &[]));
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let seeded = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, seeded);
+    let result = runner.run(&bytes(), |bytes| {
+        let next = runtime.block_on(async {
+            disturb(daemon.callers, &bytes).await;
+            ask(daemon.callers, &search("1")).await
+        });
+        prop_assert_eq!(next.status, 200);
+        prop_assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+        Ok(())
+    });
+    assert_eq!(result, Ok(()));
+    assert_eq!(daemon.metrics.in_flight.get(), 0, "nothing is left over");
+}
--- /dev/null
+++ b/crates/daemon/tests/operator.rs
@@ -0,0 +1,195 @@
+//! The operators' port and the log.
+
+mod support;
+
+use monsoonring_daemon::log::{Decision, start_to};
+use monsoonring_daemon::metrics::Metrics;
+use monsoonring_daemon::metrics::label::{
+    Attempt, ByRoute, Connection, Member, Sending, Side, Standing,
+};
+use monsoonring_daemon::settings::{LogFormat, LogLevel};
+use monsoonring_decision::outcome::Reason;
+use prometheus_client::metrics::counter::Counter;
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use support::Daemon;
+use support::http::{ask, get, post, search};
+use support::service::Fake;
+use test_case::test_case;
+
+/// Touches everything that the controllers count.
+fn touch(metrics: &Metrics) {
+    let route = || "hydrants".into();
+    for kind in [Sending::First, Sending::Hedge, Sending::Retry] {
+        let attempt = Attempt {
+            route: route(),
+            kind,
+        };
+        metrics.attempts.get_or_create(&attempt).inc();
+    }
+    metrics
+        .cancelled
+        .get_or_create(&ByRoute { route: route() })
+        .inc();
+    metrics.refuse(Reason::Overload);
+    for side in [Side::Peer, Side::BackendServer] {
+        metrics
+            .connections
+            .get_or_create(&Connection { side })
+            .inc();
+    }
+    metrics.revision.set(42);
+    for state in [
+        Standing::Alive,
+        Standing::Suspect,
+        Standing::Leaving,
+        Standing::Dead,
+    ] {
+        metrics.members.get_or_create(&Member { state }).inc();
+    }
+}
+
+#[tokio::test]
+async fn metrics_names_are_kept() {
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    touch(&daemon.metrics);
+    ask(daemon.callers, &search("1")).await;
+    ask(daemon.callers, &post("/routes/none/query", &[], "1")).await;
+    let response = ask(daemon.operators, &get("/metrics")).await;
+    assert!(
+        response
+            .header("content-type")
+            .expect("it has one")
+            .starts_with("application/openmetrics-text")
+    );
+    let buckets = |line: &&str| !line.contains("_bucket{");
+    let without_value = |line: &str| match line.rsplit_once(' ') {
+        Some((name, _)) if !line.starts_with('#') => name.to_owned(),
+        _ => line.to_owned(),
+    };
+    let mut names: Vec<String> = response
+        .body
+        .lines()
+        .filter(buckets)
+        .map(without_value)
+        .collect();
+    names.sort();
+    insta::assert_snapshot!(names.join("\n"));
+}
+
+#[test_case("/health", 200, "alive"; "health")]
+#[test_case("/state", 200, "{\"revision\":42}"; "state")]
+#[test_case("/explain?request=0000000000000000000000000000000a", 200, "\"Request(10)\""; "explain_request")]
+#[test_case("/explain?route=a%20b&backend_server=127.0.0.1%3A7000", 200, "\"BackendServer { route: \\\"a b\\\", backend_server: 127.0.0.1:7000 }\""; "explain_backend_server")]
+#[test_case("/explain?request=0", 404, "nothing is known of it"; "explain_unknown_request")]
+#[test_case("/explain?request=x", 400, "`request` is not a request id of 32 hexadecimal digits"; "explain_wrong_request")]
+#[test_case("/explain?route=a", 400, "give `request`, or `route` and `backend_server`"; "explain_half_a_question")]
+#[test_case("/elsewhere", 404, "there is nothing at this path"; "unknown_path")]
+#[tokio::test]
+async fn operator(path: &str, status: u16, body: &str) {
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    let response = ask(daemon.operators, &get(path)).await;
+    assert_eq!((response.status, &*response.body), (status, body));
+}
+
+/// What a log wrote, and a gate that holds its writer up.
+#[derive(Clone, Default)]
+struct Output(Arc<Shared>);
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    written: Vec<u8>,
+    held: bool,
+}
+
+impl Output {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn hold(&self, held: bool) {
+        self.state().held = held;
+        self.0.changed.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8_lossy(&self.state().written).into_owned()
+    }
+}
+
+impl Write for Output {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let free = self.0.changed.wait_while(self.state(), |state| state.held);
+        let mut state = free.unwrap_or_else(PoisonError::into_inner);
+        state.written.extend(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test_case(LogFormat::Json; "json")]
+#[test_case(LogFormat::Text; "text")]
+fn decision_line_has_what_decided(format: LogFormat) {
+    let output = Output::default();
+    let (log, guard) = start_to(output.clone(), format, LogLevel::Info, Counter::default());
+    let decision = Decision {
+        request: Some(10),
+        route: "hydrants",
+        range: Some(monsoonring_configuration::Range::new(5, 9)),
+        backend_server: Some(([127, 0, 0, 1], 7000).into()),
+        what: "hedge",
+        reason: "40 ms over the quantile",
+    };
+    decision.log(&log);
+    slog::debug!(log, "below the level");
+    drop(guard);
+    let text = output.text();
+    assert_eq!(text.lines().count(), 1, "{text}");
+    let parts = [
+        "hydrants",
+        "5..9",
+        "127.0.0.1:7000",
+        "hedge",
+        "over the quantile",
+        "0000000a",
+    ];
+    assert!(parts.iter().all(|part| text.contains(part)), "{text}");
+}
+
+#[test]
+fn log_held_up_drops_and_counts_lines() {
+    // Symptom: requests hang while nothing is wrong with any backend server.
+    // Events: whoever reads the daemon's standard error stops reading; the pipe fills up.
+    // Cause: a request that waits until its line is written.
+    let output = Output::default();
+    output.hold(true);
+    let dropped = Counter::default();
+    let (log, guard) = start_to(
+        output.clone(),
+        LogFormat::Json,
+        LogLevel::Info,
+        dropped.clone(),
+    );
+    let lines = 10_000;
+    for number in 0..lines {
+        slog::info!(log, "line"; "number" => number);
+    }
+    let lost = dropped.get();
+    assert!(lost > 0, "the queue is bounded");
+    output.hold(false);
+    drop(guard);
+    assert_eq!(
+        output.text().lines().count() as u64 + lost,
+        lines,
+        "each line is written or counted"
+    );
+}
--- /dev/null
+++ b/crates/daemon/tests/stop.rs
@@ -0,0 +1,87 @@
+//! Planned stops, and those that are cut short.
+
+mod support;
+
+use monsoonring_daemon::run::Ended;
+use support::http::{Client, ask, get, search};
+use support::service::Fake;
+use support::{Daemon, within};
+use test_case::test_case;
+
+const CALLERS: u32 = 8;
+
+#[tokio::test]
+async fn stop_graceful_cuts_nothing() {
+    // Symptom: callers see connections reset whenever a daemon is replaced.
+    // Events: requests are in flight when the signal comes; they end long after accepting has.
+    // Cause: a process that ends, or closes connections, before it has answered.
+    let mut daemon = Daemon::start(Fake::holding(), &["--drain-wait-ms=1"]).await;
+    let callers = daemon.callers;
+    let asked = || tokio::spawn(async move { ask(callers, &search("1")).await });
+    let asking: Vec<_> = (0..CALLERS).map(|_| asked()).collect();
+    daemon.service.reached(CALLERS).await;
+    daemon.signal();
+    until_closed(callers).await;
+    daemon.service.held.send_replace(false);
+    for asked in asking {
+        let response = within(asked).await.expect("no panic");
+        assert_eq!(response.status, 200, "it was answered: {response:?}");
+        assert_eq!(response.header("connection"), Some("close"));
+    }
+    assert_eq!(daemon.wait().await, Ended::Planned);
+}
+
+async fn until_closed(address: std::net::SocketAddr) {
+    let closed = async {
+        while tokio::net::TcpStream::connect(address).await.is_ok() {
+            tokio::task::yield_now().await;
+        }
+    };
+    within(closed).await;
+}
+
+#[tokio::test]
+async fn stop_is_announced_while_requests_are_still_served() {
+    // Symptom: callers are refused for as long as the balancer takes to notice a stop.
+    // Events: the signal comes; the balancer sends on until it has seen "not ready".
+    // Cause: accepting that ends together with readiness.
+    let daemon = Daemon::start(Fake::default(), &["--drain-wait-ms=50000"]).await;
+    let mut kept = Client::connect(daemon.callers).await;
+    assert_eq!(kept.ask(&search("1")).await.header("connection"), None);
+    assert_eq!(ask(daemon.callers, &get("/ready")).await.status, 200);
+    daemon.signal();
+    let announced = async { while ask(daemon.callers, &get("/ready")).await.status == 200 {} };
+    within(announced).await;
+    assert_eq!(
+        ask(daemon.callers, &search("1")).await.status,
+        200,
+        "new ones are served"
+    );
+    let last = kept.ask(&search("1")).await;
+    assert_eq!(
+        (last.status, last.header("connection")),
+        (200, Some("close"))
+    );
+    daemon.signal();
+    assert_eq!(
+        daemon.ended().await,
+        Ended::Planned,
+        "nothing was in flight"
+    );
+}
+
+#[test_case("--stop-bound-ms=50000", 2; "by_a_second_signal_cuts_what_is_left")]
+#[test_case("--stop-bound-ms=300", 1; "by_its_bound_cuts_what_is_left")]
+#[tokio::test]
+async fn stop_short(bound: &str, signals: usize) {
+    // Symptom: a process that was asked to stop stays for good.
+    // Events: a request does not end; a second signal comes, or the bound is reached.
+    // Cause: a wait for what is in flight without an end.
+    let daemon = Daemon::start(Fake::holding(), &[bound]).await;
+    let mut client = Client::connect(daemon.callers).await;
+    client.send(search("1").as_bytes()).await;
+    daemon.service.reached(1).await;
+    (0..signals).for_each(|_| daemon.signal());
+    assert_eq!(client.receive().await.status, 0, "it was cut off");
+    assert_eq!(daemon.ended().await, Ended::Cut { requests: 1 });
+}
--- /dev/null
+++ b/crates/daemon/tests/support/mod.rs
@@ -0,0 +1,110 @@
+//! A daemon around a fake service, and a caller that sees bytes.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub(crate) mod http;
+pub(crate) mod service;
+
+use monsoonring_daemon::metrics::Metrics;
+use monsoonring_daemon::run::{Ended, Running, Telemetry};
+use monsoonring_daemon::settings::Settings;
+use service::Fake;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+/// Ends a test that hangs; no test waits for this to pass.
+const HANGS: Duration = Duration::from_secs(60);
+
+/// Waits for something that must come.
+pub(crate) async fn within<T>(future: impl Future<Output = T>) -> T {
+    tokio::time::timeout(HANGS, future)
+        .await
+        .expect("the test must not hang")
+}
+
+/// Settings with every port free to choose, and `more` on top.
+pub(crate) fn settings(more: &[&str]) -> Settings {
+    let key = "0123456789abcdef".repeat(4);
+    let mut arguments = vec!["monsoonringd", "--seed=1", "--key", &key];
+    arguments.extend(["--listen=127.0.0.1:0", "--operator-listen=127.0.0.1:0"]);
+    arguments.extend(["--peer-listen=127.0.0.1:0", "--data-centre=tunis-1"]);
+    arguments.extend([
+        "--configuration-service=127.0.0.1:1",
+        "--host-list=127.0.0.1:2",
+    ]);
+    if !more
+        .iter()
+        .any(|argument| argument.starts_with("--drain-wait-ms"))
+    {
+        arguments.push("--drain-wait-ms=1");
+    }
+    arguments.extend(more);
+    Settings::read(arguments).expect("the settings are right")
+}
+
+/// A daemon that runs in the test.
+pub(crate) struct Daemon {
+    pub(crate) service: Arc<Fake>,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) callers: SocketAddr,
+    pub(crate) operators: SocketAddr,
+    signals: mpsc::UnboundedSender<()>,
+    ended: JoinHandle<Ended>,
+}
+
+impl Daemon {
+    /// Starts a daemon around a service.
+    pub(crate) async fn start(service: Fake, more: &[&str]) -> Self {
+        let log = slog::Logger::root(slog::Discard, slog::o!());
+        Self::start_with(service, more, log).await
+    }
+
+    /// Starts a daemon that logs to `log`.
+    pub(crate) async fn start_with(service: Fake, more: &[&str], log: slog::Logger) -> Self {
+        let service = Arc::new(service);
+        let metrics = Arc::new(Metrics::default());
+        let telemetry = Telemetry {
+            log,
+            metrics: metrics.clone(),
+        };
+        let running = Running::start(&settings(more), service.clone(), telemetry)
+            .await
+            .expect("port 0 is free");
+        let (signals, received) = mpsc::unbounded_channel();
+        let received = stream_of(received);
+        Self {
+            service,
+            metrics,
+            callers: running.caller_address(),
+            operators: running.operator_address(),
+            signals,
+            ended: tokio::spawn(running.until_stopped(received)),
+        }
+    }
+
+    /// Sends a signal to stop.
+    pub(crate) fn signal(&self) {
+        self.signals.send(()).expect("the daemon runs");
+    }
+
+    /// Waits for the end.
+    pub(crate) async fn ended(self) -> Ended {
+        within(self.ended).await.expect("the daemon does not panic")
+    }
+
+    /// The same, without giving the daemon away.
+    pub(crate) async fn wait(&mut self) -> Ended {
+        within(&mut self.ended)
+            .await
+            .expect("the daemon does not panic")
+    }
+}
+
+fn stream_of(received: mpsc::UnboundedReceiver<()>) -> impl futures::Stream<Item = ()> + Send {
+    futures::stream::unfold(received, async |mut received| {
+        received.recv().await.map(|()| ((), received))
+    })
+}
--- /dev/null
+++ b/crates/daemon/tests/support/service.rs
@@ -0,0 +1,186 @@
+//! A service that says what a test wants it to.
+
+use futures::future::BoxFuture;
+use monsoonring_configuration::{Document, Range};
+use monsoonring_daemon::service::{Call, Configuration, Execution, Explain, Service};
+use monsoonring_decision::outcome::{Answer, Outcome};
+use monsoonring_decision::reply::Item;
+use serde_json::json;
+use std::sync::{Arc, Mutex, PoisonError};
+use tokio::sync::{Semaphore, watch};
+
+/// Revision of the fake configuration.
+pub(crate) const REVISION: u64 = 42;
+
+/// A service whose outcomes are set beforehand.
+pub(crate) struct Fake {
+    pub(crate) configuration: Option<Arc<Configuration>>,
+    pub(crate) outcome: Outcome,
+    pub(crate) execution: Execution,
+    pub(crate) key: Result<String, Outcome>,
+    pub(crate) calls: Mutex<Vec<Call>>,
+    pub(crate) executed: Mutex<Vec<(String, Option<u32>)>>,
+    /// One permit for each request that has reached the service.
+    pub(crate) entered: Semaphore,
+    /// One permit for each request that was dropped.
+    pub(crate) abandoned: Semaphore,
+    /// Requests wait while this is true.
+    pub(crate) held: watch::Sender<bool>,
+}
+
+impl Default for Fake {
+    fn default() -> Self {
+        Self {
+            configuration: Some(Arc::new(Configuration::new(REVISION, document()))),
+            outcome: Outcome::Answered(answer()),
+            execution: Outcome::Executed("{\"ticket\":5}".into()).into(),
+            key: Ok("issued-1".to_owned()),
+            calls: Mutex::default(),
+            executed: Mutex::default(),
+            entered: Semaphore::new(0),
+            abandoned: Semaphore::new(0),
+            held: watch::Sender::new(false),
+        }
+    }
+}
+
+impl Fake {
+    /// A service that gives every search this outcome.
+    pub(crate) fn with(outcome: Outcome) -> Self {
+        Self {
+            outcome,
+            ..Self::default()
+        }
+    }
+
+    /// A service at which requests wait.
+    pub(crate) fn holding() -> Self {
+        let fake = Self::default();
+        fake.held.send_replace(true);
+        fake
+    }
+
+    /// Waits until so many requests have reached the service.
+    pub(crate) async fn reached(&self, requests: u32) {
+        let permits = super::within(self.entered.acquire_many(requests)).await;
+        permits.expect("never closed").forget();
+    }
+
+    /// The calls that have reached the service.
+    pub(crate) fn seen(&self) -> Vec<Call> {
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.clone()
+    }
+
+    async fn work(&self, call: Call) {
+        self.calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(call);
+        self.entered.add_permits(1);
+        let mut leaving = Leaving(Some(&self.abandoned));
+        let mut held = self.held.subscribe();
+        held.wait_for(|held| !held).await.expect("never closed");
+        leaving.0 = None;
+    }
+}
+
+struct Leaving<'a>(Option<&'a Semaphore>);
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        if let Some(abandoned) = self.0 {
+            abandoned.add_permits(1);
+        }
+    }
+}
+
+impl Service for Fake {
+    fn document(&self) -> Option<Arc<Configuration>> {
+        self.configuration.clone()
+    }
+
+    fn ready(&self) -> Result<(), &'static str> {
+        match self.configuration {
+            Some(_) => Ok(()),
+            None => Err("no configuration"),
+        }
+    }
+
+    fn search(&self, call: Call) -> BoxFuture<'_, Outcome> {
+        Box::pin(async {
+            self.work(call).await;
+            self.outcome.clone()
+        })
+    }
+
+    fn mint(&self, call: Call) -> BoxFuture<'_, Result<String, Outcome>> {
+        Box::pin(async {
+            self.work(call).await;
+            self.key.clone()
+        })
+    }
+
+    fn execute(&self, call: Call, key: String, send: Option<u32>) -> BoxFuture<'_, Execution> {
+        Box::pin(async move {
+            self.executed
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push((key, send));
+            self.work(call).await;
+            self.execution.clone()
+        })
+    }
+
+    fn state(&self) -> BoxFuture<'_, serde_json::Value> {
+        Box::pin(async { json!({ "revision": REVISION }) })
+    }
+
+    fn explain(&self, query: Explain) -> BoxFuture<'_, Option<serde_json::Value>> {
+        Box::pin(async move {
+            match query {
+                Explain::Request(0) => None,
+                query => Some(json!(format!("{query:?}"))),
+            }
+        })
+    }
+}
+
+/// An answer that lacks one range.
+pub(crate) fn answer() -> Answer {
+    Answer {
+        index_version: 7,
+        coverage: 0.75,
+        missing: vec![Range::new(50, 75)],
+        items: vec![item(3, "{\"dry\": true}"), item(90, "\"raw\\u0041\"")],
+    }
+}
+
+fn item(key: u64, value: &str) -> Item {
+    Item {
+        key,
+        value: value.into(),
+    }
+}
+
+fn document() -> Document {
+    let route = |name: &str, kind: &str| {
+        json!({
+            "name": name, "kind": kind, "callers": ["dispatch", "clerk"], "deadline_ms": 60_000,
+            "capacity": {"slots": 3, "connections": 30}, "max_body_bytes": 64,
+            "keys": {"start": 0, "end": 100},
+            "groups": [{"name": "a", "keys": {"start": 0, "end": 100},
+                        "backend_servers": ["127.0.0.1:7000"]}],
+        })
+    };
+    let document = json!({
+        "callers": [
+            {"name": "dispatch", "class": "urgent"},
+            {"name": "clerk", "class": "normal", "token_sha256":
+             "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"},
+            {"name": "planner", "class": "background"},
+        ],
+        "routes": [route("hydrants", "search"), route("tickets", "execute")],
+    });
+    serde_json::from_value(document).expect("the document is right")
+}
