Test that a stop waits for what peers passed on

Cause: the two calls of the seam that belong to a stop had no test. Change: one test that they are made and waited for, one that a stop with such requests left is cut. Seen failing with the mechanism disabled: without the wait `it has drained` and `left: Planned right: Cut { requests: 0 }`; without the look at it after the bound the latter alone; without the call at the beginning `it was told`.

--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -5,6 +5,7 @@
 use monsoonring_daemon::run::Ended;
 use monsoonring_decision::outcome::{Answer, Outcome};
 use monsoonring_decision::reply::Item;
+use std::sync::atomic::Ordering;
 use support::http::{Client, ask, get, search};
 use support::service::{Fake, answer};
 use support::{Daemon, within};
@@ -91,6 +92,33 @@
     assert_eq!(daemon.ended().await, Ended::Cut { requests: 1 });
 }
 
+#[tokio::test]
+async fn stop_waits_for_what_peers_passed_on() {
+    // Symptom: callers of other daemons see failures whenever a daemon is replaced.
+    // Events: no caller of its own waits, but requests that peers passed on are in flight.
+    // Cause: a process that looks at its own callers only before it ends.
+    let mut daemon = Daemon::start(Fake::holding(), &[]).await;
+    daemon.signal();
+    until_closed(daemon.callers).await;
+    assert!(daemon.service.left.load(Ordering::SeqCst), "it was told");
+    daemon.service.held.send_replace(false);
+    assert_eq!(daemon.wait().await, Ended::Planned);
+    assert!(
+        daemon.service.drained.load(Ordering::SeqCst),
+        "it has drained"
+    );
+}
+
+#[tokio::test]
+async fn stop_with_passed_on_requests_left_is_cut() {
+    // Symptom: a stop that its exit code calls planned has cut off requests of other daemons.
+    // Events: a request that a peer passed on does not end; the bound is reached.
+    // Cause: a count of what was cut that has the daemon's own callers only.
+    let daemon = Daemon::start(Fake::holding(), &["--stop-bound-ms=300"]).await;
+    daemon.signal();
+    assert_eq!(daemon.ended().await, Ended::Cut { requests: 0 });
+}
+
 #[tokio::test]
 async fn stop_that_cuts_an_answer_says_so() {
     // Symptom: a stop that its log and exit code call planned has left callers with half an answer.
--- a/crates/daemon/tests/support/service.rs
+++ b/crates/daemon/tests/support/service.rs
@@ -6,6 +6,7 @@
 use monsoonring_decision::outcome::{Answer, Outcome};
 use monsoonring_decision::reply::Item;
 use serde_json::json;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::{Semaphore, watch};
 
@@ -24,7 +25,10 @@
     pub(crate) entered: Semaphore,
     /// One permit for each request that was dropped.
     pub(crate) abandoned: Semaphore,
-    /// Requests wait while this is true.
+    /// Whether the service was told of a stop, and whether its draining has ended.
+    pub(crate) left: AtomicBool,
+    pub(crate) drained: AtomicBool,
+    /// Requests, and draining, wait while this is true.
     pub(crate) held: watch::Sender<bool>,
 }
 
@@ -39,6 +43,8 @@
             executed: Mutex::default(),
             entered: Semaphore::new(0),
             abandoned: Semaphore::new(0),
+            left: AtomicBool::new(false),
+            drained: AtomicBool::new(false),
             held: watch::Sender::new(false),
         }
     }
@@ -132,6 +138,18 @@
         })
     }
 
+    fn leave(&self) {
+        self.left.store(true, Ordering::SeqCst);
+    }
+
+    fn drain(&self) -> BoxFuture<'_, ()> {
+        Box::pin(async {
+            let mut held = self.held.subscribe();
+            held.wait_for(|held| !held).await.expect("never closed");
+            self.drained.store(true, Ordering::SeqCst);
+        })
+    }
+
     fn state(&self) -> BoxFuture<'_, serde_json::Value> {
         Box::pin(async { json!({ "revision": REVISION }) })
     }
