Call a stop that was cut short cut, without asking the service again

Cause: after a second signal the service's `drain` was polled once, to tell whether anything of peers' was left. The node's `drain` also hands its keys over: the look would have begun a handover and dropped it. Weighed: one more method on the seam to look without acting; but a stop that did not wait for the handover is not whole, whatever is in flight. Change: exit code 3 whenever a stop is cut short. The test of a second signal while nothing is in flight expected `Planned` and expects `Cut { requests: 0 }` now: the rule changed, and the new one is the stricter one.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -13,7 +13,6 @@
 use crate::server::stop::{Control, Stage, Watch};
 use crate::service::Service;
 use crate::settings::{Limits, Settings};
-use futures::FutureExt;
 use futures::stream::{Stream, StreamExt};
 use prometheus_client::metrics::gauge::Gauge;
 use slog::{Logger, info, warn};
@@ -30,7 +29,7 @@
 /// Exit code of a process that could not start.
 pub const EXIT_CODE_FAILED: u8 = 1;
 
-/// Exit code of a process whose stop cut something off.
+/// Exit code of a process whose stop was cut short.
 pub const EXIT_CODE_CUT: u8 = 3;
 
 /// Connections of operators at the same time.
@@ -74,7 +73,7 @@
 pub enum Ended {
     /// Everything in flight was finished.
     Planned,
-    /// Something was cut off.
+    /// It was cut short.
     Cut {
         /// Number of callers' requests cut off.
         requests: usize,
@@ -219,8 +218,7 @@
         self.operators.wait().await;
         let requests = self.ledger.cut();
         info!(log, "stopped"; "cut" => requests);
-        let nothing_cut = requests == 0 && self.service.drain().now_or_never().is_some();
-        if whole || nothing_cut {
+        if whole {
             Ended::Planned
         } else {
             Ended::Cut { requests }
