--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -229,6 +229,15 @@
         matches!(response, Ok(Ok(response)) if response.status().is_success())
     }
 
+    /// Returns the number of members that a daemon knows, from its operator port.
+    pub async fn members(&self, operator: SocketAddr) -> Option<usize> {
+        let address = format!("http://{operator}/state").parse().ok()?;
+        let response = tokio::time::timeout(PATIENCE, self.client.get(address)).await;
+        let (_, body) = read(response.ok()?.ok()?).await.ok()?;
+        let state: Value = serde_json::from_slice(&body).ok()?;
+        Some(state["members"].as_array()?.len())
+    }
+
     async fn ask(&self, daemon: SocketAddr, question: Question) -> Answer {
         let executes = question.key.is_some();
         match self.exchange(daemon, question).await {
--- a/crates/experiment/src/deployment/mod.rs
+++ b/crates/experiment/src/deployment/mod.rs
@@ -1,6 +1,9 @@
 //! Stand-ins and real daemons, together on the loopback interface.
 
 mod process;
+mod thread;
+
+pub use thread::THREAD_NAME;
 
 use crate::caller::Caller;
 use crate::scenario::Policy;
@@ -12,11 +15,14 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::Duration;
-use tokio::time::sleep;
+use thread::Thread;
+use tokio::time::{sleep, timeout};
 
 /// Time in which a daemon has to be ready.
 const READY_BOUND: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(20);
+/// Secret that the daemons of an experiment share; it protects nothing.
+const KEY: &str = "5f1d0c7a93b24e6880aa41c3e97f2b6d5f1d0c7a93b24e6880aa41c3e97f2b6d";
 /// Data centres, given to the daemons in turn.
 const DATA_CENTRES: [&str; 4] = ["north", "south", "east", "west"];
 
@@ -51,14 +57,16 @@
 /// How daemons are started.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Launch {
+    /// Inside this process, each in a runtime of its own.
+    Threads,
     /// As processes of the binary at this path.
     Processes(PathBuf),
 }
 
 impl Launch {
-    /// Returns processes of the binary where a path is given.
+    /// Returns processes of the binary where a path is given, else threads.
     pub fn new(processes: Option<PathBuf>) -> Self {
-        Self::Processes(processes.unwrap_or_else(|| PathBuf::from("monsoonringd")))
+        processes.map_or(Self::Threads, Self::Processes)
     }
 }
 
@@ -93,9 +101,18 @@
     pub caller: SocketAddr,
     /// Address for operators.
     pub operator: SocketAddr,
+    /// Address for other daemons.
+    pub peer: SocketAddr,
     /// Id of its process, where it has one of its own.
     pub process_id: Option<u32>,
-    process: Process,
+    life: Life,
+}
+
+/// What a daemon lives in.
+#[derive(Debug)]
+enum Life {
+    Thread(Thread),
+    Process(Process),
 }
 
 /// Stand-ins and daemons that run.
@@ -124,21 +141,14 @@
         setup.policy.apply(&mut document);
         service.publish_document(&document);
         fleet.register(&hosts);
-        let addresses = reserve(setup.daemons)?;
-        for daemon in &addresses {
-            hosts.set(daemon.peer, host_list::State::Live);
-        }
         let mut deployment = Self {
             fleet,
             service,
             hosts,
             daemons: Vec::new(),
         };
-        let places = DATA_CENTRES.iter().cycle();
-        for (daemon, data_centre) in addresses.iter().zip(places) {
-            let arguments = deployment.arguments(daemon, data_centre, &setup.policy);
-            let daemon = launch(&setup.launch, daemon, arguments)?;
-            deployment.daemons.push(daemon);
+        for data_centre in DATA_CENTRES.iter().cycle().take(setup.daemons) {
+            deployment.add(&setup, data_centre).await?;
         }
         deployment.ready().await?;
         Ok(deployment)
@@ -152,10 +162,36 @@
     /// Stops the daemons and then the stand-ins.
     pub async fn stop(self) {
         for daemon in self.daemons {
-            daemon.process.stop().await;
+            match daemon.life {
+                Life::Thread(thread) => thread.stop().await,
+                Life::Process(process) => process.stop().await,
+            }
         }
     }
 
+    async fn add(&mut self, setup: &Setup, data_centre: &str) -> Result<()> {
+        let addresses = match setup.launch {
+            Launch::Threads => Addresses::any(),
+            Launch::Processes(_) => Addresses::reserve().context(PortSnafu)?,
+        };
+        let arguments = self.arguments(&addresses, data_centre, &setup.policy);
+        let daemon = addresses.caller;
+        let started = start(&setup.launch, addresses, arguments).await;
+        let (addresses, life) = started.context(StartSnafu { daemon })?;
+        self.hosts.set(addresses.peer, host_list::State::Live);
+        self.daemons.push(Daemon {
+            caller: addresses.caller,
+            operator: addresses.operator,
+            peer: addresses.peer,
+            process_id: match &life {
+                Life::Thread(_) => None,
+                Life::Process(process) => process.id(),
+            },
+            life,
+        });
+        Ok(())
+    }
+
     fn arguments(&self, daemon: &Addresses, data_centre: &str, policy: &Policy) -> Vec<String> {
         let flags = [
             ("--listen", daemon.caller.to_string()),
@@ -170,58 +206,67 @@
         ];
         let flags = flags.into_iter();
         let flags = flags.flat_map(|(flag, value)| [flag.to_owned(), value]);
-        flags.chain(policy.arguments.iter().cloned()).collect()
+        let peers = self.daemons.iter();
+        let peers = peers.flat_map(|peer| ["--peers".to_owned(), peer.peer.to_string()]);
+        let arguments = flags.chain(peers);
+        arguments.chain(policy.arguments.iter().cloned()).collect()
     }
 
+    /// Waits until each daemon is ready and knows all the others. Before that the homes of the routes
+    /// still change, and a measurement would be one of the start.
     async fn ready(&self) -> Result<()> {
         let caller = Caller::new("experiment".into());
-        let polls = READY_BOUND.as_millis() / READY_POLL.as_millis();
         for daemon in &self.daemons {
-            let mut is_ready = false;
-            for _ in 0..polls {
-                is_ready = caller.ready(daemon.caller).await;
-                if is_ready {
-                    break;
+            let is_ready = async {
+                while !caller.ready(daemon.caller).await
+                    || caller.members(daemon.operator).await != Some(self.daemons.len())
+                {
+                    sleep(READY_POLL).await;
                 }
-                sleep(READY_POLL).await;
-            }
+            };
+            let in_time = timeout(READY_BOUND, is_ready).await.is_ok();
             let daemon = daemon.caller;
-            ensure!(is_ready, NotReadySnafu { daemon });
+            ensure!(in_time, NotReadySnafu { daemon });
         }
         Ok(())
     }
 }
 
-fn launch(launch: &Launch, addresses: &Addresses, arguments: Vec<String>) -> Result<Daemon> {
-    let daemon = addresses.caller;
-    let process = match launch {
-        Launch::Processes(path) => Process::spawn(path, arguments),
-    };
-    let process = process.context(StartSnafu { daemon })?;
-    Ok(Daemon {
-        caller: addresses.caller,
-        operator: addresses.operator,
-        process_id: process.id(),
-        process,
-    })
+type Started = Result<(Addresses, Life), Box<dyn std::error::Error + Send + Sync>>;
+
+async fn start(launch: &Launch, addresses: Addresses, arguments: Vec<String>) -> Started {
+    match launch {
+        Launch::Threads => {
+            let (addresses, thread) = Thread::spawn(arguments).await?;
+            Ok((addresses, Life::Thread(thread)))
+        }
+        Launch::Processes(path) => {
+            let process = Process::spawn(path, arguments)?;
+            Ok((addresses, Life::Process(process)))
+        }
+    }
 }
 
-/// Finds free ports for the daemons. All are held until the last is found, so that none is given
-/// twice; they are let go before the daemons listen, which another program could use to take one.
-/// The daemon then ends at once, and the run with it.
-fn reserve(daemons: usize) -> Result<Vec<Addresses>> {
-    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).context(PortSnafu);
-    let mut held = Vec::new();
-    let mut addresses = Vec::new();
-    for _ in 0..daemons {
-        let sockets = [bind()?, bind()?, bind()?];
-        let address = |place: usize| sockets[place].local_addr().context(PortSnafu);
-        addresses.push(Addresses {
-            caller: address(0)?,
-            operator: address(1)?,
-            peer: address(2)?,
-        });
-        held.push(sockets);
+impl Addresses {
+    /// Any free ports, which the daemon finds and tells.
+    fn any() -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self {
+            caller: any,
+            operator: any,
+            peer: any,
+        }
+    }
+
+    /// Free ports for a process, which can't tell them. They are let go before it listens; if another
+    /// program takes one meanwhile, the daemon ends at once and is reported as not ready.
+    fn reserve() -> std::io::Result<Self> {
+        let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+        let held = [bind()?, bind()?, bind()?];
+        Ok(Self {
+            caller: held[0].local_addr()?,
+            operator: held[1].local_addr()?,
+            peer: held[2].local_addr()?,
+        })
     }
-    Ok(addresses)
 }
--- a/crates/experiment/src/deployment/process.rs
+++ b/crates/experiment/src/deployment/process.rs
@@ -1,12 +1,11 @@
 //! A daemon as a process of its own.
 
+use super::KEY;
 use snafu::{ResultExt, Snafu};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use tokio::process::{Child, Command};
 
-/// Secret that the daemons of an experiment share; it protects nothing.
-pub(super) const KEY: &str = "5f1d0c7a93b24e6880aa41c3e97f2b6d5f1d0c7a93b24e6880aa41c3e97f2b6d";
 const KEY_VARIABLE: &str = "MONSOONRING_KEY";
 
 /// Result of starting a process.
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod deployment;
 pub mod fault;
 pub mod load;
+pub mod processor;
 pub mod report;
 pub mod sample;
 pub mod scenario;
