--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,19 @@
 //! drive the decisions of `monsoonring-decision`. The two meet in [`service::Service`] alone, so
 //! that each can be tested without the other.
 
+mod backend;
+mod caller;
 pub mod clock;
+mod control;
+pub mod launch;
+pub mod log;
+pub mod metrics;
+mod node;
+mod operator;
+mod peer;
+mod platform;
+mod route;
+pub mod run;
+mod server;
 pub mod service;
 pub mod settings;
--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -23,7 +23,10 @@
 
 impl Pool {
     pub(crate) fn new(ring: Ring) -> Self {
-        Self { ring, slots: Arc::default() }
+        Self {
+            ring,
+            slots: Arc::default(),
+        }
     }
 
     /// Returns the client for a peer, opening it where there is none.
@@ -35,7 +38,9 @@
         let slot = self.slot(peer);
         // Callers that come at the same time wait for the one who opens, so that a restart of a peer
         // does not meet as many connections as there are queries.
-        let client = slot.get_or_try_init(|| peer::connect(peer, &self.ring)).await?;
+        let client = slot
+            .get_or_try_init(|| peer::connect(peer, &self.ring))
+            .await?;
         Ok(client.clone())
     }
 
--- a/crates/daemon/src/route/poll.rs
+++ b/crates/daemon/src/route/poll.rs
@@ -27,12 +27,20 @@
     }
 
     fn list(&self) -> BTreeSet<BackendServerId> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 }
 
 fn servers(route: &Route) -> BTreeSet<BackendServerId> {
-    route.groups.iter().flat_map(|group| &group.backend_servers).copied().collect()
+    route
+        .groups
+        .iter()
+        .flat_map(|group| &group.backend_servers)
+        .copied()
+        .collect()
 }
 
 /// Starts the task that reads the endpoints of all servers once in a [`PERIOD`].
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -74,7 +74,7 @@
         let detail = format!("must have 1 to {MAX_DATA_CENTRE_BYTES} bytes");
         problems.push(Problem::new("--data-centre", detail));
     }
-    if settings.previous_key.as_ref() == Some(&settings.key) {
+    if settings.previous_key.is_some() && settings.previous_key == settings.key {
         problems.push(Problem::new("--previous-key", "is the same as --key"));
     }
 }
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -8,12 +8,11 @@
 
 mod check;
 mod error;
-mod key;
 mod limits;
 
 pub use error::{Error, Problem, Result};
-pub use key::Key;
 pub use limits::Limits;
+pub use monsoonring_wire::key::Key;
 
 use clap::{Parser, ValueEnum};
 use monsoonring_configuration::id::DataCentreId;
@@ -77,7 +76,7 @@
         value_name = "HEX",
         hide_env_values = true
     )]
-    pub key: Key,
+    pub key: Option<Key>,
 
     /// Key that was in use before and is still accepted, 64 hexadecimal digits.
     #[arg(
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -8,10 +8,16 @@
 pub mod admission;
 pub mod attempt;
 pub mod backend;
+mod broadcast;
 pub mod budget;
+pub mod configuration;
+pub mod fact;
 pub mod home;
 pub mod idempotency;
+pub mod member;
 pub mod outcome;
+pub mod placement;
+pub mod query;
 pub mod reply;
 pub mod stop;
 
--- a/crates/wire/src/key.rs
+++ b/crates/wire/src/key.rs
@@ -1,50 +1,58 @@
 //! Keys that daemons prove to each other that they hold.
 
-use snafu::{OptionExt, Snafu, ensure};
+use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use std::fmt;
 use std::str::FromStr;
 
-/// Length of a key in bytes.
-pub const KEY_BYTES: usize = 32;
+/// Length of a key, in bytes.
+const LENGTH: usize = 32;
 
-/// Number of hexadecimal digits that write a byte.
-const DIGITS_PER_BYTE: usize = 2;
+/// Text digits of one byte.
+const DIGITS: usize = 2;
 
-/// Why a text is no key.
+/// Why a text is no key. The text itself is never part of the message, as that goes to the log.
 #[derive(Debug, Snafu)]
 pub enum Error {
-    /// The length is wrong.
-    #[snafu(display("a key has {} hexadecimal digits, this one {digits}", KEY_BYTES * DIGITS_PER_BYTE))]
+    /// The text is too short or too long.
+    #[snafu(display("a key has 64 hexadecimal digits, not {count}"))]
     Length {
-        /// Number of characters found.
-        digits: usize,
+        /// Number of characters in the text.
+        count: usize,
     },
-    /// A character is no hexadecimal digit.
-    #[snafu(display("a key has hexadecimal digits only"))]
-    Digit,
+    /// A character is not a hexadecimal digit.
+    #[snafu(display("characters {position} and {} are not both hexadecimal digits", position + 1))]
+    Digit {
+        /// Position of the first of the two characters, from 0.
+        position: usize,
+        /// What the standard library says.
+        source: std::num::ParseIntError,
+    },
+    /// The text has characters outside ASCII.
+    #[snafu(display("a key has only hexadecimal digits"))]
+    Ascii,
 }
 
 /// Result of reading a key.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// A secret that all daemons of a deployment share. It never shows in logs.
+/// A secret of 32 bytes. Its debug form hides it.
 #[derive(Clone, PartialEq, Eq)]
-pub struct Key([u8; KEY_BYTES]);
+pub struct Key([u8; LENGTH]);
 
 impl Key {
     /// Makes a key of its bytes.
-    pub fn new(bytes: [u8; KEY_BYTES]) -> Self {
+    pub fn new(bytes: [u8; LENGTH]) -> Self {
         Self(bytes)
     }
 
-    pub(crate) fn bytes(&self) -> &[u8; KEY_BYTES] {
+    pub(crate) fn bytes(&self) -> &[u8; LENGTH] {
         &self.0
     }
 }
 
 impl fmt::Debug for Key {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("Key(..)")
+        formatter.write_str("Key(…)")
     }
 }
 
@@ -52,18 +60,15 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let digits = text.len();
-        ensure!(
-            digits == KEY_BYTES * DIGITS_PER_BYTE,
-            LengthSnafu { digits }
-        );
-        let mut bytes = [0; KEY_BYTES];
+        let count = text.chars().count();
+        ensure!(count == LENGTH * DIGITS, LengthSnafu { count });
+        ensure!(text.is_ascii(), AsciiSnafu);
+        let mut bytes = [0; LENGTH];
         for (index, byte) in bytes.iter_mut().enumerate() {
-            let start = index * DIGITS_PER_BYTE;
-            let pair = text
-                .get(start..start + DIGITS_PER_BYTE)
-                .context(DigitSnafu)?;
-            *byte = u8::from_str_radix(pair, 16).ok().context(DigitSnafu)?;
+            let position = index * DIGITS;
+            let digits = text.get(position..position + DIGITS).context(AsciiSnafu)?;
+            ensure!(!digits.starts_with('+'), AsciiSnafu);
+            *byte = u8::from_str_radix(digits, 16).context(DigitSnafu { position })?;
         }
         Ok(Self(bytes))
     }
