Cut the document into sections, and tell what a change does

Cause: daemons need one digest to compare documents by and sections to exchange only what changed; operators need to see before publishing what was edited and who will feel it; the reference page must not drift from the types. Weighed: one value exchanged whole, one value per route, sections of one document (taken); see docs/design/configuration.md.

--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -55,13 +55,12 @@
             faults: vec![size_fault(bytes.len())]
         }
     );
-    let read = reader::read(bytes).map_err(|fault| Error {
-        faults: vec![fault],
-    })?;
-    finish(&read.value, read.faults)
+    read(bytes)
 }
 
-/// Checks a document that was built in memory.
+/// Checks a document that was built in memory or put together from sections.
+///
+/// The bound on the size of a value isn't checked: sections may be published as values of their own.
 ///
 /// # Errors
 ///
@@ -70,7 +69,14 @@
     let text = serde_json::to_vec(document).map_err(|error| Error {
         faults: vec![unreadable(&error)],
     })?;
-    parse(&text).map(|_| ())
+    read(&text).map(|_| ())
+}
+
+fn read(bytes: &[u8]) -> Result<Document> {
+    let read = reader::read(bytes).map_err(|fault| Error {
+        faults: vec![fault],
+    })?;
+    finish(&read.value, read.faults)
 }
 
 fn finish(value: &Value, mut faults: Vec<Fault>) -> Result<Document> {
--- a/crates/configuration/src/check/structure.rs
+++ b/crates/configuration/src/check/structure.rs
@@ -50,10 +50,11 @@
 }
 
 fn unknown_field(path: &Path, name: &str, error: &ValidationError<'_>) -> Fault {
-    let known: Vec<String> = schema_part(error)
+    let mut known: Vec<String> = schema_part(error)
         .and_then(|part| part.get("properties")?.as_object())
         .map(|fields| fields.keys().map(|name| format!("`{name}`")).collect())
         .unwrap_or_default();
+    known.sort();
     Fault::new(
         path.field(name),
         "there is no field of this name",
@@ -99,10 +100,14 @@
             TypeKind::Multiple(_) => "a value of another type".to_owned(),
         },
         ValidationErrorKind::Pattern { pattern } => format!("a string of the form {pattern}"),
-        ValidationErrorKind::Minimum { limit } => format!("{limit} or more"),
-        ValidationErrorKind::ExclusiveMinimum { limit } => format!("more than {limit}"),
-        ValidationErrorKind::Maximum { limit } => format!("{limit} or less"),
-        ValidationErrorKind::ExclusiveMaximum { limit } => format!("less than {limit}"),
+        ValidationErrorKind::Minimum { limit } => format!("{} or more", schema::shown(limit)),
+        ValidationErrorKind::ExclusiveMinimum { limit } => {
+            format!("more than {}", schema::shown(limit))
+        }
+        ValidationErrorKind::Maximum { limit } => format!("{} or less", schema::shown(limit)),
+        ValidationErrorKind::ExclusiveMaximum { limit } => {
+            format!("less than {}", schema::shown(limit))
+        }
         ValidationErrorKind::MinItems { limit } => format!("{limit} or more items"),
         ValidationErrorKind::MaxItems { limit } => format!("{limit} or fewer items"),
         _ => known_values(error),
--- a/crates/configuration/src/document.rs
+++ b/crates/configuration/src/document.rs
@@ -42,11 +42,11 @@
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Class {
-    /// Someone waits in a fire truck or at a gate.
+    /// Admitted first: somebody can't go on without the answer.
     Urgent,
-    /// Someone waits at a desk.
+    /// Admitted next: somebody waits for the answer.
     Normal,
-    /// Nobody waits.
+    /// Admitted last: nobody waits for the answer.
     Background,
 }
 
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -5,13 +5,17 @@
 //! routes, backend servers) and the few ids and shapes that every other crate shares. It does no
 //! input or output, so that the same checks run wherever a document turns up.
 
+pub mod canonical;
 pub mod check;
+pub mod difference;
 pub mod document;
 pub mod example;
 pub mod id;
 pub mod limit;
 pub mod range;
+pub mod reference;
 pub mod schema;
+pub mod section;
 
 pub use document::Document;
 pub use range::Range;
--- /dev/null
+++ b/crates/configuration/src/reference.rs
@@ -0,0 +1,171 @@
+//! The reference of the document in Markdown, generated from the schema.
+//!
+//! The text in `docs/configuration.md` is the output of [`markdown`]; a test compares the two, so
+//! that a field, a bound or a default can't change without its page.
+
+use crate::schema;
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+
+const HEAD: &str = "\
+# The configuration document
+
+<!-- Generated from the types in crates/configuration/src/document.rs: change it there and run
+     `cargo run -p monsoonring-configuration --example reference`. -->
+
+The document is one JSON object: who may ask, and where each question goes. It is published as the
+value `monsoonring` of the configuration service and is at most 1,000,000 bytes long. `monsoonring
+check FILE` and the console run the same checks as the daemons, and list all faults at once. A
+document with a fault is refused as a whole, and the one before it stays in force.
+
+Whole documents to start from: `crates/configuration/examples/documents/hydrant.json` (coverage
+weighs most) and `beet.json` (latency weighs most).
+";
+
+const RULES: &str = "
+## Rules between fields
+
+- A field stands once in its object, and there are no others than those above.
+- Callers, routes, and the groups of a route have names that stand only once.
+- Each entry of a route's `callers` is the name of a caller of the document, and stands once.
+- The ranges of a route's groups hold each key of the route's `keys` exactly once: none is empty, no
+  two overlap, none reaches out of `keys`, and together they leave no hole.
+- A backend server stands only once in a route, as an IP address and a port to which a connection
+  can be made. It may stand in several routes; each of them may then take its own `capacity` of it.
+- `soft_deadline.after_ms` and `capacity.connect_ms` are less than `deadline_ms`.
+- An `execute` route has exactly one group and no `soft_deadline`. It is never hedged: without
+  `hedge` its budget is 0, and any other is a fault. It is retried only after a reply that proves
+  that the request did not run.
+
+The order of callers, routes, groups and backend servers means nothing.
+";
+
+/// The parts of the document, from the whole to the smallest.
+const PARTS: [&str; 8] = [
+    "Caller",
+    "Route",
+    "SoftDeadline",
+    "Hedge",
+    "Retry",
+    "Capacity",
+    "Group",
+    "Range",
+];
+
+/// The enumerations.
+const ENUMERATIONS: [&str; 2] = ["Class", "Kind"];
+
+/// Returns the reference of the document.
+pub fn markdown() -> String {
+    let mut text = HEAD.to_owned();
+    text.push_str(&object("Document", schema::value()));
+    for name in PARTS {
+        text.push_str(&object(name, definition(name)));
+    }
+    for name in ENUMERATIONS {
+        text.push_str(&enumeration(name, definition(name)));
+    }
+    text.push_str(RULES);
+    text
+}
+
+fn definition(name: &str) -> &'static Value {
+    &schema::value()["$defs"][name]
+}
+
+fn object(name: &str, part: &'static Value) -> String {
+    let required = part.get("required").and_then(Value::as_array);
+    let is_required = |field: &str| {
+        required.is_some_and(|names| names.iter().any(|name| name.as_str() == Some(field)))
+    };
+    let mut text = format!(
+        "\n## {name}\n\n{}\n\n| field | type | default | unit | bounds | meaning |\n\
+         |---|---|---|---|---|---|\n",
+        description(part)
+    );
+    let fields: BTreeMap<_, _> = part
+        .get("properties")
+        .and_then(Value::as_object)
+        .into_iter()
+        .flatten()
+        .map(|(field, schema)| ((!is_required(field), field), schema))
+        .collect();
+    for ((is_optional, field), schema) in fields {
+        text.push_str(&row(field, schema, !is_optional));
+    }
+    text
+}
+
+fn row(field: &str, schema: &'static Value, is_required: bool) -> String {
+    let default = match schema.get("default") {
+        Some(value) => format!("`{}`", schema::shown(value)),
+        None if is_required => "required".to_owned(),
+        None => "none".to_owned(),
+    };
+    let unit = schema.get("x-unit").and_then(Value::as_str).unwrap_or("");
+    format!(
+        "| `{field}` | {} | {default} | {unit} | {} | {} |\n",
+        kind(schema),
+        bounds(schema),
+        description(schema).replace('|', "\\|"),
+    )
+}
+
+fn description(part: &'static Value) -> String {
+    let own = part.get("description");
+    let text = own.or_else(|| schema::resolve(part).get("description"));
+    text.and_then(Value::as_str)
+        .unwrap_or_default()
+        .replace('\n', " ")
+}
+
+fn kind(schema: &Value) -> String {
+    if let Some(reference) = schema.get("$ref").and_then(Value::as_str) {
+        let name = reference.rsplit('/').next().unwrap_or_default();
+        return format!("[{name}](#{})", name.to_lowercase());
+    }
+    match schema.get("type").and_then(Value::as_str) {
+        Some("array") => format!("list of {}", kind(&schema["items"])),
+        Some("integer") => "whole number".to_owned(),
+        Some(name) => name.to_owned(),
+        None => String::new(),
+    }
+}
+
+fn bounds(schema: &Value) -> String {
+    let Some(fields) = schema.as_object() else {
+        return String::new();
+    };
+    let phrases = [
+        ("minimum", "at least "),
+        ("exclusiveMinimum", "more than "),
+        ("maximum", "at most "),
+        ("minItems", "at least "),
+        ("maxItems", "at most "),
+        ("pattern", "form "),
+    ];
+    let found: Vec<String> = phrases
+        .iter()
+        .filter_map(|(keyword, phrase)| Some(format!("{phrase}{}", bound(fields, keyword)?)))
+        .collect();
+    found.join(", ")
+}
+
+fn bound(fields: &Map<String, Value>, keyword: &str) -> Option<String> {
+    let text = match fields.get(keyword)? {
+        Value::String(pattern) => format!("`{pattern}`"),
+        number => schema::shown(number),
+    };
+    Some(text)
+}
+
+fn enumeration(name: &str, part: &'static Value) -> String {
+    let mut text = format!(
+        "\n## {name}\n\n{}\n\n| value | meaning |\n|---|---|\n",
+        description(part)
+    );
+    for (value, meaning) in schema::variants(part) {
+        text.push_str(&format!("| `{value}` | {} |\n", meaning.replace('\n', " ")));
+    }
+    text
+}
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -4,6 +4,7 @@
 
 use crate::Document;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
 static SCHEMA: LazyLock<Value> = LazyLock::new(|| schemars::schema_for!(Document).to_value());
@@ -45,3 +46,20 @@
                 .map(move |value| (value, description.unwrap_or_default()))
         })
 }
+
+/// Renders a value alike in every build: the order of an object's fields depends on a feature of
+/// `serde_json` that any crate of the workspace can switch on.
+pub(crate) fn shown(value: &Value) -> String {
+    match value {
+        Value::Object(fields) => {
+            let sorted: BTreeMap<_, _> = fields.iter().collect();
+            let fields: Vec<String> = sorted
+                .into_iter()
+                .map(|(name, value)| format!("\"{name}\": {}", shown(value)))
+                .collect();
+            format!("{{{}}}", fields.join(", "))
+        }
+        Value::Number(number) => number.to_string().trim_end_matches(".0").to_owned(),
+        other => other.to_string(),
+    }
+}
--- a/crates/configuration/tests/faults.rs
+++ b/crates/configuration/tests/faults.rs
@@ -1,6 +1,6 @@
 //! Each fault alone: a valid document with one edit, and the faults that must come of it.
 
-use monsoonring_configuration::check;
+use monsoonring_configuration::{check, limit};
 use serde_json::{Value, json};
 use test_case::test_case;
 
@@ -57,6 +57,7 @@
 
 #[test_case("/callers/2/name", json!("a/b"), "callers[2].name", "wrong form"; "name_with_slash")]
 #[test_case("/callers/2/name", json!(".."), "callers[2].name", "wrong form"; "name_is_parent_directory")]
+#[test_case("/callers/2/name", json!("desk\n"), "callers[2].name", "wrong form"; "name_with_line_end")]
 #[test_case("/callers/0/class", json!("vip"), "callers[0].class", "known values"; "unknown_class")]
 #[test_case("/callers/2/name", json!("desk"), "callers[2].name", "already"; "caller_twice")]
 #[test_case("/callers/1/token_sha256", json!("abc"), "callers[1].token_sha256", "wrong form"; "short_token_digest")]
@@ -99,3 +100,97 @@
     assert_eq!(found[0].0, path);
     assert!(found[0].1.contains(wrong), "{found:?}");
 }
+
+#[test_case("/routes/1", "hedge", json!({"budget_percent": 1}), "routes[1].hedge.budget_percent", "second time"; "execute_with_hedge")]
+#[test_case("/routes/1", "hedge", json!({"quantile": 0.9}), "routes[1].hedge.budget_percent", "second time"; "execute_with_default_hedge_budget")]
+#[test_case("/routes/1", "soft_deadline", json!({"after_ms": 1, "coverage": 0.5}), "routes[1].soft_deadline", "no partial answers"; "execute_with_soft_deadline")]
+#[test_case("", "extra", json!(1), "extra", "no field of this name"; "unknown_field_of_the_document")]
+#[test_case("/routes/0/groups/1", "odd/~name", json!(1), r#"routes[0].groups[1]["odd/~name"]"#, "no field of this name"; "unknown_field_with_odd_name")]
+fn parse_added_field_is_the_only_fault(
+    pointer: &str,
+    field: &str,
+    value: Value,
+    path: &str,
+    wrong: &str,
+) {
+    let mut edited = valid();
+    edited.pointer_mut(pointer).expect("the place exists")[field] = value;
+    let found = faults(&edited);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].0, path);
+    assert!(found[0].1.contains(wrong), "{found:?}");
+}
+
+#[test_case("/routes/0", "deadline_ms", "routes[0].deadline_ms"; "deadline")]
+#[test_case("/routes/0/groups/1/keys", "end", "routes[0].groups[1].keys.end"; "end_of_a_range")]
+#[test_case("/routes/0/capacity", "slots", "routes[0].capacity.slots"; "slots")]
+fn parse_missing_field_is_the_only_fault(pointer: &str, field: &str, path: &str) {
+    let mut edited = valid();
+    let part = edited.pointer_mut(pointer).expect("the place exists");
+    part.as_object_mut().expect("it is an object").remove(field);
+    let missing = (path.to_owned(), "the field is missing".to_owned());
+    assert_eq!(faults(&edited), [missing]);
+}
+
+#[test]
+fn parse_execute_with_two_groups_is_refused() {
+    let mut edited = valid();
+    edited["routes"][0]["kind"] = json!("execute");
+    let found = faults(&edited);
+    let paths: Vec<_> = found.iter().map(|(path, _)| path.as_str()).collect();
+    let expected = [
+        "routes[0].groups",
+        "routes[0].hedge.budget_percent",
+        "routes[0].soft_deadline",
+    ];
+    assert_eq!(paths, expected);
+}
+
+#[test_case(br#"{"callers":[],"routes":[],"routes":[]}"#, "routes", "more than once"; "key_twice")]
+#[test_case(br#"{"callers":[{"name":"a","name":"b","class":"normal"}],"routes":[]}"#, "callers[0].name", "more than once"; "inner_key_twice")]
+#[test_case(br#"{"callers":[],"routes":[]} x"#, "document", "isn't JSON"; "trailing_text")]
+#[test_case(br#"{"callers":[],"#, "document", "line 1 column 14"; "cut_off")]
+#[test_case(b"\xff\xfe", "document", "isn't JSON"; "no_text")]
+#[test_case(b"[]", "document", "wrong type"; "no_object")]
+fn parse_text_fault_is_the_only_one(text: &[u8], path: &str, wrong: &str) {
+    let error = check::parse(text).expect_err("the text is faulty");
+    assert_eq!(error.faults.len(), 1, "{error}");
+    assert_eq!(error.faults[0].path.to_string(), path);
+    assert!(error.faults[0].wrong.contains(wrong), "{error}");
+}
+
+#[test]
+fn parse_value_above_a_megabyte_is_refused() {
+    let mut text = serde_json::to_vec(&valid()).expect("a value is JSON");
+    text.resize(limit::VALUE_BYTES, b' ');
+    check::parse(&text).expect("a value of the largest size is taken");
+    text.push(b' ');
+    let error = check::parse(&text).expect_err("it is a byte too long");
+    assert!(error.faults[0].wrong.contains("1000001 bytes"), "{error}");
+}
+
+#[test]
+fn parse_execute_without_hedge_never_hedges() {
+    let bytes = serde_json::to_vec(&valid()).expect("a value is JSON");
+    let document = check::parse(&bytes).expect("it is valid");
+    assert_eq!(document.routes[1].hedge.budget_percent, 0.0);
+    check::document(&document).expect("what was parsed passes again");
+}
+
+#[test]
+fn parse_whole_number_as_fraction_is_accepted() {
+    let text = serde_json::to_string(&valid()).expect("a value is JSON");
+    let edited = text.replace(r#""deadline_ms":500"#, r#""deadline_ms":500.0"#);
+    assert_ne!(text, edited);
+    let document = check::parse(edited.as_bytes()).expect("500.0 is 500");
+    assert_eq!(document.routes[0].deadline_ms, 500);
+}
+
+/// One document with as many faults of different kinds as fit, so that a change of any message, or
+/// a fault that hides another, shows in the golden list.
+#[test]
+fn parse_very_bad_document_lists_all() {
+    let error = check::parse(include_bytes!("documents/very_bad.json")).expect_err("it is bad");
+    insta::assert_snapshot!(error);
+    insta::assert_json_snapshot!("very_bad_json", error.faults);
+}
--- /dev/null
+++ b/crates/configuration/tests/sections.rs
@@ -0,0 +1,141 @@
+//! Sections and their digests.
+
+use monsoonring_configuration::section::{self, Digest, Error, Index, Name, Section};
+use monsoonring_configuration::{Document, canonical, check, example};
+use std::sync::Arc;
+use test_case::test_case;
+
+fn document() -> Document {
+    check::parse(example::HYDRANT.as_bytes()).expect("examples are valid")
+}
+
+fn sections() -> Vec<Section> {
+    section::split(&document()).expect("a document can be written")
+}
+
+fn route(name: &str) -> Name {
+    Name::Route(name.into())
+}
+
+/// The digests are part of the protocol between daemons of different builds: a change of the
+/// canonical form makes a fleet in the middle of a roll-out see a difference in every section.
+#[test]
+fn index_of_example_is_golden() {
+    let index = Index::of(&sections());
+    insta::assert_json_snapshot!("index", (&index, index.digest()));
+}
+
+#[test]
+fn digest_of_nothing_is_the_standard_one() {
+    let empty = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855";
+    assert_eq!(Digest::of(b"").to_string(), empty);
+}
+
+#[test]
+fn assemble_all_is_the_canonical_document() {
+    let sections = sections();
+    let assembled = section::assemble(&Index::of(&sections), &sections).expect("it is whole");
+    assert_eq!(assembled, canonical::form(&document()));
+}
+
+#[test]
+fn assemble_selection_has_only_its_routes() {
+    let sections = sections();
+    let index = Index::of(&sections).select(|route| &**route == "dispatch-map");
+    let wanted: Vec<_> = sections
+        .into_iter()
+        .filter(|section| index.get(section.name()).is_some())
+        .collect();
+    let assembled = section::assemble(&index, &wanted).expect("it is whole");
+    assert_eq!(assembled.callers.len(), 3);
+    assert_eq!(assembled.routes.len(), 1);
+    assert_eq!(&*assembled.routes[0].name, "dispatch-map");
+}
+
+/// What a peer sends.
+struct Transfer {
+    index: Index,
+    sections: Vec<Section>,
+}
+
+impl Transfer {
+    fn replace(&mut self, position: usize, body: impl Into<Arc<[u8]>>) {
+        let name = self.sections[position].name().clone();
+        self.sections[position] = Section::new(name, body);
+    }
+
+    /// Makes the index match the damage, as a faulty peer would.
+    fn index_again(&mut self) {
+        self.index = Index::of(&self.sections);
+    }
+}
+
+fn drop_one(transfer: &mut Transfer) {
+    transfer.sections.pop();
+}
+
+fn add_one(transfer: &mut Transfer) {
+    transfer.sections.push(Section::new(route("other"), *b"{}"));
+}
+
+fn flip_bit(transfer: &mut Transfer) {
+    let mut body = transfer.sections[1].body().to_vec();
+    body[10] ^= 1;
+    transfer.replace(1, body);
+}
+
+fn swap_bodies(transfer: &mut Transfer) {
+    let body = transfer.sections[2].body().clone();
+    transfer.replace(1, body);
+    transfer.index_again();
+}
+
+fn spoil(transfer: &mut Transfer) {
+    transfer.replace(1, *b"{}");
+    transfer.index_again();
+}
+
+fn lose_callers(transfer: &mut Transfer) {
+    transfer.replace(0, *b"[]");
+    transfer.index_again();
+}
+
+#[test_case(drop_one, |error| matches!(error, Error::Missing { .. }); "section_missing")]
+#[test_case(add_one, |error| matches!(error, Error::Unexpected { .. }); "section_not_in_the_index")]
+#[test_case(flip_bit, |error| matches!(error, Error::Mismatch { .. }); "bit_flipped")]
+#[test_case(swap_bodies, |error| matches!(error, Error::Misplaced { .. }); "route_under_another_name")]
+#[test_case(spoil, |error| matches!(error, Error::Unreadable { .. }); "body_is_no_route")]
+#[test_case(lose_callers, |error| matches!(error, Error::Invalid { .. }); "caller_of_a_route_is_gone")]
+fn assemble_damaged_is_refused(damage: fn(&mut Transfer), is_expected: fn(&Error) -> bool) {
+    let sections = sections();
+    let index = Index::of(&sections);
+    let mut transfer = Transfer { index, sections };
+    damage(&mut transfer);
+    let error = section::assemble(&transfer.index, &transfer.sections).expect_err("it is damaged");
+    assert!(is_expected(&error), "{error}");
+}
+
+#[test]
+fn difference_names_added_removed_and_changed() {
+    let old = Index::of(&sections());
+    let mut edited = document();
+    edited.routes[0].deadline_ms += 1;
+    edited.routes[1].name = "renamed".into();
+    let sections = section::split(&edited).expect("a document can be written");
+    let new = Index::of(&sections);
+    let difference = old.difference(&new);
+    assert_eq!(difference.added, [route("renamed")]);
+    assert_eq!(difference.removed, [route("inspector-app")]);
+    assert_eq!(difference.changed, [route("dispatch-map")]);
+    assert!(old.difference(&old).is_empty());
+    assert_ne!(old.digest(), new.digest());
+}
+
+#[test_case("callers", Some(&Name::Callers); "callers")]
+#[test_case("routes/map", Some(&route("map")); "one_route")]
+#[test_case("routes/", None; "route_without_name")]
+#[test_case("hosts", None; "unknown")]
+fn name_try_from_text(text: &str, expected: Option<&Name>) {
+    let name = Name::try_from(text.to_owned()).ok();
+    assert_eq!(name.as_ref(), expected);
+}
