--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -9,6 +9,7 @@
 use crate::output::Output;
 use monsoonring_configuration::Document;
 use monsoonring_configuration::check::{self, Fault};
+use monsoonring_configuration::difference::{self, Difference};
 use serde::Serialize;
 use std::fmt::{self, Formatter};
 
@@ -18,18 +19,18 @@
     document: String,
     valid: bool,
     faults: Vec<Fault>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    against: Option<String>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    difference: Option<Difference>,
 }
 
-/// Checks the document and reports its faults.
+/// Checks the document, and the other one if there is one, and reports faults and difference.
 pub(crate) fn run(check: &Check, output: Output) -> Code {
-    match parse(&check.file) {
-        Ok(Ok(_document)) => {
-            output.report(&Report::new(&check.file, Vec::new()));
-            Code::Success
-        }
-        Ok(Err(faults)) => {
-            output.report(&Report::new(&check.file, faults));
-            Code::Faults
+    match compare(check) {
+        Ok(report) => {
+            output.report(&report);
+            report.code()
         }
         Err(error) => {
             output.notice(&error.to_string());
@@ -38,6 +39,29 @@
     }
 }
 
+fn compare(check: &Check) -> input::Result<Report> {
+    let new = parse(&check.file)?;
+    let old = check.against.as_deref().map(parse).transpose()?;
+    let difference = match (&old, &new) {
+        (Some(Ok(old)), Ok(new)) => Some(difference::between(old, new)),
+        _ => None,
+    };
+    // The document in force was checked before it came into force. Faults in it mean that OTHER is
+    // something else, and a difference to it would mislead.
+    let (document, faults) = match (new, old) {
+        (Err(faults), _) => (&check.file, faults),
+        (Ok(_), Some(Err(faults))) => (check.against.as_ref().unwrap_or(&check.file), faults),
+        (Ok(_), _) => (&check.file, Vec::new()),
+    };
+    Ok(Report {
+        document: document.clone(),
+        valid: faults.is_empty(),
+        faults,
+        against: check.against.clone(),
+        difference,
+    })
+}
+
 /// Reads a document; the inner error has all its faults.
 fn parse(name: &str) -> input::Result<Result<Document, Vec<Fault>>> {
     let bytes = input::file(name)?;
@@ -45,23 +69,26 @@
 }
 
 impl Report {
-    fn new(document: &str, faults: Vec<Fault>) -> Self {
-        Self {
-            document: document.to_owned(),
-            valid: faults.is_empty(),
-            faults,
+    fn code(&self) -> Code {
+        if self.valid {
+            Code::Success
+        } else {
+            Code::Faults
         }
     }
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        if self.valid {
-            return writeln!(f, "{}: valid", self.document);
-        }
         for fault in &self.faults {
             writeln!(f, "{}: {fault}", self.document)?;
         }
-        Ok(())
+        if self.valid {
+            writeln!(f, "{}: valid", self.document)?;
+        }
+        match &self.difference {
+            Some(difference) => write!(f, "{difference}"),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/experiment/examples/cost.rs
+++ b/crates/experiment/examples/cost.rs
@@ -137,7 +137,10 @@
 
 /// Processor time of all daemons.
 fn processor(deployment: &Deployment) -> processor::Result<Duration> {
-    let processes = deployment.daemons.iter().filter_map(|daemon| daemon.process_id);
+    let processes = deployment
+        .daemons
+        .iter()
+        .filter_map(|daemon| daemon.process_id);
     let processes: processor::Result<Duration> =
         processes.map(|id| processor::time(Some(id), None)).sum();
     Ok(processes? + processor::time(None, Some(THREAD_NAME))?)
--- a/crates/experiment/src/deployment/mod.rs
+++ b/crates/experiment/src/deployment/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::caller::Caller;
 use crate::scenario::Policy;
+use monsoonring_configuration::check;
 use monsoonring_fakes::configuration_service::Service;
 use monsoonring_fakes::fleet::{Fleet, Shape};
 use monsoonring_fakes::host_list::{self, List};
@@ -32,6 +33,12 @@
 /// Why a deployment did not come up.
 #[derive(Debug, Snafu)]
 pub enum Error {
+    /// The daemons would reject the document.
+    #[snafu(display("check the document: {source}"))]
+    Document {
+        /// What is wrong with it.
+        source: check::Error,
+    },
     /// No free port was to be had.
     #[snafu(display("find a free port: {source}"))]
     Port {
@@ -134,11 +141,12 @@
     ///
     /// [`Error`] where a daemon did not start or was not ready in time.
     pub async fn start(setup: Setup) -> Result<Self> {
-        let fleet = Fleet::start(setup.shapes);
+        let fleet = Fleet::start(setup.shapes.iter().cloned());
         let service = Service::start();
         let hosts = List::start();
         let mut document = fleet.document();
         setup.policy.apply(&mut document);
+        check::document(&document).context(DocumentSnafu)?;
         service.publish_document(&document);
         fleet.register(&hosts);
         let mut deployment = Self {
--- a/crates/experiment/src/deployment/thread.rs
+++ b/crates/experiment/src/deployment/thread.rs
@@ -63,17 +63,16 @@
 
 type Started = oneshot::Sender<Result<Addresses, Cause>>;
 
-fn live(
-    runtime: &Runtime,
-    settings: &Settings,
-    started: Started,
-    stopping: oneshot::Receiver<()>,
-) {
+fn live(runtime: &Runtime, settings: &Settings, started: Started, stopping: oneshot::Receiver<()>) {
     let metrics = Arc::new(Metrics::default());
     let dropped = metrics.log_dropped.clone();
     // Lines are composed as in production and then thrown away: their cost is the daemon's.
-    let (log, _guard) =
-        log::start_to(std::io::sink(), settings.log_format, settings.log_level, dropped);
+    let (log, _guard) = log::start_to(
+        std::io::sink(),
+        settings.log_format,
+        settings.log_level,
+        dropped,
+    );
     runtime.block_on(async {
         match launch(settings, Telemetry { log, metrics }).await {
             Ok(launched) => serve(launched, started, stopping).await,
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -113,13 +113,17 @@
         }
     }
 
-    /// Writes the policy into a document. Non-idempotent routes are left as they are: no policy may
-    /// send their requests twice.
+    /// Writes the policy into a document. No policy reaches the non-idempotent routes, and a hedge
+    /// there would make the document invalid: it would run a request twice.
     pub fn apply(&self, document: &mut Document) {
-        let searches = document.routes.iter_mut();
-        for route in searches.filter(|route| route.kind == Kind::Search) {
-            route.hedge = self.hedge.unwrap_or(route.hedge);
-            route.retry = self.retry.unwrap_or(route.retry);
+        for route in &mut document.routes {
+            match route.kind {
+                Kind::Search => {
+                    route.hedge = self.hedge.unwrap_or(route.hedge);
+                    route.retry = self.retry.unwrap_or(route.retry);
+                }
+                Kind::Execute => route.hedge.budget_percent = 0.0,
+            }
         }
     }
 }
