--- a/crates/experiment/src/sample.rs
+++ b/crates/experiment/src/sample.rs
@@ -60,6 +60,8 @@
     pub coverage: f64,
     /// Snapshot that the answer was taken from.
     pub index_version: Option<IndexVersion>,
+    /// Why there was no answer; empty where there was one.
+    pub reason: String,
     /// Whether the answer contradicts itself or the data; see [`crate::verify`].
     pub untrue: bool,
 }
--- a/crates/experiment/tests/report.rs
+++ b/crates/experiment/tests/report.rs
@@ -13,6 +13,7 @@
         outcome,
         coverage,
         index_version: Some(1),
+        reason: String::new(),
         untrue: false,
     }
 }
