--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -8,6 +8,7 @@
 use label::{Attempt, ByRoute, Connection, Member, Refusal, Request, Sending, Standing};
 use monsoonring_configuration::id::RouteId;
 use monsoonring_decision::outcome::Reason;
+use monsoonring_wire::meter::Meter;
 use nix::sys::resource::{UsageWho, getrusage};
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric, text};
@@ -57,6 +58,8 @@
     pub members: Family<Member, Gauge>,
     /// Log lines that did not fit into the queue.
     pub log_dropped: Counter,
+    /// Bytes between daemons.
+    pub peer_bytes: Meter,
 }
 
 impl Default for Metrics {
@@ -75,6 +78,7 @@
             revision: Gauge::default(),
             members: Family::default(),
             log_dropped: Counter::default(),
+            peer_bytes: Meter::default(),
         };
         metrics.register_requests();
         metrics.register_attempts();
@@ -205,6 +209,31 @@
             self.log_dropped.clone(),
         );
         registry.register_collector(Box::new(ProcessorTime));
+        registry.register_collector(Box::new(PeerBytes(self.peer_bytes.clone())));
+    }
+}
+
+/// Bytes between daemons, read when the metrics are.
+#[derive(Debug)]
+struct PeerBytes(Meter);
+
+impl Collector for PeerBytes {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let directions = [
+            ("peer_sent", "Bytes sent to other daemons.", self.0.sent()),
+            (
+                "peer_received",
+                "Bytes received from other daemons.",
+                self.0.received(),
+            ),
+        ];
+        for (name, help, bytes) in directions {
+            let counter = ConstCounter::new(bytes);
+            let kind = counter.metric_type();
+            let metric = encoder.encode_descriptor(name, help, Some(&Unit::Bytes), kind)?;
+            counter.encode(metric)?;
+        }
+        Ok(())
     }
 }
 
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -16,6 +16,7 @@
 use monsoonring_decision::idempotency::{Fence, Ledger, Limits, Secret};
 use monsoonring_decision::placement::Member;
 use monsoonring_decision::{fact, member};
+use monsoonring_wire::channel::Endpoint;
 use monsoonring_wire::key::Ring;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha20Rng;
@@ -49,7 +50,9 @@
         current: settings.key.clone(),
         previous: settings.previous_key.clone(),
     };
-    let pool = Pool::new(settings.peer_listen.ip(), ring.clone());
+    let meter = metrics.peer_bytes.clone();
+    let endpoint = Endpoint::new(settings.peer_listen.ip(), ring, meter);
+    let pool = Pool::new(endpoint.clone());
     let (news, heard) = mpsc::unbounded_channel();
     let control = control::spawn(control::Settings {
         own: own.clone(),
@@ -102,7 +105,7 @@
     tokio::spawn(hear(node.clone(), heard));
     tokio::spawn(tell(node.clone(), found));
     tokio::spawn(clean(node.clone()));
-    tokio::spawn(peer::serve(node.clone(), peers, ring));
+    tokio::spawn(peer::serve(node.clone(), peers, endpoint));
     Front(node)
 }
 
--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -3,11 +3,10 @@
 //! One stream to a peer carries all calls to it. A stream that fails is thrown away and opened anew
 //! at the next call; whoever called decides whether the call may be made again.
 
-use monsoonring_wire::channel;
-use monsoonring_wire::key::Ring;
+use monsoonring_wire::channel::{self, Endpoint};
 use monsoonring_wire::peer::{self, PeerClient};
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::OnceCell;
 
@@ -17,16 +16,14 @@
 /// Clients by peer.
 #[derive(Clone, Debug)]
 pub(crate) struct Pool {
-    own: IpAddr,
-    ring: Ring,
+    endpoint: Endpoint,
     slots: Arc<Mutex<HashMap<SocketAddr, Slot>>>,
 }
 
 impl Pool {
-    pub(crate) fn new(own: IpAddr, ring: Ring) -> Self {
+    pub(crate) fn new(endpoint: Endpoint) -> Self {
         Self {
-            own,
-            ring,
+            endpoint,
             slots: Arc::default(),
         }
     }
@@ -41,7 +38,7 @@
         // Callers that come at the same time wait for the one who opens, so that a restart of a peer
         // does not meet as many connections as there are queries.
         let client = slot
-            .get_or_try_init(|| peer::connect(peer, self.own, &self.ring))
+            .get_or_try_init(|| peer::connect(peer, &self.endpoint))
             .await?;
         Ok(client.clone())
     }
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -8,8 +8,7 @@
 use monsoonring_decision::idempotency::{Handover, Key, Receipt, Refusal};
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
 use monsoonring_decision::outcome::Outcome;
-use monsoonring_wire::channel;
-use monsoonring_wire::key::Ring;
+use monsoonring_wire::channel::Endpoint;
 use monsoonring_wire::message::{Declined, Request, Send, Sent};
 use monsoonring_wire::peer::{GRACE, Peer, transport};
 use slog::warn;
@@ -28,11 +27,11 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Serves peers until the process ends.
-pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener, ring: Ring) {
+pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener, endpoint: Endpoint) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(converse(node.clone(), stream, peer, ring.clone()));
+                tokio::spawn(converse(node.clone(), stream, peer, endpoint.clone()));
             }
             Err(error) => {
                 warn!(node.log(), "peer"; "what" => "accept", "error" => %error);
@@ -42,8 +41,8 @@
     }
 }
 
-async fn converse(node: Arc<Node>, stream: TcpStream, peer: SocketAddr, ring: Ring) {
-    let stream = match channel::accept(stream, peer, &ring).await {
+async fn converse(node: Arc<Node>, stream: TcpStream, peer: SocketAddr, endpoint: Endpoint) {
+    let stream = match endpoint.accept(stream, peer).await {
         Ok(stream) => stream,
         Err(error) => {
             warn!(node.log(), "peer"; "what" => "refused", "error" => %error);
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -9,6 +9,7 @@
 //! knows it only as the previous one accepts it all the same.
 
 use crate::key::{Key, Ring};
+use crate::meter::{Meter, Metered};
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
 use snafu::{OptionExt, ResultExt, Snafu};
@@ -92,28 +93,61 @@
 
 impl<T: AsyncRead + AsyncWrite + Send + Unpin> Stream for T {}
 
-/// Opens a stream to a peer.
-///
-/// The stream comes from the address `own`, so that firewalls and peers see a daemon under one IP
-/// number in both directions; the unspecified address leaves the choice to the system.
-///
-/// # Errors
-///
-/// Fails where the peer can't be reached, does not answer in time or does not hold the key.
-pub async fn connect(peer: SocketAddr, own: IpAddr, ring: &Ring) -> Result<Box<dyn Stream>> {
-    let opening = async {
-        let stream = dial(peer, own).await.context(ConnectSnafu { peer })?;
-        // Small calls would wait for the acknowledgement of the one before.
-        stream.set_nodelay(true).context(ConnectSnafu { peer })?;
-        match &ring.current {
-            None => Ok(Box::new(stream) as Box<dyn Stream>),
-            Some(key) => initiate(stream, key, peer).await,
+/// One daemon's end of all streams to others.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    own: IpAddr,
+    ring: Ring,
+    meter: Meter,
+}
+
+impl Endpoint {
+    /// Makes an end that opens streams from the address `own` and knows the keys of `ring`.
+    ///
+    /// Firewalls and peers see a daemon under one IP number in both directions; the unspecified
+    /// address leaves the choice to the system.
+    /// `meter` counts the bytes.
+    pub fn new(own: IpAddr, ring: Ring, meter: Meter) -> Self {
+        Self { own, ring, meter }
+    }
+
+    /// Opens a stream to a peer.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer can't be reached, does not answer in time or does not hold the key.
+    pub async fn connect(&self, peer: SocketAddr) -> Result<Box<dyn Stream>> {
+        let opening = async {
+            let stream = dial(peer, self.own).await.context(ConnectSnafu { peer })?;
+            let stream = self.prepare(stream, peer)?;
+            match &self.ring.current {
+                None => Ok(Box::new(stream) as Box<dyn Stream>),
+                Some(key) => initiate(stream, key, peer).await,
+            }
+        };
+        let opened = timeout(OPEN_TIMEOUT, opening).await;
+        opened.ok().context(TimeoutSnafu { peer })?
+    }
+
+    /// Takes a stream that a peer has opened.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer does not finish the handshake in time or holds none of the keys.
+    pub async fn accept(&self, stream: TcpStream, peer: SocketAddr) -> Result<Box<dyn Stream>> {
+        let stream = self.prepare(stream, peer)?;
+        if self.ring.current.is_none() {
+            return Ok(Box::new(stream));
         }
-    };
-    timeout(OPEN_TIMEOUT, opening)
-        .await
-        .ok()
-        .context(TimeoutSnafu { peer })?
+        let taken = timeout(OPEN_TIMEOUT, respond(stream, &self.ring, peer)).await;
+        taken.ok().context(TimeoutSnafu { peer })?
+    }
+
+    fn prepare(&self, stream: TcpStream, peer: SocketAddr) -> Result<Metered> {
+        // Small calls would wait for the acknowledgement of the one before.
+        stream.set_nodelay(true).context(StreamSnafu { peer })?;
+        Ok(self.meter.measure(stream))
+    }
 }
 
 async fn dial(peer: SocketAddr, own: IpAddr) -> std::io::Result<TcpStream> {
@@ -127,23 +161,7 @@
     socket.connect(peer).await
 }
 
-/// Takes a stream that a peer has opened.
-///
-/// # Errors
-///
-/// Fails where the peer does not finish the handshake in time or holds none of the keys.
-pub async fn accept(stream: TcpStream, peer: SocketAddr, ring: &Ring) -> Result<Box<dyn Stream>> {
-    stream.set_nodelay(true).context(StreamSnafu { peer })?;
-    if ring.current.is_none() {
-        return Ok(Box::new(stream));
-    }
-    timeout(OPEN_TIMEOUT, respond(stream, ring, peer))
-        .await
-        .ok()
-        .context(TimeoutSnafu { peer })?
-}
-
-async fn initiate(stream: TcpStream, key: &Key, peer: SocketAddr) -> Result<Box<dyn Stream>> {
+async fn initiate(stream: Metered, key: &Key, peer: SocketAddr) -> Result<Box<dyn Stream>> {
     let mut frames = framed(stream);
     let mut handshake = builder(key)
         .and_then(snow::Builder::build_initiator)
@@ -161,7 +179,7 @@
     Ok(Box::new(pump(frames, state)))
 }
 
-async fn respond(stream: TcpStream, ring: &Ring, peer: SocketAddr) -> Result<Box<dyn Stream>> {
+async fn respond(stream: Metered, ring: &Ring, peer: SocketAddr) -> Result<Box<dyn Stream>> {
     let mut frames = framed(stream);
     let hello = next(&mut frames, peer).await?;
     let mut handshake = ring
@@ -197,9 +215,9 @@
     Ok(message.into())
 }
 
-type Frames = Framed<TcpStream, LengthDelimitedCodec>;
+type Frames = Framed<Metered, LengthDelimitedCodec>;
 
-fn framed(stream: TcpStream) -> Frames {
+fn framed(stream: Metered) -> Frames {
     LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE)
         .new_framed(stream)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod channel;
 pub mod key;
 pub mod message;
+pub mod meter;
 pub mod peer;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,14 +1,13 @@
 //! The calls that daemons make to each other.
 
-use crate::channel::{self, Stream};
-use crate::key::Ring;
+use crate::channel::{Endpoint, Result as Opened, Stream};
 use crate::message::{Declined, Request, Send, Sent};
 use monsoonring_decision::configuration::Version;
 use monsoonring_decision::idempotency::lookup::{Answer, Question};
 use monsoonring_decision::idempotency::{Handover, Key, Receipt};
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
 use monsoonring_decision::outcome::Outcome;
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
@@ -59,13 +58,13 @@
 pub type Calls<Item, SinkItem> =
     Transport<Box<dyn Stream>, Item, SinkItem, Bincode<Item, SinkItem>>;
 
-/// Opens a client to a peer, from the address `own`.
+/// Opens a client to a peer.
 ///
 /// # Errors
 ///
 /// Fails where no stream to the peer can be opened.
-pub async fn connect(peer: SocketAddr, own: IpAddr, ring: &Ring) -> channel::Result<PeerClient> {
-    let stream = channel::connect(peer, own, ring).await?;
+pub async fn connect(peer: SocketAddr, endpoint: &Endpoint) -> Opened<PeerClient> {
+    let stream = endpoint.connect(peer).await?;
     let calls = transport(stream);
     Ok(PeerClient::new(tarpc::client::Config::default(), calls).spawn())
 }
