Add the UDP relay and show that each test of a stand-in can fail

Cause: the stand-ins' tests had passed at their first run, which proves nothing; five of them hung instead of failing once their mechanism was taken out. Weighed: one relay type for both protocols was ruled out, since a held TCP stream arrives later and a datagram does not. Change: relay::udp with link, delay and seeded loss; relay and configuration_service split by job; accepting pauses when it fails (no test: it takes a process without file descriptors); calls of the tests end after 20 s; the flapping test no longer loops without an end.

--- /dev/null
+++ b/crates/fakes/src/configuration_service/limit.rs
@@ -0,0 +1,28 @@
+//! The limit of calls a second, over all readers.
+
+use std::time::Duration;
+use tokio::time::Instant;
+
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Calls answered in the present second.
+#[derive(Default)]
+pub(crate) struct Limit {
+    pub(crate) calls_per_second: Option<u64>,
+    window: Option<Instant>,
+    calls: u64,
+}
+
+impl Limit {
+    /// Takes one call of the present second; `false` where there is none left.
+    pub(crate) fn take(&mut self, now: Instant) -> bool {
+        let is_over = self.window.is_none_or(|start| now >= start + WINDOW);
+        if is_over {
+            self.window = Some(now);
+            self.calls = 0;
+        }
+        let left = self.calls_per_second.is_none_or(|limit| self.calls < limit);
+        self.calls += u64::from(left);
+        left
+    }
+}
--- a/crates/fakes/src/configuration_service.rs
+++ b/crates/fakes/src/configuration_service/mod.rs
@@ -3,29 +3,31 @@
 //! What operators publish and what readers see are kept apart, so that a stale service goes on
 //! showing old copies while new values are published behind it.
 
+mod call;
+mod limit;
+
 use crate::endpoint::{ConnectionId, Handler, Site};
 use crate::header;
 use crate::http::{self, Reply};
 use bytes::Bytes;
+use call::Call;
 use futures::future::BoxFuture;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Request, StatusCode};
+use limit::Limit;
 use monsoonring_configuration::Document;
 use monsoonring_configuration::id::Revision;
 use std::collections::BTreeMap;
 use std::future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{self, Instant};
 
 /// Name of the value that holds the document.
 pub const DOCUMENT: &str = "monsoonring";
 
-const WINDOW: Duration = Duration::from_secs(1);
-
 /// How the service behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -80,14 +82,6 @@
     values: Values,
 }
 
-/// Calls answered in the present second.
-#[derive(Default)]
-struct Limit {
-    calls_per_second: Option<u64>,
-    window: Option<Instant>,
-    calls: u64,
-}
-
 impl Service {
     /// Starts a service without values on a free port.
     ///
@@ -186,33 +180,6 @@
     }
 }
 
-/// A call, read from its path and query.
-struct Call {
-    name: String,
-    after: Option<Revision>,
-    wait: Duration,
-}
-
-impl Call {
-    fn read(request: &Request<Incoming>) -> Option<Self> {
-        let name = request.uri().path().strip_prefix("/values/")?;
-        if request.method() != Method::GET || name.is_empty() {
-            return None;
-        }
-        let query = request.uri().query().unwrap_or_default();
-        let parameters: BTreeMap<_, _> = query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .collect();
-        let number = |name: &str| parameters.get(name)?.parse().ok();
-        Some(Self {
-            name: name.to_owned(),
-            after: number("after"),
-            wait: Duration::from_millis(number("wait_ms").unwrap_or(0)),
-        })
-    }
-}
-
 impl Shared {
     /// Shows readers what is published, unless they are shown old copies.
     fn show(&self, published: &Values) {
@@ -277,20 +244,6 @@
     }
 }
 
-impl Limit {
-    /// Takes one call of the present second; `false` where there is none left.
-    fn take(&mut self, now: Instant) -> bool {
-        let is_over = self.window.is_none_or(|start| now >= start + WINDOW);
-        if is_over {
-            self.window = Some(now);
-            self.calls = 0;
-        }
-        let left = self.calls_per_second.is_none_or(|limit| self.calls < limit);
-        self.calls += u64::from(left);
-        left
-    }
-}
-
 impl Handler for Shared {
     fn handle(
         self: Arc<Self>,
--- a/crates/fakes/src/endpoint.rs
+++ b/crates/fakes/src/endpoint.rs
@@ -15,12 +15,15 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Mutex;
+use tokio::time;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 const BACKLOG: u32 = 1024;
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Number of a connection, counted from 1 in the order of acceptance.
 pub type ConnectionId = u64;
@@ -120,6 +123,18 @@
     }
 }
 
+/// Accepts the next connection.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            return stream;
+        }
+        // Without file descriptors accepting fails at once, again and again, and a loop without a
+        // pause would keep the tasks that could give some back from running: the test would hang.
+        time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
 async fn accept_all<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
@@ -128,9 +143,7 @@
 ) {
     let count = AtomicU64::new(0);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = accept(&listener).await;
         let connection = Connection {
             id: count.fetch_add(1, Ordering::Relaxed) + 1,
             silent: Arc::default(),
--- a/crates/fakes/src/relay.rs
+++ b/crates/fakes/src/relay/tcp.rs
@@ -1,10 +1,10 @@
-//! A TCP relay in front of one target, which can fail as the network does.
+//! A relay for TCP connections.
 //!
-//! The test hands the relay's address to one side in place of the target's. One relay stands for
-//! one pair of ends, so that each pair can be cut by itself. Bytes that are held are not lost: as
-//! with TCP's own retransmission they arrive, in order, once the link is open again.
+//! Bytes that are held are not lost: as with TCP's own retransmission they arrive, in order, once
+//! the link is open again.
 
-use crate::endpoint::Reservation;
+use crate::endpoint::{self, Reservation};
+use crate::relay::{Direction, Link};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -21,23 +21,7 @@
 const CHUNK_BYTES: usize = 16 * 1024;
 const CHUNKS_IN_FLIGHT: usize = 256;
 
-/// What the link lets through.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Link {
-    /// Everything.
-    #[default]
-    Open,
-    /// Nothing: open connections are dropped and new ones closed as soon as they are accepted.
-    Cut,
-    /// Nothing, without a sign: connections stay open, new ones too, and all bytes are held.
-    Hold,
-    /// Only bytes towards the target; those back are held.
-    OnlyForward,
-    /// Only bytes from the target; those towards it are held.
-    OnlyBack,
-}
-
-/// A relay on a port of the loopback interface; gone when dropped, with its connections.
+/// A TCP relay on a port of the loopback interface; gone when dropped, with its connections.
 pub struct Relay {
     shared: Arc<Shared>,
     reservation: Reservation,
@@ -64,12 +48,6 @@
     end: CancellationToken,
 }
 
-#[derive(Clone, Copy)]
-enum Direction {
-    Forward,
-    Back,
-}
-
 /// Bytes on their way, or the end of the stream where there are none.
 struct Chunk {
     due: Instant,
@@ -174,22 +152,9 @@
     }
 }
 
-impl Link {
-    fn passes(self, direction: Direction) -> bool {
-        match self {
-            Self::Open => true,
-            Self::Cut | Self::Hold => false,
-            Self::OnlyForward => matches!(direction, Direction::Forward),
-            Self::OnlyBack => matches!(direction, Direction::Back),
-        }
-    }
-}
-
 async fn accept_all(listener: TcpListener, shared: Arc<Shared>, life: CancellationToken) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            continue;
-        };
+        let stream = endpoint::accept(&listener).await;
         shared.opened.fetch_add(1, Ordering::SeqCst);
         let connection = Arc::new(Connection {
             end: life.child_token(),
--- a/crates/fakes/tests/network.rs
+++ b/crates/fakes/tests/network.rs
@@ -6,12 +6,19 @@
 use monsoonring_fakes::backend_server::{Server, Settings};
 use monsoonring_fakes::fleet::{self, Fleet, Shape};
 use monsoonring_fakes::host_list::List;
-use monsoonring_fakes::relay::{Link, Relay};
+use monsoonring_fakes::relay::{Link, Relay, udp};
+use serde_json::json;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 use support::{Call, Client, eventually, send};
 use test_case::test_case;
+use tokio::net::UdpSocket;
 use tokio::time::{self, Instant};
 
+const SENDS: u32 = 40;
+const DATAGRAMS: u64 = 20;
 const GRACE: Duration = Duration::from_millis(50);
 
 // Symptom: a request neither ends nor fails; when the link is back its reply comes late.
@@ -91,12 +98,17 @@
     let moment = Duration::from_millis(5);
     relay.flap(Link::Cut, moment, moment);
     let (mut failed, mut answered) = (0, 0);
-    while failed < 3 || answered < 3 {
+    for _ in 0..SENDS {
         match send(relay.address(), Call::query(1)).await {
             Ok(_) => answered += 1,
             Err(_) => failed += 1,
         }
+        time::sleep(moment).await;
     }
+    assert!(
+        failed > 0 && answered > 0,
+        "{failed} failed, {answered} answered"
+    );
     relay.set_link(Link::Open);
     for attempt in 0..20 {
         send(relay.address(), Call::query(attempt))
@@ -147,7 +159,7 @@
     let last = route.groups.len() - 1;
     let server = &fleet.group(&name, last)[0];
     assert_eq!(server.address(), route.groups[last].backend_servers[0]);
-    let body = format!(r#"{{"ranges":[{}],"query":1}}"#, json(&route.keys));
+    let body = json!({"ranges": [route.keys], "query": 1}).to_string();
     let reply = send(server.address(), Call::query(1).body(&body))
         .await
         .expect("a reply");
@@ -171,6 +183,57 @@
     assert_eq!((document.routes.len(), document.callers.len()), (2, 2));
 }
 
-fn json(range: &monsoonring_configuration::Range) -> String {
-    serde_json::to_string(range).expect("a range is JSON")
+// Symptom: members take each other for dead, or only one of two does.
+// Events: datagrams are dropped in one direction, in both, or by chance.
+// Cause: nothing retransmits a datagram.
+#[test_case(Link::Open, 0.0, (20, 20); "open")]
+#[test_case(Link::Hold, 0.0, (0, 0); "both_ways")]
+#[test_case(Link::OnlyForward, 0.0, (20, 0); "back")]
+#[test_case(Link::OnlyBack, 0.0, (0, 0); "towards_the_target")]
+#[test_case(Link::Open, 1.0, (0, 0); "by_loss")]
+#[tokio::test]
+async fn datagrams_are_dropped(link: Link, loss: f64, expected: (u64, u64)) {
+    let local = async || {
+        UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("a port")
+    };
+    let target = local().await;
+    let address = target.local_addr().expect("an address");
+    let relay = udp::Relay::start(address, 1).await.expect("a port");
+    relay.set_link(link);
+    relay.set_loss(loss);
+    let arrived = answer_all(target);
+    let source = local().await;
+    source.connect(relay.address()).await.expect("a route");
+    for _ in 0..DATAGRAMS {
+        source.send(b"ping").await.expect("sent");
+    }
+    let returned = answer_all(source);
+    eventually("each datagram is answered or dropped", || {
+        returned.load(Ordering::SeqCst) + relay.dropped() >= DATAGRAMS
+    })
+    .await;
+    let (arrived, returned) = (
+        arrived.load(Ordering::SeqCst),
+        returned.load(Ordering::SeqCst),
+    );
+    assert_eq!((arrived, returned), expected);
+    assert_eq!(relay.dropped(), DATAGRAMS - returned);
+}
+
+/// Answers each `ping` with a `pong` and counts what comes.
+fn answer_all(socket: UdpSocket) -> Arc<AtomicU64> {
+    let count = Arc::new(AtomicU64::new(0));
+    let counting = count.clone();
+    tokio::spawn(async move {
+        let mut buffer = [0; 4];
+        while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+            counting.fetch_add(1, Ordering::SeqCst);
+            if &buffer[..length] == b"ping" {
+                socket.send_to(b"pong", from).await.expect("sent");
+            }
+        }
+    });
+    count
 }
--- a/crates/fakes/tests/support/mod.rs
+++ b/crates/fakes/tests/support/mod.rs
@@ -14,6 +14,9 @@
 /// Polls that a condition is given before a test fails.
 const POLLS: u32 = 2_000;
 
+/// Time after which a call that has not ended never will.
+const STUCK_AFTER: std::time::Duration = std::time::Duration::from_secs(20);
+
 /// A reply, read whole.
 #[derive(Debug)]
 pub(crate) struct Reply {
@@ -56,7 +59,13 @@
         Ok(Self { sender })
     }
 
+    /// Sends a call and reads the reply; a test that would hang otherwise fails.
     pub(crate) async fn send(&mut self, call: Call) -> Result<Reply, hyper::Error> {
+        let reply = tokio::time::timeout(STUCK_AFTER, self.exchange(call)).await;
+        reply.expect("the call ends, with a reply or without")
+    }
+
+    async fn exchange(&mut self, call: Call) -> Result<Reply, hyper::Error> {
         self.sender.ready().await?;
         let reply = self.sender.send_request(call.request()).await?;
         let (parts, body) = reply.into_parts();
