Let a configuration service that hangs hold waiting calls too

Cause: a call that waited when the service began to hang was still answered 304 at its end. Change: it stays unanswered, as other calls do. mode_hang_never_answers now begins with one; seen failing before the change: "assertion failed: time::timeout(GRACE, waiting).await.is_err()".

--- a/crates/fakes/src/configuration_service/mod.rs
+++ b/crates/fakes/src/configuration_service/mod.rs
@@ -206,7 +206,11 @@
             let value = self.view.borrow().values.get(&call.name).cloned();
             return Some(value.map_or_else(|| http::empty(StatusCode::NOT_FOUND), Value::reply));
         };
-        Some(self.wait(&call, after).await)
+        let reply = self.wait(&call, after).await;
+        if self.view.borrow().mode == Mode::Hang {
+            return future::pending().await;
+        }
+        Some(reply)
     }
 
     async fn wait(&self, call: &Call, after: Revision) -> Reply {
--- a/crates/fakes/tests/platform.rs
+++ b/crates/fakes/tests/platform.rs
@@ -114,10 +114,13 @@
     // Cause: a call without a timeout of its own.
     let service = Service::start();
     service.publish(DOCUMENT, "1");
+    let waiting = tokio::spawn(send(service.address(), watch(1, 20)));
+    eventually("the call waits", || service.counters().calls == 1).await;
     service.set_mode(Mode::Hang).await;
+    assert!(time::timeout(GRACE, waiting).await.is_err());
     let mut client = Client::connect(service.address()).await;
     assert!(time::timeout(GRACE, client.send(read())).await.is_err());
-    assert_eq!(service.counters().calls, 1);
+    assert_eq!(service.counters().calls, 2);
     service.set_mode(Mode::Up).await;
     let reply = send(service.address(), read()).await;
     assert_eq!(reply.expect("a reply").status, 200);
