Believe a refusal only where it names the attempt

Cause: the header monsoonring-not-run was read before the attempt's id was compared. A refusal that belongs to another attempt, late on the same connection, was the proof that this one did not run; a non-idempotent request then went to a second server. Ruled out: the connection's order of responses, as the library matches them by order only. Also, a 504 without the header (the deadline passed while it ran) was read as 'ran and failed'. Before: answer_foreign_refusal_proves_nothing failed with left: Refused { Shedding } right: Mismatched; answer_deadline_while_running_is_no_result got Ran. After: 7 of 7 pass.

--- a/crates/daemon/src/backend/codec.rs
+++ b/crates/daemon/src/backend/codec/mod.rs
@@ -3,6 +3,9 @@
 //! Nothing here trusts a backend server: what can't be read is [`Failure::Mismatched`], never a
 //! guess.
 
+#[cfg(test)]
+mod tests;
+
 use super::header;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -19,6 +22,10 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+/// Refusal of a connection beyond the limit; it comes before the request was read, so that it can't
+/// name the attempt.
+const CONNECTIONS: &str = "connections";
+
 /// Status of the reply to a cancelled attempt; it has no name in the registry.
 const STATUS_CANCELLED: u16 = 499;
 
@@ -111,24 +118,33 @@
 /// Reads the response to an attempt.
 pub(crate) fn answer(send: &Send, head: &response::Parts, body: &[u8]) -> Answer {
     let report = report(&head.headers);
-    if let Some(reason) = text(&head.headers, header::NOT_RUN) {
-        return Answer::Failed(refused(reason, &head.headers, report));
+    let refusal = text(&head.headers, header::NOT_RUN);
+    if refusal == Some(CONNECTIONS) && !head.headers.contains_key(header::ATTEMPT) {
+        return Answer::Failed(refused(CONNECTIONS, &head.headers, report));
     }
-    // A response that belongs to another attempt would hand one caller another one's answer.
+    // A response that belongs to another attempt would hand one caller another one's answer, or
+    // pass another one's refusal for the proof that this request did not run.
     if text(&head.headers, header::ATTEMPT) != Some(attempt_text(send.attempt).as_str()) {
         return Answer::Failed(Failure::Mismatched);
     }
+    if let Some(reason) = refusal {
+        return Answer::Failed(refused(reason, &head.headers, report));
+    }
     match head.status {
         StatusCode::OK if send.execute_key.is_some() => executed(body, report),
         StatusCode::OK => reply(&head.headers, body, report),
-        status if status.as_u16() == STATUS_CANCELLED => {
-            Answer::Failed(Failure::Cancelled { report })
-        }
+        status if is_abandoned(status) => Answer::Failed(Failure::Cancelled { report }),
         status if status.is_server_error() => Answer::Failed(Failure::Ran { report }),
         _ => Answer::Failed(Failure::Mismatched),
     }
 }
 
+/// Tells whether the server stopped in the middle: cancelled, or past the deadline. Neither says how
+/// much of a request had its effect.
+fn is_abandoned(status: StatusCode) -> bool {
+    status.as_u16() == STATUS_CANCELLED || status == StatusCode::GATEWAY_TIMEOUT
+}
+
 fn executed(body: &[u8], report: Report) -> Answer {
     match serde_json::from_slice::<ExecutedBody>(body) {
         Ok(body) => Answer::Executed(body.value.into(), report),
@@ -165,7 +181,7 @@
         "index-version" => Refusal::IndexVersion {
             served: report.index_versions.clone(),
         },
-        "connections" => Refusal::Connections,
+        CONNECTIONS => Refusal::Connections,
         "malformed" => Refusal::Malformed,
         // A reason of a later protocol: what it proves is still that the request did not run.
         _ => Refusal::Shedding,
--- /dev/null
+++ b/crates/daemon/src/backend/codec/tests.rs
@@ -0,0 +1,80 @@
+//! What responses of backend servers are taken to prove.
+
+use super::{Answer, answer, attempt_text, header};
+use hyper::Response;
+use hyper::http::response::Parts;
+use monsoonring_decision::attempt::Failure;
+use monsoonring_decision::home::action::Send;
+use std::time::Duration;
+use test_case::test_case;
+
+const ATTEMPT: u64 = 7;
+const OTHER_ATTEMPT: u64 = 8;
+
+fn send(execute_key: Option<&str>) -> Send {
+    Send {
+        attempt: ATTEMPT,
+        connection: 1,
+        backend_server: ([127, 0, 0, 1], 9000).into(),
+        request: 1,
+        ranges: Vec::new(),
+        index_version: None,
+        deadline: Duration::from_secs(1),
+        body: "{}".into(),
+        execute_key: execute_key.map(Into::into),
+    }
+}
+
+fn head(status: u16, attempt: Option<u64>, not_run: Option<&str>) -> Parts {
+    let mut response = Response::builder().status(status);
+    if let Some(attempt) = attempt {
+        response = response.header(header::ATTEMPT, attempt_text(attempt));
+    }
+    if let Some(reason) = not_run {
+        response = response.header(header::NOT_RUN, reason);
+    }
+    response.body(()).expect("a valid head").into_parts().0
+}
+
+fn failure(head: &Parts) -> Failure {
+    match answer(&send(Some("key")), head, b"{}") {
+        Answer::Failed(failure) => failure,
+        other => panic!("no failure: {other:?}"),
+    }
+}
+
+// Symptom: a repair ticket runs twice.
+// Events: the refusal of one attempt arrives late, as the response to another that is running; the
+// home takes it for the proof that this one did not run and sends it to a second server.
+// Cause: "not run" was believed without looking at whose response it is.
+#[test_case(Some(OTHER_ATTEMPT), "shedding"; "of_another_attempt")]
+#[test_case(None, "shedding"; "of_no_attempt")]
+#[test_case(Some(OTHER_ATTEMPT), "connections"; "of_another_attempt_for_connections")]
+fn answer_foreign_refusal_proves_nothing(attempt: Option<u64>, reason: &str) {
+    assert_eq!(
+        failure(&head(503, attempt, Some(reason))),
+        Failure::Mismatched
+    );
+}
+
+#[test_case(Some(ATTEMPT), "shedding"; "own_attempt")]
+#[test_case(None, "connections"; "connection_limit_before_the_request_was_read")]
+fn answer_own_refusal_is_proof(attempt: Option<u64>, reason: &str) {
+    let failure = failure(&head(503, attempt, Some(reason)));
+    assert!(matches!(failure, Failure::Refused { .. }), "{failure:?}");
+}
+
+// Symptom: a caller is told that its ticket failed, files it again, and two teams are sent.
+// Events: the server's own deadline passes while the ticket runs, and it answers 504.
+// Cause: a server that gives up in the middle was taken for one that ran to the end and failed.
+#[test]
+fn answer_deadline_while_running_is_no_result() {
+    let failure = failure(&head(504, Some(ATTEMPT), None));
+    assert!(matches!(failure, Failure::Cancelled { .. }), "{failure:?}");
+}
+
+#[test]
+fn answer_other_server_error_ran() {
+    let failure = failure(&head(500, Some(ATTEMPT), None));
+    assert!(matches!(failure, Failure::Ran { .. }), "{failure:?}");
+}
--- a/crates/decision/src/attempt.rs
+++ b/crates/decision/src/attempt.rs
@@ -33,7 +33,7 @@
     Lost,
     /// The reply was truncated, undecodable or belongs to another attempt.
     Mismatched,
-    /// The reply confirms that the attempt was cancelled.
+    /// The server gave up in the middle: the attempt was cancelled, or its deadline passed there.
     Cancelled {
         /// What the server said of itself.
         report: Report,
