--- a/crates/decision/src/configuration/holder.rs
+++ b/crates/decision/src/configuration/holder.rs
@@ -107,14 +107,14 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => {}
-            Event::Served(version, faults) => self.served(version, faults, now, &mut out),
+            Event::Served(version, faults) => self.served(version, &faults, now, &mut out),
             Event::Unchanged => self.answered(now),
             Event::ServiceFailed => self.call_failed(now),
             Event::Peer(peer, version) => self.offered(peer, version, &mut out),
             Event::Fetched(peer, version, faults) => {
                 self.offers.remove(&peer);
                 self.stop_fetching(peer);
-                self.consider(version, Source::Peer(peer), faults, &mut out);
+                self.consider(version, Source::Peer(peer), &faults, &mut out);
             }
             Event::FetchFailed(peer) => {
                 self.offers.remove(&peer);
@@ -136,7 +136,7 @@
         out
     }
 
-    fn served(&mut self, version: Version, faults: Vec<String>, now: Time, out: &mut Vec<Action>) {
+    fn served(&mut self, version: Version, faults: &[String], now: Time, out: &mut Vec<Action>) {
         self.answered(now);
         self.next_read = now + READ_PERIOD;
         self.consider(version, Source::Service, faults, out);
@@ -190,7 +190,7 @@
         &mut self,
         version: Version,
         source: Source,
-        faults: Vec<String>,
+        faults: &[String],
         out: &mut Vec<Action>,
     ) {
         if !self.is_greater(version) {
--- a/crates/decision/src/member/detector.rs
+++ b/crates/decision/src/member/detector.rs
@@ -118,7 +118,7 @@
         for change in overdue {
             let state = State::Dead;
             let tell = !self.doubts_itself(now);
-            self.declare(Change { state, ..change }, tell, now);
+            self.declare(&Change { state, ..change }, tell, now);
         }
     }
 
@@ -187,7 +187,7 @@
         if change.state == State::Alive {
             let state = State::Suspect;
             let tell = !self.doubts_itself(now);
-            self.declare(Change { state, ..change }, tell, now);
+            self.declare(&Change { state, ..change }, tell, now);
         }
     }
 
--- a/crates/decision/src/member/exchange.rs
+++ b/crates/decision/src/member/exchange.rs
@@ -60,13 +60,13 @@
     }
 
     /// Takes in a saying, and passes it on if `tell`. Returns the saying that stands against it.
-    pub(super) fn declare(&mut self, change: Change, tell: bool, now: Time) -> Option<Change> {
+    pub(super) fn declare(&mut self, change: &Change, tell: bool, now: Time) -> Option<Change> {
         if change.id == self.own {
-            return self.answer_for_itself(&change, now);
+            return self.answer_for_itself(change, now);
         }
         let (id, state) = (change.id, change.state);
         match self.roster.insert(change.clone(), now) {
-            Err(standing) if standing.change == change => None,
+            Err(standing) if standing.change == *change => None,
             Err(standing) => Some(standing.change.clone()),
             Ok(before) => {
                 if tell {
@@ -77,7 +77,7 @@
                     self.join_round(id);
                 }
                 if before != Some(state) {
-                    self.note(&change, before);
+                    self.note(change, before);
                 }
                 None
             }
@@ -87,9 +87,9 @@
     pub(super) fn pulled(&mut self, from: MemberId, page: Page, now: Time) {
         let copying = self.copying.filter(|(peer, _)| *peer == from);
         // A member that copies a whole table does not pass it on: everybody else knows it.
-        let tell = copying.is_none();
+        let tell = self.waiting.is_none();
         for change in page.changes {
-            self.declare(change, tell, now);
+            self.declare(&change, tell, now);
         }
         if copying.is_none() {
             self.repairing = None;
@@ -140,10 +140,10 @@
             state: State::Alive,
             data_centre: message.data_centre,
         };
-        self.declare(sender, true, now);
+        self.declare(&sender, true, now);
         let mut corrections = Vec::new();
         for change in message.changes {
-            corrections.extend(self.declare(change, true, now));
+            corrections.extend(self.declare(&change, true, now));
         }
         self.compare(message.from, message.digest);
         corrections
@@ -223,6 +223,7 @@
         refuted.incarnation.refutation = theirs.refutation.saturating_add(1);
         let _ = self.roster.insert(refuted.clone(), now);
         self.broadcast.push(self.own);
+        self.hurry(now);
         self.log("refute", self.own, format!("was called {:?}", change.state));
         Some(refuted)
     }
--- a/crates/decision/src/member/table.rs
+++ b/crates/decision/src/member/table.rs
@@ -267,7 +267,7 @@
     }
 
     /// Probes a few members now; at most once a `hurry_period`, so that bursts of news stay cheap.
-    fn hurry(&mut self, now: Time) {
+    pub(super) fn hurry(&mut self, now: Time) {
         if now < self.due_hurry {
             return;
         }
