--- /dev/null
+++ b/crates/decision/tests/placement.rs
@@ -0,0 +1,224 @@
+//! Homes of routes: their number, their spread, and the connection limit when views differ.
+
+use monsoonring_configuration::document::Capacity;
+use monsoonring_decision::member::MemberId;
+use monsoonring_decision::placement::{Member, Standing, choose, homes, select, share};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+use test_case::test_case;
+
+fn id(number: usize) -> MemberId {
+    let [.., high, low] = number.to_be_bytes();
+    MemberId::from(([10, 0, high, low], 7000))
+}
+
+fn members(numbers: impl IntoIterator<Item = usize>, data_centres: usize) -> Vec<Member> {
+    let member = |number| Member {
+        id: id(number),
+        data_centre: format!("dc{}", number % data_centres).into(),
+    };
+    numbers.into_iter().map(member).collect()
+}
+
+fn capacity(slots: u32, connections: u32) -> Capacity {
+    Capacity {
+        slots,
+        connections,
+        connect_ms: 1,
+    }
+}
+
+#[test_case(3, 30, 10, 8 => 5; "dispatch_map")]
+#[test_case(2, 110, 20, 8 => 8; "planner_desk")]
+#[test_case(2, 25, 10, 7 => 6; "gate_desk")]
+#[test_case(3, 40, 7, 7 => 6; "contracts")]
+#[test_case(3, 30, 160, 3_800 => 10; "many_groups_at_design_size")]
+#[test_case(3, 30, 10, 3_800 => 5; "few_groups_at_design_size")]
+#[test_case(2, 110, 20, 3_800 => 27; "many_connections_at_design_size")]
+#[test_case(3, 30, 10, 2 => 2; "all_members_when_few")]
+#[test_case(3, 2, 500, 100 => 1; "scarce_connections")]
+fn homes_number(slots: u32, connections: u32, groups: usize, members: usize) -> usize {
+    homes(&capacity(slots, connections), groups, members)
+}
+
+#[test_case(30, 5 => 3)]
+#[test_case(110, 8 => 6)]
+#[test_case(25, 6 => 2)]
+fn share_of_one_home(limit: u32, count: usize) -> u32 {
+    share(limit, count)
+}
+
+#[test]
+fn share_holds_for_both_sides_of_a_partition() {
+    // Symptom: backend servers refuse connections on both sides of a partition.
+    // Events: the fleet is parted; each side makes its own homes for the same backend servers.
+    // Cause: each side divides the whole limit among the homes that it sees.
+    let capacity = capacity(3, 30);
+    let sum = |side: Vec<Member>| {
+        let count = homes(&capacity, 10, side.len());
+        let chosen = select("dispatch-map", &side, count);
+        share(capacity.connections, count) * u32::try_from(chosen.len()).expect("few homes")
+    };
+    let total = sum(members(0..4, 4)) + sum(members(4..8, 4));
+    assert!(total <= capacity.connections, "{total} connections");
+}
+
+#[test]
+fn select_lost_data_centre_leaves_a_home() {
+    // Symptom: a route is unavailable although most daemons are well.
+    // Events: a data centre fails.
+    // Cause: all homes of the route were in that data centre.
+    for route in 0..200 {
+        let chosen = select(&format!("route-{route}"), &members(0..84, 4), 5);
+        let mut by_data_centre: BTreeMap<usize, usize> = BTreeMap::new();
+        for home in chosen {
+            let number = (0..84).find(|n| id(*n) == home).expect("a member");
+            *by_data_centre.entry(number % 4).or_default() += 1;
+        }
+        assert!(by_data_centre.values().all(|count| *count <= 2));
+    }
+}
+
+#[test]
+fn select_uneven_data_centres_still_gives_enough() {
+    // One data centre has a single member, the other all the rest.
+    let mut few = members(0..1, 1);
+    few.extend((1..9).map(|n| Member {
+        id: id(n),
+        data_centre: "other".into(),
+    }));
+    assert_eq!(select("route", &few, 6).len(), 6);
+}
+
+#[test]
+fn choose_own_home_first() {
+    let standing = |n, outstanding| Standing {
+        id: id(n),
+        near: true,
+        suspect: false,
+        outstanding,
+    };
+    let all = [standing(1, 0), standing(2, 90)];
+    assert_eq!(choose(id(2), 7, &all), Some(id(2)));
+    assert_eq!(choose(id(3), 7, &[]), None);
+}
+
+#[test_case(0, 0, false => 1; "near_at_equal_load")]
+#[test_case(9, 0, false => 2; "far_when_near_is_busy")]
+#[test_case(0, 9, true => 2; "never_a_suspect_while_there_is_another")]
+fn choose_between(near_load: u32, far_load: u32, near_suspect: bool) -> usize {
+    let near = Standing {
+        id: id(1),
+        near: true,
+        suspect: near_suspect,
+        outstanding: near_load,
+    };
+    let far = Standing {
+        id: id(2),
+        near: false,
+        suspect: false,
+        outstanding: far_load,
+    };
+    let chosen = choose(id(3), 7, &[near, far]);
+    if chosen == Some(id(1)) { 1 } else { 2 }
+}
+
+#[test]
+fn choose_idle_homes_are_shared() {
+    // Symptom: one home of an idle route gets every query.
+    // Events: many daemons pass a query on at the same time, none has any outstanding.
+    // Cause: all break the tie in the same order.
+    let homes: Vec<Standing> = (0..5)
+        .map(|n| Standing {
+            id: id(n),
+            near: true,
+            suspect: false,
+            outstanding: 0,
+        })
+        .collect();
+    let mut counts: BTreeMap<MemberId, usize> = BTreeMap::new();
+    for request in 0..1_000 {
+        let home = choose(id(9), request, &homes).expect("there are homes");
+        *counts.entry(home).or_default() += 1;
+    }
+    assert_eq!(counts.len(), 5);
+    assert!(
+        counts.values().all(|count| (150..250).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// Connections that the homes of one view hold to one backend server, by home.
+fn held(
+    route: &str,
+    view: &[Member],
+    capacity: &Capacity,
+    groups: usize,
+) -> BTreeMap<MemberId, u32> {
+    let count = homes(capacity, groups, view.len());
+    let each = share(capacity.connections, count);
+    select(route, view, count)
+        .into_iter()
+        .map(|home| (home, each))
+        .collect()
+}
+
+proptest! {
+    /// Whatever two views differ by: each home holds what its own view gives it, at worst the more.
+    #[test]
+    fn share_any_two_views_stay_within_the_limit(
+        one in prop::collection::btree_set(0..60usize, 1..40),
+        other in prop::collection::btree_set(0..60usize, 1..40),
+        slots in 1..6u32, connections in 2..130u32, groups in 1..200usize, data_centres in 1..8usize,
+    ) {
+        let capacity = capacity(slots, connections);
+        let mut all = held("route", &members(one, data_centres), &capacity, groups);
+        for (home, each) in held("route", &members(other, data_centres), &capacity, groups) {
+            let most = all.entry(home).or_insert(0);
+            *most = each.max(*most);
+        }
+        let sum: u32 = all.values().sum();
+        prop_assert!(sum <= connections, "{} connections of {}", sum, connections);
+    }
+
+    /// Many views at once stay within the limit while they moved no more homes than there are.
+    #[test]
+    fn share_many_close_views_stay_within_the_limit(
+        missing in prop::collection::vec(0..40usize, 1..5), connections in 20..130u32,
+    ) {
+        let capacity = capacity(3, connections);
+        let mut all: BTreeMap<MemberId, u32> = BTreeMap::new();
+        for gone in missing {
+            let view = members((0..40).filter(|n| *n != gone), 4);
+            all.extend(held("route", &view, &capacity, 10));
+        }
+        let sum: u32 = all.values().sum();
+        prop_assert!(sum <= connections, "{} connections of {}", sum, connections);
+    }
+
+    #[test]
+    fn select_one_change_moves_one_home(
+        numbers in prop::collection::btree_set(0..300usize, 20..80),
+        gone in any::<prop::sample::Index>(), count in 1..12usize, route in "[a-z]{1,12}",
+    ) {
+        let before: Vec<usize> = numbers.into_iter().collect();
+        let gone = before[gone.index(before.len())];
+        let after = before.iter().copied().filter(|n| *n != gone);
+        let old: BTreeSet<_> = select(&route, &members(before.clone(), 3), count).into_iter().collect();
+        let new: BTreeSet<_> = select(&route, &members(after, 3), count).into_iter().collect();
+        let kept = old.iter().filter(|home| **home != id(gone)).count();
+        // The cap of a data centre can hand one more place to another data centre.
+        prop_assert!(old.intersection(&new).count() + 1 >= kept);
+        if !old.contains(&id(gone)) {
+            prop_assert_eq!(old, new);
+        }
+    }
+
+    #[test]
+    fn select_order_of_members_does_not_matter(count in 1..12usize, turn in 0..50usize) {
+        let straight = members(0..50, 4);
+        let mut turned = straight.clone();
+        turned.rotate_left(turn);
+        prop_assert_eq!(select("route", &straight, count), select("route", &turned, count));
+    }
+}
