Don't let members that were cut off accuse the fleet

Ruled out: never concluding anything alone (a minority would not find its dead in time), and longer suspicions alone (they delay real deaths). Change: a told death of a serving member counts as a suspicion; verdicts reached while nothing is heard are not told and are taken back when one of the condemned is heard; who was itself buried takes its deaths back; verdicts of the buried are not believed; many suspects get more time.

--- a/crates/decision/src/member/detector.rs
+++ b/crates/decision/src/member/detector.rs
@@ -14,6 +14,9 @@
 /// Unknown hosts probed at once by a member that knows nobody.
 const GREETINGS: usize = 3;
 
+/// Suspects at once that lengthen each other's time by one suspicion time.
+const CROWD: usize = 64;
+
 /// Tries to find one serving member at random before going without.
 const PICK_TRIES: usize = 8;
 
@@ -116,9 +119,13 @@
             .map(|record| record.change.clone())
             .collect();
         for change in overdue {
-            let state = State::Dead;
-            let tell = !self.doubts_itself(now);
-            self.declare(&Change { state, ..change }, tell, now);
+            self.condemn(
+                &Change {
+                    state: State::Dead,
+                    ..change
+                },
+                now,
+            );
         }
     }
 
@@ -185,10 +192,23 @@
             return;
         };
         if change.state == State::Alive {
-            let state = State::Suspect;
-            let tell = !self.doubts_itself(now);
-            self.declare(&Change { state, ..change }, tell, now);
+            self.condemn(
+                &Change {
+                    state: State::Suspect,
+                    ..change
+                },
+                now,
+            );
+        }
+    }
+
+    /// Records an own verdict, and passes it on unless it says more about this member.
+    fn condemn(&mut self, verdict: &Change, now: Time) {
+        if self.doubts_itself(now) {
+            self.unspoken.insert(verdict.id);
         }
+        let tell = !self.unspoken.contains(&verdict.id);
+        self.conclude(verdict, tell, now);
     }
 
     /// A member that hears nobody, though its own messages may get out, would suspect everybody and
@@ -200,14 +220,16 @@
 
     /// Time that a suspect has. News of it and its refutation take a number of periods that grows
     /// with the logarithm of the members. A member that flaps gets longer, so that its homes don't
-    /// move to and fro; one that the list does not show as live gets half.
+    /// move to and fro; one that the list does not show as live gets half. Many suspects at once
+    /// get longer, because their refutations share the bytes of the messages.
     fn suspicion(&self, record: &super::roster::Record, now: Time) -> Duration {
         let decades = (self.serving().max(1) as f64).log10().max(1.0);
         let recent = now.saturating_sub(record.flapped) < self.settings.flap_life;
         let flaps = if recent { record.flaps } else { 0 };
         let expected = self.listed.is_empty() || self.listed.get(&record.change.id) == Some(&false);
         let share = if expected { 1.0 } else { 0.5 };
-        let factor = decades * share * f64::from(1 + flaps);
+        let crowd = (self.roster.suspected() / CROWD) as f64;
+        let factor = decades * share * (1.0 + f64::from(flaps) + crowd);
         self.settings.suspicion.mul_f64(factor)
     }
 }
--- a/crates/decision/src/member/exchange.rs
+++ b/crates/decision/src/member/exchange.rs
@@ -4,10 +4,11 @@
 use super::record::ADDRESS_BYTES;
 use super::roster::BUCKETS;
 use super::settings::retransmits;
-use super::table::Table;
+use super::table::{ISOLATION_WINDOW, Table};
 use super::{Change, MemberId, State};
 use crate::Time;
 use rand::Rng;
+use std::collections::BTreeSet;
 
 /// Size of the smallest change in bytes; with less room left nothing fits.
 const SMALLEST: usize = ADDRESS_BYTES + 8 + 4 + 4 + 8;
@@ -59,11 +60,36 @@
         self.heard_with_corrections(message, now);
     }
 
-    /// Takes in a saying, and passes it on if `tell`. Returns the saying that stands against it.
-    pub(super) fn declare(&mut self, change: &Change, tell: bool, now: Time) -> Option<Change> {
+    /// Takes in what another says. Returns the saying that stands against it.
+    ///
+    /// A death told about a member that serves here is taken for a suspicion: each buries by its own
+    /// time. One member that was
+    /// cut off, or late, would otherwise have the whole fleet drop healthy members before these
+    /// could refute; one would see members dead everywhere for seconds that answer every probe.
+    fn declare(&mut self, change: &Change, tell: bool, now: Time) -> Option<Change> {
         if change.id == self.own {
             return self.answer_for_itself(change, now);
         }
+        let known = self.get(change.id);
+        let serving = known.is_some_and(|known| {
+            known.state.is_serving() && known.incarnation.start == change.incarnation.start
+        });
+        if serving && change.state == State::Dead && self.waiting.is_none() {
+            let state = State::Suspect;
+            return self.conclude(
+                &Change {
+                    state,
+                    ..change.clone()
+                },
+                tell,
+                now,
+            );
+        }
+        self.conclude(change, tell, now)
+    }
+
+    /// Records a saying, and passes it on if `tell`. Returns the saying that stands against it.
+    pub(super) fn conclude(&mut self, change: &Change, tell: bool, now: Time) -> Option<Change> {
         let (id, state) = (change.id, change.state);
         match self.roster.insert(change.clone(), now) {
             Err(standing) if standing.change == *change => None,
@@ -88,8 +114,11 @@
         let copying = self.copying.filter(|(peer, _)| *peer == from);
         // A member that copies a whole table does not pass it on: everybody else knows it.
         let tell = self.waiting.is_none();
+        let buried = self.is_buried(from);
         for change in page.changes {
-            self.declare(&change, tell, now);
+            if change.id == self.own || !(buried && is_verdict(&change)) {
+                self.declare(&change, tell, now);
+            }
         }
         if copying.is_none() {
             self.repairing = None;
@@ -134,6 +163,10 @@
 
     fn heard_with_corrections(&mut self, message: Message, now: Time) -> Vec<Change> {
         self.last_heard = now;
+        if self.unspoken.contains(&message.from) {
+            let unspoken = std::mem::take(&mut self.unspoken);
+            self.take_back(unspoken, now);
+        }
         let sender = Change {
             id: message.from,
             incarnation: message.incarnation,
@@ -142,10 +175,16 @@
         };
         self.declare(&sender, true, now);
         let mut corrections = Vec::new();
+        let buried = self.is_buried(message.from);
         for change in message.changes {
+            if change.id != self.own && buried && is_verdict(&change) {
+                continue;
+            }
             corrections.extend(self.declare(&change, true, now));
         }
-        self.compare(message.from, message.digest);
+        if !buried {
+            self.compare(message.from, message.digest);
+        }
         corrections
     }
 
@@ -219,6 +258,12 @@
         if !change.supersedes(&own) {
             return (*change != own).then_some(own);
         }
+        if change.state == State::Dead {
+            // Who was buried was cut off, and has buried others for the same reason.
+            let since = now.saturating_sub(ISOLATION_WINDOW);
+            let buried = self.roster.deaths_since(since).collect();
+            self.take_back(buried, now);
+        }
         let mut refuted = own;
         refuted.incarnation.refutation = theirs.refutation.saturating_add(1);
         let _ = self.roster.insert(refuted.clone(), now);
@@ -228,6 +273,30 @@
         Some(refuted)
     }
 
+    /// A member that was cut off comes back with its verdicts over all whom it could not hear.
+    /// Passed on, they would make the whole fleet refute at once; one would see every member
+    /// suspected after the partition of a single rack. It takes them back instead, and finds the
+    /// really dead again by its own probes and its peers' corrections.
+    fn take_back(&mut self, ids: BTreeSet<MemberId>, now: Time) {
+        for id in ids {
+            let condemned = |change: &Change| is_verdict(change);
+            if !self.get(id).is_some_and(condemned) {
+                continue;
+            }
+            self.broadcast.remove(&id);
+            self.roster.revert(id, now);
+            self.join_round(id);
+            self.log("taken_back", id, "this member was cut off".to_owned());
+            self.out.push(Action::Changed(id, State::Alive));
+        }
+    }
+
+    /// Tells whether a peer was declared dead and has not refuted; its verdicts are not believed.
+    fn is_buried(&self, peer: MemberId) -> bool {
+        self.get(peer)
+            .is_some_and(|change| change.state == State::Dead)
+    }
+
     fn note(&mut self, change: &Change, before: Option<State>) {
         let what = match change.state {
             State::Alive => "alive",
@@ -244,3 +313,7 @@
         self.out.push(Action::Changed(change.id, change.state));
     }
 }
+
+fn is_verdict(change: &Change) -> bool {
+    matches!(change.state, State::Suspect | State::Dead)
+}
--- a/crates/decision/src/member/roster.rs
+++ b/crates/decision/src/member/roster.rs
@@ -90,6 +90,33 @@
         }
     }
 
+    /// Takes a verdict back: the member is alive again in the incarnation that was condemned. This
+    /// is the one way down in the order; see `Table::take_back`.
+    pub(crate) fn revert(&mut self, id: MemberId, now: Time) {
+        let key = (bucket(id), id);
+        if let Some(mut record) = self.records.remove(&key) {
+            self.unindex(&record);
+            record.change.state = State::Alive;
+            record.since = now;
+            self.store(key, record);
+        }
+    }
+
+    /// Members that died, and did not leave, since `start`.
+    pub(crate) fn deaths_since(&self, start: Time) -> impl Iterator<Item = MemberId> {
+        let from = (start, MemberId::from(([0, 0, 0, 0], 0)));
+        let died = |id: &MemberId| {
+            self.get(*id)
+                .is_some_and(|record| record.change.state == State::Dead)
+        };
+        let ids = self.tombstones.range(from..).map(|(_, id)| *id);
+        ids.filter(died)
+    }
+
+    pub(crate) fn suspected(&self) -> usize {
+        self.suspects.len()
+    }
+
     pub(crate) fn hash(&self, bucket: u8) -> u64 {
         self.hashes[usize::from(bucket % BUCKETS)]
     }
@@ -107,17 +134,6 @@
         self.records.values()
     }
 
-    /// Number of members that died, and did not leave, since `start`.
-    pub(crate) fn deaths_since(&self, start: Time) -> usize {
-        let from = (start, MemberId::from(([0, 0, 0, 0], 0)));
-        let died = |id: &MemberId| {
-            self.get(*id)
-                .is_some_and(|record| record.change.state == State::Dead)
-        };
-        let ids = self.tombstones.range(from..).map(|(_, id)| id);
-        ids.filter(|id| died(id)).count()
-    }
-
     /// Forgets the members that died or left before `end`.
     pub(crate) fn forget_before(&mut self, end: Time) {
         while let Some((died, id)) = self.tombstones.first().copied() {
--- a/crates/decision/src/member/settings.rs
+++ b/crates/decision/src/member/settings.rs
@@ -48,7 +48,7 @@
             flap_life: Duration::from_secs(10 * 60),
             pause: Duration::from_secs(3),
             patience: Duration::from_secs(10),
-            doubt: Duration::from_secs(1),
+            doubt: Duration::from_secs(2),
             revival_period: Duration::from_secs(10),
             hurry_period: Duration::from_millis(200),
             hurry_fanout: 3,
--- a/crates/decision/src/member/table.rs
+++ b/crates/decision/src/member/table.rs
@@ -8,11 +8,12 @@
 use crate::{Time, placement};
 use monsoonring_configuration::id;
 use rand_chacha::ChaCha8Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Time for which a mass death counts towards being isolated.
-const ISOLATION_WINDOW: Duration = Duration::from_secs(10 * 60);
+/// Time for which a mass death counts towards being isolated, and for which deaths declared by a
+/// member that was itself declared dead are taken back.
+pub(super) const ISOLATION_WINDOW: Duration = Duration::from_secs(30 * 60);
 
 /// Deaths below this number never count as isolation.
 const ISOLATION_DEATHS: usize = 2;
@@ -39,6 +40,8 @@
     pub(super) probes: BTreeMap<ProbeId, Pending>,
     pub(super) next_probe: ProbeId,
     pub(super) last_heard: Time,
+    /// Members condemned while nothing at all was heard; nobody was told.
+    pub(super) unspoken: BTreeSet<MemberId>,
     /// Copying of another's table, after a start or a pause.
     pub(super) copying: Option<(MemberId, Span)>,
     /// Repair of one bucket that differs.
@@ -89,6 +92,7 @@
             probes: BTreeMap::new(),
             next_probe: 0,
             last_heard: now,
+            unspoken: BTreeSet::new(),
             copying: None,
             repairing: None,
             waiting: Some(now),
@@ -227,7 +231,8 @@
     fn note_isolation(&mut self, now: Time) {
         let deaths = self
             .roster
-            .deaths_since(now.saturating_sub(ISOLATION_WINDOW));
+            .deaths_since(now.saturating_sub(ISOLATION_WINDOW))
+            .count();
         let serving = self.serving();
         let isolated = deaths >= ISOLATION_DEATHS && deaths >= serving;
         if isolated != self.isolated {
