Bound the repairs, count their bytes, and measure the death of a data centre

Cause: a repair followed each message that differed, up to four buckets of 2.7 KB a second at 3,800 members, and the example did not count them. Change: one repair a period; the example counts pages and stops one of 21 data centres.

--- a/crates/decision/examples/membership.rs
+++ b/crates/decision/examples/membership.rs
@@ -1,4 +1,5 @@
-//! Measures the membership state machine alone: bytes, spread of a change, detection of a death.
+//! Measures the membership state machine alone: bytes a second, and the time until all know that a
+//! member left, that one died, and that a data centre (one of 21) died.
 //!
 //! `cargo run --release -p monsoonring-decision --example membership -- [members…]`. It knows no
 //! latency and no load, so the rounds are those of the protocol and the bytes those of the messages
@@ -9,20 +10,22 @@
 mod support;
 
 use monsoonring_decision::member::{Action, Event, State};
+use std::ops::Range;
 use std::time::Duration;
 use support::{Network, id};
 
 const SIZES: [usize; 4] = [8, 64, 512, 3_800];
 const LOSSES: [f64; 2] = [0.0, 0.02];
+/// Data centres at design size; one of them is stopped.
+const DATA_CENTRES: usize = 21;
 const QUIET: Duration = Duration::from_secs(30);
 const LONGEST: Duration = Duration::from_secs(180);
 
 fn main() {
     let sizes: Vec<usize> = std::env::args().skip(1).flat_map(|n| n.parse()).collect();
     let sizes = if sizes.is_empty() { &SIZES[..] } else { &sizes };
-    println!(
-        "      n  loss  quiet B/s  worst B/s  spread s median/worst  death s median/worst  busy B/s  false deaths"
-    );
+    println!("      n  loss  quiet B/s     leave s      death s    data centre s  its B/s   false");
+    println!("               mean/worst  median/worst median/worst median/worst mean/worst deaths");
     for &count in sizes {
         for loss in LOSSES {
             measure(count, loss);
@@ -36,57 +39,62 @@
     network.run(QUIET);
     reset(&mut network);
     network.run(QUIET);
-    let (quiet, worst) = rates(&network, QUIET);
-    let spread = spread_of_leave(&mut network);
-    let before = network.now;
+    let quiet = rates(&network, QUIET);
+    network.feed(1, Event::Leave { successor: None });
+    let left = until_all_know(&mut network, |s| matches!(s, State::Left { .. }), &[1]);
+    let death = stop(&mut network, 0..1);
+    let (before, dead) = (network.now, (count / DATA_CENTRES).max(1));
     reset(&mut network);
-    let death = spread_of_death(&mut network);
-    let (busy, _) = rates(&network, network.now - before);
+    let many = stop(&mut network, 2..2 + dead);
+    let busy = rates(&network, network.now - before);
     let false_deaths = network
         .log
         .iter()
-        .filter(|(_, action)| is_false_death(action))
+        .filter(|(own, action)| network.running[*own] && is_false_death(action, 2 + dead))
         .count();
     println!(
-        "{count:>7}  {:>3}%  {quiet:>9}  {worst:>9}  {:>10.2}/{:<10.2}  {:>9.2}/{:<10.2}  {busy:>8}  {false_deaths:>12}",
+        "{count:>7} {:>4}% {:>6}/{:<6} {:>6.2}/{:<6.2} {:>6.2}/{:<6.2} {:>5.2}/{:<6.2} {:>6}/{:<6} {false_deaths:>5}",
         loss * 100.0,
-        spread.0,
-        spread.1,
+        quiet.0,
+        quiet.1,
+        left.0,
+        left.1,
         death.0,
         death.1,
+        many.0,
+        many.1,
+        busy.0,
+        busy.1,
     );
 }
 
-/// Member 1 leaves; returns the median and longest time until the others know, in seconds.
-fn spread_of_leave(network: &mut Network) -> (f64, f64) {
-    network.feed(1, Event::Leave { successor: None });
-    until_all_know(network, |state| matches!(state, State::Left { .. }), 1)
+/// Stops members without a word; returns the median and longest time until the others know of all.
+fn stop(network: &mut Network, dead: Range<usize>) -> (f64, f64) {
+    dead.clone()
+        .for_each(|number| network.running[number] = false);
+    let dead: Vec<usize> = dead.collect();
+    until_all_know(network, |state| state == State::Dead, &dead)
 }
 
-/// Member 0 stops without a word; returns the median and longest time until the others know.
-fn spread_of_death(network: &mut Network) -> (f64, f64) {
-    network.running[0] = false;
-    until_all_know(network, |state| state == State::Dead, 0)
-}
-
-fn until_all_know(network: &mut Network, knows: fn(State) -> bool, of: usize) -> (f64, f64) {
+/// Returns the median and longest time until every running member knows of all that are named.
+fn until_all_know(network: &mut Network, knows: fn(State) -> bool, of: &[usize]) -> (f64, f64) {
     let began = network.now;
     let mut times = vec![None; network.tables.len()];
-    times[0] = Some(Duration::ZERO);
-    times[1] = Some(Duration::ZERO);
-    while times.contains(&None) && network.now - began < LONGEST {
+    let observers: Vec<usize> = (2..times.len())
+        .filter(|n| network.running[*n] && !of.contains(n))
+        .collect();
+    while observers.iter().any(|n| times[*n].is_none()) && network.now - began < LONGEST {
         network.step();
-        for (table, time) in network.tables.iter().zip(&mut times) {
-            let state = table.get(id(of)).map(|change| change.state);
-            if time.is_none() && state.is_some_and(knows) {
-                *time = Some(network.now - began);
+        for &number in &observers {
+            let table = &network.tables[number];
+            let state = |of: &usize| table.get(id(*of)).map(|change| change.state);
+            if times[number].is_none() && of.iter().all(|of| state(of).is_some_and(knows)) {
+                times[number] = Some(network.now - began);
             }
         }
     }
-    let mut known: Vec<f64> = times[2..]
-        .iter()
-        .map(|t| t.unwrap_or(Duration::MAX).as_secs_f64())
-        .collect();
+    let time = |n: &usize| times[*n].unwrap_or(Duration::MAX).as_secs_f64();
+    let mut known: Vec<f64> = observers.iter().map(time).collect();
     known.sort_by(f64::total_cmp);
     (known[known.len() / 2], known[known.len() - 1])
 }
@@ -104,6 +112,8 @@
     (mean as u64, most as u64)
 }
 
-fn is_false_death(action: &Action) -> bool {
-    matches!(action, Action::Changed(member, State::Dead) if *member != id(0))
+/// A death of a member that runs; those below `dead` were stopped.
+fn is_false_death(action: &Action, dead: usize) -> bool {
+    matches!(action, Action::Changed(member, State::Dead)
+        if (0..dead).all(|number| *member != id(number)))
 }
--- a/crates/decision/src/member/exchange.rs
+++ b/crates/decision/src/member/exchange.rs
@@ -23,6 +23,13 @@
     }
 }
 
+impl Page {
+    /// Number of bytes: the fields in bincode's fixed layout.
+    pub fn size(&self) -> usize {
+        8 + self.changes.iter().map(Change::size).sum::<usize>() + 3
+    }
+}
+
 impl Table {
     /// Returns a message to a member, for a probe on behalf of another.
     pub fn message(&mut self, to: MemberId) -> Message {
@@ -183,18 +190,23 @@
             corrections.extend(self.declare(&change, true, now));
         }
         if !buried {
-            self.compare(message.from, message.digest);
+            self.compare(message.from, message.digest, now);
         }
         corrections
     }
 
     /// Changes get lost, and a bounded number of sendings reaches nearly all, not all. Without a
-    /// comparison two tables could differ for ever; here the bucket that differs is asked for.
-    fn compare(&mut self, peer: MemberId, digest: Digest) {
+    /// comparison two tables could differ for ever; here the bucket that differs is asked for;
+    /// one a period, which bounds the bytes while much changes.
+    fn compare(&mut self, peer: MemberId, digest: Digest, now: Time) {
         let same = self.roster.hash(digest.bucket) == digest.hash;
         if same || digest.bucket >= BUCKETS || self.waiting.is_some() || self.repairing.is_some() {
             return;
         }
+        if now < self.due_repair {
+            return;
+        }
+        self.due_repair = now + self.settings.period;
         self.repairing = Some(peer);
         let (first, last) = (digest.bucket, digest.bucket);
         self.out.push(Action::Pull(peer, Span { first, last }));
--- a/crates/decision/src/member/table.rs
+++ b/crates/decision/src/member/table.rs
@@ -55,6 +55,7 @@
     due_probe: Time,
     due_revival: Time,
     due_hurry: Time,
+    pub(super) due_repair: Time,
     pub(super) out: Vec<Action>,
 }
 
@@ -102,6 +103,7 @@
             due_probe: now,
             due_revival: now,
             due_hurry: now,
+            due_repair: now,
             out: Vec::new(),
         }
     }
--- a/crates/decision/tests/support/mod.rs
+++ b/crates/decision/tests/support/mod.rs
@@ -133,7 +133,12 @@
                 events.push_back((
                     own,
                     match reached {
-                        Some(peer) => Event::Pulled(from, self.tables[peer].page(span)),
+                        Some(peer) => {
+                            let page = self.tables[peer].page(span);
+                            self.bytes[own] += page.size();
+                            self.bytes[peer] += page.size();
+                            Event::Pulled(from, page)
+                        }
                         None => Event::PullFailed(from),
                     },
                 ));
