Explore at most once over every order of events, and seed faults into it

The random runs failed before the fix with `left: Some("a send has no outcome")`: a tick dropped the record of a key that was still running after a long pause, and the sends that had joined were never told. Running records now stay.

--- a/crates/decision/src/idempotency/handover.rs
+++ b/crates/decision/src/idempotency/handover.rs
@@ -14,8 +14,9 @@
 //! By induction over the chain of successors, a fence has one holder at any time. A handover that
 //! is lost, refused or late costs no more than some "unknown".
 
+use super::decision::{Decision, Refusal, Request, stopping};
 use super::key::{Fence, Serial};
-use super::ledger::{Decision, Ledger, Refusal, Request, stopping};
+use super::ledger::Ledger;
 use super::permit::{Permit, Slot};
 use super::record::{Outcome, Record};
 use super::seal::Secret;
@@ -156,6 +157,10 @@
         }
     }
 
+    pub(super) fn is_needed(&self, now: Time) -> bool {
+        self.until > now || self.records.values().any(Record::is_running)
+    }
+
     /// Time that a key with this expiry has left, `None` if it has expired.
     pub(super) fn left(&self, expiry: Time, now: Time) -> Option<Duration> {
         let left = expiry.saturating_sub(self.clock(now));
--- a/crates/decision/src/idempotency/ledger.rs
+++ b/crates/decision/src/idempotency/ledger.rs
@@ -10,24 +10,21 @@
 //!   could run after its caller was told "not run".
 //! - Once closed for a handover, a ledger gives out no permit.
 
+use super::decision::{Decision, Refusal, Request, Result};
 use super::handover::{Estate, Phase};
 use super::key::{Fence, Fenced, Key, Serial};
 use super::permit::{Permit, Ran, Run, Sent, Slot, Unsent};
 use super::record::{Outcome, Record, State};
 use super::seal::{Scope, Secret};
 use crate::outcome::{self, Reason};
-use crate::{Fingerprint, RequestId, Time};
+use crate::{RequestId, Time};
 use monsoonring_configuration::id::{CallerId, RouteId};
-use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// Sends of one key that wait for its outcome at most; more are told "unknown".
 pub const MAX_JOINED: usize = 64;
 
-/// Result of asking for a key.
-pub type Result<T> = std::result::Result<T, Refusal>;
-
 /// Bounds of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Limits {
@@ -55,96 +52,6 @@
     }
 }
 
-/// One send of a non-idempotent request.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Request {
-    /// Id of this send.
-    pub id: RequestId,
-    /// Who sent it.
-    pub caller: CallerId,
-    /// The route that it is for.
-    pub route: RouteId,
-    /// Hash of route and body.
-    pub fingerprint: Fingerprint,
-    /// Time by which it must have left, on this process's clock.
-    pub deadline: Time,
-    /// Number in the header `monsoonring-send`, 1 for a first send; only own keys need it.
-    pub send: Option<u32>,
-    /// Whether another daemon passed it on; it takes one hop only.
-    pub passed_on: bool,
-}
-
-/// What is to be done with a send.
-#[derive(Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// Run it; it is recorded.
-    Run(Permit<Unsent>),
-    /// It is running; the send is among those named when it ends.
-    Join,
-    /// It has ended before; tell the recorded outcome, marked as such.
-    Replay(Outcome),
-    /// Don't run it, and tell why.
-    Refuse(Refusal),
-    /// Pass it to this incarnation, where it is a member, else to whoever says that it holds the
-    /// fence ([`super::Question::Fence`]); if there is none, tell "unknown".
-    PassTo(Fence),
-    /// A later send of an own key that isn't recorded here: ask the other members
-    /// ([`super::Question::Own`]).
-    Ask,
-}
-
-/// Why a send, or the issue of a key, is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Refusal {
-    /// There is no room for another record.
-    Full {
-        /// Time after which there may be room.
-        retry_after: Duration,
-    },
-    /// The daemon is stopping.
-    Stopping,
-    /// An own key came without its number of the send.
-    Unmarked,
-    /// The key was used for another request before.
-    Mismatch,
-    /// The key wasn't issued for this caller and route by the incarnation that it names.
-    Forged,
-    /// The key is past its expiry and nothing is known of it.
-    Expired,
-    /// Too many sends of this key wait already.
-    Crowded,
-    /// The key's holder isn't here.
-    Gone,
-    /// The key's holder is this incarnation now.
-    Moved(Fence),
-}
-
-impl Refusal {
-    /// Returns what the caller is to be told.
-    ///
-    /// "Not run" speaks of this send. It is said only where the key has no earlier run
-    /// (`Full`, `Stopping`), where this very request never ran under the key (`Mismatch`), and on
-    /// an unmarked own key, whose caller says by the missing mark that it never sent it otherwise.
-    pub fn outcome(self) -> Outcome {
-        match self {
-            Self::Full { retry_after } => Outcome::NotRun {
-                reason: Reason::Overload,
-                retry_after: Some(retry_after),
-            },
-            Self::Stopping => stopping(),
-            Self::Unmarked | Self::Mismatch => Outcome::NotRun {
-                reason: Reason::Fence,
-                retry_after: None,
-            },
-            Self::Forged | Self::Expired | Self::Crowded | Self::Gone | Self::Moved(_) => {
-                Outcome::Unknown {
-                    reason: Reason::Fence,
-                }
-            }
-        }
-    }
-}
-
 /// How a key ended, and who waits for it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[must_use = "the joined sends wait for the outcome"]
@@ -262,17 +169,18 @@
         self.settle(slot, outcome, now)
     }
 
-    /// Drops what has expired; called about once a second.
+    /// Drops what has expired; called about once a second. What is running stays, however long a
+    /// pause was: the sends that joined would otherwise never be told an outcome.
     pub fn tick(&mut self, now: Time) {
         let now = self.advance(now);
         self.vacate(now);
         let fence = self.fence;
         self.estates
-            .retain(|of, estate| *of == fence || estate.until > now);
+            .retain(|of, estate| *of == fence || estate.is_needed(now));
         for estate in self.estates.values_mut() {
-            estate.records.retain(|_, record| record.until > now);
+            estate.records.retain(|_, record| record.is_needed(now));
         }
-        self.own.retain(|_, record| record.until > now);
+        self.own.retain(|_, record| record.is_needed(now));
         let fenced = self.estates.values().flat_map(|e| e.records.values());
         self.bytes = fenced.chain(self.own.values()).map(Record::bytes).sum();
     }
@@ -400,14 +308,6 @@
     }
 }
 
-/// "Not run" of a daemon that is stopping.
-pub(super) fn stopping() -> Outcome {
-    Outcome::NotRun {
-        reason: Reason::Stopping,
-        retry_after: Some(Duration::ZERO),
-    }
-}
-
 fn elsewhere(fence: Fence, request: &Request) -> Decision {
     if request.passed_on {
         return Decision::Refuse(Refusal::Gone);
--- a/crates/decision/src/idempotency/mod.rs
+++ b/crates/decision/src/idempotency/mod.rs
@@ -15,6 +15,7 @@
 //!
 //! `docs/design/at-most-once.md` weighs the ways that were not taken.
 
+pub mod decision;
 pub mod handover;
 pub mod key;
 pub mod ledger;
@@ -23,9 +24,10 @@
 pub mod record;
 mod seal;
 
+pub use decision::{Decision, Refusal, Request};
 pub use handover::{Handover, Receipt};
 pub use key::{Fence, Key};
-pub use ledger::{Decision, Ledger, Limits, Refusal, Request};
+pub use ledger::{Ledger, Limits};
 pub use lookup::{Answer, Poll, Question};
 pub use permit::{Permit, Run, Sent, Unsent};
 pub use record::Outcome;
--- a/crates/decision/src/idempotency/record.rs
+++ b/crates/decision/src/idempotency/record.rs
@@ -122,6 +122,10 @@
         matches!(self.state, State::Running { .. })
     }
 
+    pub(crate) fn is_needed(&self, now: Time) -> bool {
+        self.until > now || self.is_running()
+    }
+
     pub(crate) fn bytes(&self) -> usize {
         match &self.state {
             State::Running { .. } => 0,
--- a/crates/decision/src/stop.rs
+++ b/crates/decision/src/stop.rs
@@ -3,9 +3,9 @@
 //! The life cycle is a typestate, so that a daemon that has begun to stop can't serve again:
 //!
 //! - In [`Serving`], it is ready.
-//! - In [`Draining`], it is not ready. For a notice period the balancer and the other members still send,
-//!   as they have not seen it yet, and what they send is still served; after it, what is new is
-//!   refused as not run. What is in flight goes on, also what other daemons passed on.
+//! - In [`Draining`], it is not ready. For a notice period the balancer and the other members
+//!   still send, as they have not seen it yet, and what they send is still served; after it, what
+//!   is new is refused as not run. What is in flight goes on, also what others passed on.
 //! - In [`HandingOver`], nothing is in flight; the ledger of [`crate::idempotency`] goes to a
 //!   successor.
 //! - In [`Done`], it exits.
--- /dev/null
+++ b/crates/decision/tests/idempotency_model.rs
@@ -0,0 +1,144 @@
+//! At most once, explored: every order of a bounded number of events, and longer random ones.
+
+mod model;
+
+use model::{Budget, Mutant, World};
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+use proptest::prelude::*;
+use std::hash::{Hash, Hasher};
+use test_case::test_case;
+
+const OWN: Option<&str> = Some("ticket-17");
+
+const CALM: Budget = Budget {
+    sends: 2,
+    copies: 1,
+    kills: 0,
+    starts: 0,
+    drains: 0,
+    steps: 1,
+    attempts: 2,
+};
+
+/// A world with the least number of actions that leads to it.
+#[derive(Clone, Debug)]
+struct Node {
+    world: World,
+    depth: usize,
+}
+
+impl PartialEq for Node {
+    fn eq(&self, other: &Self) -> bool {
+        self.world == other.world
+    }
+}
+
+impl Eq for Node {}
+
+impl Hash for Node {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.world.hash(state);
+    }
+}
+
+impl Node {
+    fn next(&self) -> Vec<Self> {
+        let depth = self.depth + 1;
+        let worlds = self.world.next().into_iter();
+        worlds.map(|world| Self { world, depth }).collect()
+    }
+}
+
+const STOP: Budget = Budget {
+    drains: 1,
+    steps: 0,
+    attempts: 1,
+    ..CALM
+};
+
+const FAIL: Budget = Budget {
+    kills: 1,
+    starts: 1,
+    attempts: 1,
+    ..CALM
+};
+
+#[test_case("copies", 2, None, CALM)]
+#[test_case("stop", 2, None, STOP)]
+#[test_case("fail", 2, None, FAIL)]
+#[test_case("own", 2, OWN, CALM)]
+fn explore_without_mutant_finds_no_violation(
+    name: &str,
+    daemons: usize,
+    own: Option<&str>,
+    budget: Budget,
+) {
+    let world = World::new(daemons, own, budget, None);
+    let (mut states, mut deepest, mut ran) = (0, 0, 0);
+    for node in bfs_reach(Node { world, depth: 0 }, Node::next) {
+        assert_eq!(node.world.violation(), None, "{:#?}", node.world);
+        states += 1;
+        deepest = node.depth;
+        ran += usize::from(node.world.runs == 1);
+    }
+    println!("{name}: {states} states, {ran} of them after a run, depth {deepest}, all explored");
+    assert!(ran > 0, "the world is so small that nothing ran");
+}
+
+#[test_case(Mutant::UnknownIsRunAgain, None, FAIL, "ran twice")]
+#[test_case(Mutant::LostIsRetried, None, CALM, "ran twice")]
+#[test_case(Mutant::LostIsNotRun, None, CALM, "told not run, and ran")]
+#[test_case(Mutant::ReusableAfterNotRun, None, CALM, "told not run, and ran")]
+#[test_case(Mutant::RefusalWithoutRecord, None, STOP, "told not run, and ran")]
+#[test_case(Mutant::HandoverTakenTwice, None, STOP, "ran twice")]
+#[test_case(Mutant::RunsAfterHandover, None, STOP, "ran twice")]
+#[test_case(Mutant::TwoSuccessors, None, STOP, "ran twice")]
+#[test_case(Mutant::FirstSendRepeated, OWN, CALM, "ran twice")]
+fn explore_with_mutant_finds_its_violation(
+    mutant: Mutant,
+    own: Option<&str>,
+    budget: Budget,
+    violation: &str,
+) {
+    let daemons = if mutant == Mutant::TwoSuccessors {
+        3
+    } else {
+        2
+    };
+    let attempts = 2;
+    let budget = Budget { attempts, ..budget };
+    let world = World::new(daemons, own, budget, Some(mutant));
+    let found = |world: &World| world.violation() == Some(violation);
+    let path = bfs(&world, World::next, found).expect("the exploration finds the fault");
+    println!("{mutant:?}: {violation} after {} actions", path.len() - 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    #[test]
+    fn act_at_random_finds_no_violation(
+        own in any::<bool>(),
+        choices in prop::collection::vec(any::<prop::sample::Index>(), 20..120),
+    ) {
+        let budget = Budget {
+            sends: 8,
+            copies: 6,
+            kills: 2,
+            starts: 5,
+            drains: 4,
+            steps: 6,
+            attempts: 4,
+        };
+        let mut world = World::new(3, OWN.filter(|_| own), budget, None);
+        for choice in choices {
+            let actions = world.actions();
+            if actions.is_empty() {
+                break;
+            }
+            let action = actions[choice.index(actions.len())];
+            world = world.after(action);
+            prop_assert_eq!(world.violation(), None);
+        }
+    }
+}
