--- a/crates/decision/src/idempotency/handover.rs
+++ b/crates/decision/src/idempotency/handover.rs
@@ -14,18 +14,13 @@
 //! By induction over the chain of successors, a fence has one holder at any time. A handover that
 //! is lost, refused or late costs no more than some "unknown".
 
-use super::decision::{Decision, Refusal, Request, stopping};
-use super::key::{Fence, Serial};
+use super::estate::{Bequest, Entry, Estate, Phase};
+use super::key::Fence;
 use super::ledger::Ledger;
-use super::permit::{Permit, Slot};
-use super::record::{Outcome, Record};
-use super::seal::Secret;
-use crate::{Fingerprint, Time};
+use crate::Time;
 use monsoonring_configuration::id::CallerId;
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
-use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// Result of making or taking a handover.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -85,121 +80,6 @@
     pub to: Fence,
 }
 
-/// All that a holder needs for the keys of one fence.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-struct Bequest {
-    fence: Fence,
-    secret: Secret,
-    /// Time on the fence's clock when the handover was made.
-    clock: Time,
-    /// Keys that may still arrive.
-    keys: usize,
-    /// Time for which they may.
-    left: Duration,
-    records: Vec<(Serial, Entry)>,
-}
-
-/// A record without its holder's clock.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-struct Entry {
-    fingerprint: Fingerprint,
-    left: Duration,
-    outcome: Outcome,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) enum Phase {
-    Open,
-    Draining,
-    Closed { to: Fence, acknowledged: bool },
-}
-
-impl Phase {
-    /// Makes the record of a key that has none, and the decision that goes with it.
-    ///
-    /// A draining ledger records its refusal too: the successor would otherwise run a delayed
-    /// copy of a send whose caller was told "not run".
-    pub(super) fn take(self, slot: Slot, request: &Request, until: Time) -> (Record, Decision) {
-        let fingerprint = request.fingerprint;
-        if self == Self::Open {
-            let permit = Permit::new(slot, request.deadline);
-            return (Record::running(fingerprint, until), Decision::Run(permit));
-        }
-        let record = Record::done(fingerprint, until, stopping());
-        (record, Decision::Refuse(Refusal::Stopping))
-    }
-}
-
-/// What a holder keeps for one fence.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct Estate {
-    pub(super) secret: Secret,
-    pub(super) records: BTreeMap<Serial, Record>,
-    /// Keys that may still arrive, for an inherited fence.
-    keys: usize,
-    /// Time on the holder's clock from which on none does, for an inherited fence.
-    pub(super) until: Time,
-    /// One moment on the fence's clock and on the holder's. A handover that took long makes keys
-    /// live longer, and their records with them.
-    theirs: Time,
-    ours: Time,
-}
-
-impl Estate {
-    pub(super) fn started(secret: Secret) -> Self {
-        Self {
-            secret,
-            records: BTreeMap::new(),
-            keys: 0,
-            until: Time::MAX,
-            theirs: Time::ZERO,
-            ours: Time::ZERO,
-        }
-    }
-
-    pub(super) fn is_needed(&self, now: Time) -> bool {
-        self.until > now || self.records.values().any(Record::is_running)
-    }
-
-    /// Time that a key with this expiry has left, `None` if it has expired.
-    pub(super) fn left(&self, expiry: Time, now: Time) -> Option<Duration> {
-        let left = expiry.saturating_sub(self.clock(now));
-        (!left.is_zero()).then_some(left)
-    }
-
-    fn clock(&self, now: Time) -> Time {
-        self.theirs + now.saturating_sub(self.ours)
-    }
-
-    fn inherited(bequest: Bequest, now: Time) -> Self {
-        let entries = bequest.records.into_iter();
-        Self {
-            secret: bequest.secret,
-            records: entries
-                .map(|(serial, e)| (serial, e.into_record(now)))
-                .collect(),
-            keys: bequest.keys,
-            until: now + bequest.left,
-            theirs: bequest.clock,
-            ours: now,
-        }
-    }
-}
-
-impl Entry {
-    fn of(record: &Record, now: Time) -> Self {
-        Self {
-            fingerprint: record.fingerprint,
-            left: record.until.saturating_sub(now),
-            outcome: record.settled(),
-        }
-    }
-
-    fn into_record(self, now: Time) -> Record {
-        Record::done(self.fingerprint, now + self.left, self.outcome)
-    }
-}
-
 impl Ledger {
     /// Stops giving out permits and keys; what arrives new is recorded as not run.
     pub fn drain(&mut self) {
--- a/crates/decision/src/idempotency/ledger.rs
+++ b/crates/decision/src/idempotency/ledger.rs
@@ -11,7 +11,7 @@
 //! - Once closed for a handover, a ledger gives out no permit.
 
 use super::decision::{Decision, Refusal, Request, Result};
-use super::handover::{Estate, Phase};
+use super::estate::{Estate, Phase};
 use super::key::{Fence, Fenced, Key, Serial};
 use super::permit::{Permit, Ran, Run, Sent, Slot, Unsent};
 use super::record::{Outcome, Record, State};
--- a/crates/decision/src/idempotency/lookup.rs
+++ b/crates/decision/src/idempotency/lookup.rs
@@ -4,7 +4,7 @@
 //! answer counts: that nobody knows of a key proves nothing, as the one who knew may be gone. So
 //! it is safe to ask fewer members, such as the homes of the route, and costs only "unknown".
 
-use super::handover::Phase;
+use super::estate::Phase;
 use super::key::Fence;
 use super::ledger::Ledger;
 use super::record::{Outcome, Record, State};
--- a/crates/decision/src/idempotency/mod.rs
+++ b/crates/decision/src/idempotency/mod.rs
@@ -16,6 +16,7 @@
 //! `docs/design/at-most-once.md` weighs the ways that were not taken.
 
 pub mod decision;
+mod estate;
 pub mod handover;
 pub mod key;
 pub mod ledger;
--- a/crates/decision/src/idempotency/permit.rs
+++ b/crates/decision/src/idempotency/permit.rs
@@ -2,7 +2,8 @@
 //!
 //! A ledger hands out one permit for a key. "Not run" can be recorded only through a permit on
 //! which no byte left, or whose server itself said that it refused: the other state has no method
-//! for it. A permit that is dropped leaves its key recorded as running, which never runs again.
+//! for it. A permit that is dropped leaves its key recorded as running for good: it never runs again,
+//! and keeps its place in the ledger.
 
 use super::key::{Fenced, Serial};
 use super::{Fence, record};
--- a/crates/decision/tests/model/mod.rs
+++ b/crates/decision/tests/model/mod.rs
@@ -281,6 +281,12 @@
                 self.budget.steps -= 1;
                 self.now += STEP;
             }
+            other => self.act_daemon(other),
+        }
+    }
+
+    fn act_daemon(&mut self, action: Action) {
+        match action {
             Action::SendWork(place) => self.with(place, Daemon::send_work),
             Action::LoseWork(place) => self.with(place, Daemon::lose_work),
             Action::GiveUp(place) => self.with(place, Daemon::give_up),
@@ -292,6 +298,7 @@
                 let start = self.daemons[to].as_ref().map_or(0, |daemon| daemon.start);
                 self.with(place, |daemon, world| daemon.hand_over(to, start, world));
             }
+            _ => {}
         }
     }
 
