--- a/crates/decision/src/admission/limit.rs
+++ b/crates/decision/src/admission/limit.rs
@@ -16,15 +16,16 @@
 /// Limit to start with.
 const INITIAL: f64 = 16.0;
 
-/// Bounds of the limit.
-const AT_LEAST: f64 = 1.0;
+/// Bounds of the limit. The lower one leaves a place that only the urgent may take.
+const AT_LEAST: f64 = 2.0;
 const AT_MOST: f64 = 10_000.0;
 
 /// What the limit is multiplied by when a request is late.
 const SHRINK: f64 = 0.9;
 
-/// The limit grows only while at least this share of it is used: an unused one proves nothing.
-const USED: f64 = 0.5;
+/// The limit grows only while at least this share of it is used: an unused one proves nothing. It is
+/// half of what the lowest class may fill, or that class would be refused while servers have room.
+const USED: f64 = 0.2;
 
 /// Adaptive limit on the requests in flight.
 #[derive(Clone, Debug)]
--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -84,7 +84,7 @@
             };
         }
         let in_time = room.wait + room.work < remaining;
-        let fits = (self.in_flight as f64) < self.allowed(class);
+        let fits = self.in_flight as f64 + 1.0 <= self.allowed(class);
         if in_time && fits {
             self.in_flight += 1;
             return Admission::Admit;
--- /dev/null
+++ b/crates/decision/tests/admission.rs
@@ -0,0 +1,276 @@
+//! Tests of admission, most of them against a simulated group of servers.
+
+mod support;
+
+use monsoonring_configuration::document::Class;
+use monsoonring_decision::Time;
+use monsoonring_decision::admission::{Admission, Gate};
+use monsoonring_decision::backend::Room;
+use monsoonring_decision::outcome::Reason;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::time::Duration;
+use support::{ms, route};
+use test_case::test_case;
+
+const SLOTS: usize = 9;
+const WORK: f64 = 0.010;
+const DEADLINE: Duration = Duration::from_millis(200);
+const SECONDS: f64 = 60.0;
+
+fn gate() -> Gate {
+    let mut route = route(1, 3);
+    route.deadline_ms = DEADLINE.as_millis() as u64;
+    Gate::new(&route)
+}
+
+/// What one run of the simulation counted.
+#[derive(Default, Debug)]
+struct Count {
+    offered: BTreeMap<Class, u32>,
+    in_time: BTreeMap<Class, u32>,
+    refused: u32,
+    worked_in_vain: u32,
+}
+
+struct Request {
+    class: Class,
+    arrived: f64,
+}
+
+/// A group with one queue before it, asked `load` times what it can do.
+struct Simulation {
+    rng: ChaCha8Rng,
+    gate: Option<Gate>,
+    /// How many times the true load the home believes; less than 1 hides what others have there.
+    believed: f64,
+    queue: VecDeque<Request>,
+    busy: BTreeMap<u64, Request>,
+    done: BinaryHeap<Reverse<(Duration, u64)>>,
+    count: Count,
+}
+
+impl Simulation {
+    fn new(gate: Option<Gate>, believed: f64) -> Self {
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(11),
+            gate,
+            believed,
+            queue: VecDeque::new(),
+            busy: BTreeMap::new(),
+            done: BinaryHeap::new(),
+            count: Count::default(),
+        }
+    }
+
+    fn run(mut self, load: f64) -> Count {
+        let gap = WORK / SLOTS as f64 / load;
+        let (mut next, mut now) = (0.0, 0.0);
+        while now < SECONDS {
+            let done = self.done.peek().map(|Reverse((at, _))| at.as_secs_f64());
+            if let Some(at) = done.filter(|at| *at < next) {
+                now = at;
+                self.finish(now);
+            } else {
+                now = next;
+                next += self.exponential(gap);
+                self.arrive(now);
+            }
+            self.start(now);
+        }
+        self.count
+    }
+
+    fn exponential(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.rng.random::<f64>()).ln()
+    }
+
+    fn room(&self) -> Room {
+        let busy = (self.queue.len() + self.busy.len()) as f64 * self.believed;
+        let ahead = (busy + 1.0 - SLOTS as f64).max(0.0);
+        Room {
+            slots: SLOTS as f64,
+            busy,
+            wait: Duration::from_secs_f64(WORK * ahead / SLOTS as f64),
+            work: Duration::from_secs_f64(WORK),
+        }
+    }
+
+    fn arrive(&mut self, now: f64) {
+        let class = match self.rng.random_range(0..10) {
+            0..2 => Class::Urgent,
+            2..7 => Class::Normal,
+            _ => Class::Background,
+        };
+        *self.count.offered.entry(class).or_default() += 1;
+        let (room, time) = (self.room(), Time::from_secs_f64(now));
+        let admission = match &mut self.gate {
+            Some(gate) => gate.admit(class, time + DEADLINE, &room, time),
+            None => Admission::Admit,
+        };
+        match admission {
+            Admission::Admit => self.queue.push_back(Request {
+                class,
+                arrived: now,
+            }),
+            Admission::Refuse { .. } => self.count.refused += 1,
+        }
+    }
+
+    fn start(&mut self, now: f64) {
+        while self.busy.len() < SLOTS && !self.queue.is_empty() {
+            let id = self.rng.random();
+            let work = self.exponential(WORK);
+            self.done
+                .push(Reverse((Duration::from_secs_f64(now + work), id)));
+            self.busy
+                .extend(self.queue.pop_front().map(|request| (id, request)));
+        }
+    }
+
+    fn finish(&mut self, now: f64) {
+        let Some(Reverse((_, id))) = self.done.pop() else {
+            return;
+        };
+        let request = self.busy.remove(&id).expect("it is being worked on");
+        let took = Duration::from_secs_f64(now - request.arrived);
+        if took <= DEADLINE {
+            *self.count.in_time.entry(request.class).or_default() += 1;
+        } else {
+            self.count.worked_in_vain += 1;
+        }
+        if let Some(gate) = &mut self.gate {
+            gate.finished(request.class, took.min(DEADLINE), Time::from_secs_f64(now));
+        }
+    }
+}
+
+impl Count {
+    /// Requests answered in time, as a share of what the servers can do.
+    fn goodput(&self) -> f64 {
+        let in_time: u32 = self.in_time.values().sum();
+        f64::from(in_time) * WORK / SLOTS as f64 / SECONDS
+    }
+
+    /// Share of a class's requests that were answered in time.
+    fn served(&self, class: Class) -> f64 {
+        f64::from(self.in_time[&class]) / f64::from(self.offered[&class])
+    }
+}
+
+// Symptom: at one and a half times what the servers can do nearly every answer comes too late.
+// Events:  more requests arrive than can be worked off; the queue reaches the deadline and stays.
+// Cause:   everything is taken on, and each request waits for work that is already useless.
+#[test_case(1.5, 1.0; "half as much again")]
+#[test_case(3.0, 1.0; "three times")]
+#[test_case(3.0, 0.3; "three times, most of the load hidden")]
+fn admit_past_saturation_keeps_goodput(load: f64, believed: f64) {
+    let count = Simulation::new(Some(gate()), believed).run(load);
+    assert!(
+        count.goodput() > 0.95,
+        "goodput {:.3}, {count:?}",
+        count.goodput()
+    );
+    let open = Simulation::new(None, believed).run(load);
+    assert!(
+        open.goodput() < 0.1,
+        "goodput without a gate {:.3}",
+        open.goodput()
+    );
+}
+
+#[test]
+fn admit_below_saturation_refuses_next_to_none() {
+    let count = Simulation::new(Some(gate()), 1.0).run(0.7);
+    let offered: u32 = count.offered.values().sum();
+    assert!(count.refused * 1_000 < offered, "{count:?}");
+}
+
+// Symptom: dispatchers are refused while planners' reports run.
+// Events:  three times saturation, a fifth of it urgent.
+// Cause:   who comes first is taken on first.
+#[test]
+fn admit_past_saturation_serves_urgent_first() {
+    let count = Simulation::new(Some(gate()), 1.0).run(3.0);
+    let classes = [Class::Urgent, Class::Normal, Class::Background];
+    let [urgent, normal, background] = classes.map(|class| count.served(class));
+    assert!(urgent > 0.9, "urgent {urgent:.3}, normal {normal:.3}");
+    assert!(
+        normal > background * 2.0,
+        "normal {normal:.3}, background {background:.3}"
+    );
+}
+
+// Symptom: requests are refused on a fleet that is half idle.
+// Events:  one server is slow, and every search waits for it; the others have free slots.
+// Cause:   slowness is taken for overload.
+#[test]
+fn finished_late_without_waiting_keeps_limit() {
+    let mut gate = gate();
+    let before = gate.limit();
+    for step in 0..100 {
+        let now = ms(step * 300);
+        gate.admit(Class::Normal, now + DEADLINE, &Room::default(), now);
+        gate.finished(Class::Normal, DEADLINE, now + DEADLINE);
+    }
+    assert!(gate.limit() >= before);
+    assert_eq!(gate.in_flight(), 0);
+}
+
+fn room(wait: u64) -> Room {
+    Room {
+        slots: 9.0,
+        busy: 9.0,
+        wait: ms(wait),
+        work: ms(10),
+    }
+}
+
+#[test_case(0, 5, Reason::Deadline, None; "less time left than the work takes")]
+#[test_case(150, 100, Reason::Overload, Some(ms(150)); "the wait is longer than the time left")]
+fn admit_hopeless_is_refused(wait: u64, left: u64, expected: Reason, after: Option<Duration>) {
+    let admission = gate().admit(Class::Urgent, ms(left), &room(wait), ms(0));
+    let Admission::Refuse {
+        reason,
+        retry_after,
+    } = admission
+    else {
+        panic!("admitted");
+    };
+    assert_eq!((reason, retry_after), (expected, after));
+}
+
+// Symptom: after an overload waves of requests come in, each refused nearly whole.
+// Events:  a hundred requests are refused at the same moment.
+// Cause:   all were told the same time to come back.
+#[test]
+fn admit_refused_many_gives_each_its_turn() {
+    let mut gate = gate();
+    for step in 0..100 {
+        gate.admit(
+            Class::Urgent,
+            ms(step * 10) + DEADLINE,
+            &room(0),
+            ms(step * 10),
+        );
+        gate.finished(Class::Urgent, ms(10), ms(step * 10 + 10));
+    }
+    let now = ms(1_000);
+    while gate.admit(Class::Urgent, now + DEADLINE, &room(0), now) == Admission::Admit {}
+    let turns: Vec<Duration> = (0..100)
+        .map(
+            |_| match gate.admit(Class::Urgent, now + DEADLINE, &room(0), now) {
+                Admission::Refuse { retry_after, .. } => retry_after.expect("it can come back"),
+                Admission::Admit => panic!("admitted"),
+            },
+        )
+        .collect();
+    assert!(turns.windows(2).all(|pair| pair[1] > pair[0]));
+    // A request ends every ten milliseconds.
+    assert!(
+        (ms(900)..ms(1_100)).contains(&(turns[99] - turns[0])),
+        "{turns:?}"
+    );
+}
--- /dev/null
+++ b/crates/decision/tests/backend.rs
@@ -0,0 +1,430 @@
+//! Tests of the choice between replicas and of what is learned of them.
+
+mod support;
+
+use monsoonring_configuration::id::BackendServerId;
+use monsoonring_decision::Time;
+use monsoonring_decision::attempt::{Failure, Refusal};
+use monsoonring_decision::backend::{Choice, Fleet};
+use monsoonring_decision::reply::Report;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+use support::{loaded, ms, route, server, started};
+use test_case::test_case;
+
+const REPLICAS: u16 = 3;
+
+fn fleet() -> Fleet {
+    Fleet::new(&route(1, REPLICAS), 1, ms(0))
+}
+
+fn replicas() -> Vec<BackendServerId> {
+    (0..REPLICAS).map(server).collect()
+}
+
+fn choose(fleet: &mut Fleet, now: Time) -> Option<BackendServerId> {
+    let mut rng = ChaCha8Rng::seed_from_u64(now.as_nanos() as u64);
+    let choice = fleet.choose(&replicas(), &[], None, now, &mut rng);
+    choice.map(|choice: Choice| choice.server)
+}
+
+/// Returns how many of 300 choices at that time fall on each replica.
+fn shares(fleet: &mut Fleet, now: Time) -> [u32; 3] {
+    let mut shares = [0; 3];
+    for step in 0..300 {
+        let chosen = choose(fleet, now + Duration::from_nanos(step)).expect("one is open");
+        shares[usize::from(chosen.port() - 1_000)] += 1;
+    }
+    shares
+}
+
+/// Lets a replica answer `count` attempts after `latency` each, one after the other.
+fn answer(fleet: &mut Fleet, number: u16, count: u64, latency: Duration, report: &Report) {
+    for step in 0..count {
+        let at = ms(step * 10);
+        fleet.sent(server(number), step, at);
+        fleet.replied(step, report, at + latency);
+    }
+}
+
+fn refused(refusal: Refusal, retry_after: Option<Duration>, report: Report) -> Failure {
+    Failure::Refused {
+        refusal,
+        retry_after,
+        report,
+    }
+}
+
+#[test]
+fn choose_least_outstanding() {
+    let mut fleet = fleet();
+    fleet.sent(server(0), 1, ms(0));
+    fleet.sent(server(2), 2, ms(0));
+    assert_eq!(shares(&mut fleet, ms(1)), [0, 300, 0]);
+}
+
+#[test]
+fn choose_among_equals_is_even() {
+    let shares = shares(&mut fleet(), ms(1));
+    assert!(
+        shares.iter().all(|share| (70..=130).contains(share)),
+        "{shares:?}"
+    );
+}
+
+#[test_case(&[0, 1], None => Some(server(2)); "tried ones are left out")]
+#[test_case(&[0, 1, 2], None => None; "none is left")]
+#[test_case(&[], Some(7) => Some(server(1)); "only one serves the version")]
+#[test_case(&[1], Some(7) => None; "the one that serves it was tried")]
+fn choose_out_of(tried: &[u16], version: Option<u64>) -> Option<BackendServerId> {
+    let mut fleet = fleet();
+    for number in 0..REPLICAS {
+        let report = Report {
+            index_versions: if number == 1 { vec![6, 7] } else { vec![6] },
+            ..Report::default()
+        };
+        fleet.polled(server(number), Some(&report), ms(0));
+    }
+    let tried: Vec<_> = tried.iter().copied().map(server).collect();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let choice = fleet.choose(&replicas(), &tried, version, ms(1), &mut rng);
+    choice.map(|choice| choice.server)
+}
+
+// Symptom: one replica gets nearly all requests of every home and has a long queue.
+// Events:  its load endpoint is stuck at 0 or makes numbers up; the others report the truth.
+// Cause:   the lowest report wins, whatever it is worth.
+#[test_case(|_| 0; "stuck at nothing")]
+#[test_case(|step| step * 7919 % 10; "made up")]
+#[test_case(|step| 9 - step % 10; "inverted")]
+fn choose_with_lying_report_is_no_worse_than_without(lie: fn(u64) -> u64) {
+    let mut fleet = fleet();
+    for step in 0..200 {
+        for number in 0..REPLICAS {
+            let attempt = step * 3 + u64::from(number);
+            // Others' load comes and goes; honest servers report it and get slower with it.
+            let others = step % 10;
+            let reported = if number == 0 { lie(step) } else { others };
+            let at = ms(step * 20);
+            fleet.polled(server(number), Some(&loaded(reported as u32)), at);
+            fleet.sent(server(number), attempt, at);
+            fleet.replied(attempt, &Report::default(), at + ms(5 + others));
+        }
+    }
+    let now = ms(200 * 20);
+    // Honest ones: one has less than its usual 4.5, one has more.
+    for (number, reported) in [(0, 0), (1, 4), (2, 5)] {
+        fleet.polled(server(number), Some(&loaded(reported)), now);
+    }
+    let snapshot = fleet.snapshot(now);
+    let trust: Vec<f64> = snapshot.iter().map(|server| server.trust).collect();
+    assert!(
+        trust[0] < 0.1 && trust[1] > 0.5 && trust[2] > 0.5,
+        "{trust:?}"
+    );
+    assert_eq!(
+        shares(&mut fleet, now),
+        [0, 300, 0],
+        "the liar attracts no work"
+    );
+}
+
+// Symptom: a replica that answers ten times slower keeps getting its full third.
+// Events:  it has a bad disk; few requests are outstanding, so that counts are all alike.
+// Cause:   outstanding attempts say nothing of speed while there are hardly any.
+#[test]
+fn choose_slow_replica_seldom_but_again_later() {
+    let mut fleet = fleet();
+    answer(&mut fleet, 1, 50, ms(5), &Report::default());
+    answer(&mut fleet, 2, 50, ms(5), &Report::default());
+    answer(&mut fleet, 0, 20, ms(50), &Report::default());
+    assert_eq!(shares(&mut fleet, ms(300))[0], 0);
+    // One outstanding at each of the others is enough to try it again when that was long ago.
+    fleet.sent(server(1), 901, ms(9_000));
+    fleet.sent(server(2), 902, ms(9_000));
+    assert_eq!(shares(&mut fleet, ms(9_000))[0], 300);
+}
+
+// Symptom: a straggler whose attempts always lose against their hedges stays the fastest on paper.
+// Events:  nine in ten attempts there are cancelled after 100 ms, the tenth takes 5 ms.
+// Cause:   only replies are measured.
+#[test]
+fn cancelling_counts_as_slow() {
+    let mut fleet = fleet();
+    (1..REPLICAS).for_each(|number| answer(&mut fleet, number, 50, ms(5), &Report::default()));
+    for step in 0..50 {
+        let at = ms(1_000 + step * 10);
+        fleet.sent(server(0), step, at);
+        if step % 10 == 0 {
+            fleet.replied(step, &Report::default(), at + ms(5));
+        } else {
+            fleet.cancelling(step, at + ms(100));
+            fleet.failed(
+                step,
+                &Failure::Cancelled {
+                    report: Report::default(),
+                },
+                at + ms(101),
+            );
+        }
+    }
+    assert!(fleet.snapshot(ms(2_000))[0].median_ms > 10.0);
+    assert_eq!(shares(&mut fleet, ms(1_600))[0], 0);
+}
+
+#[test]
+fn hedge_delay_is_learned_and_bounded() {
+    let mut fleet = fleet();
+    assert_eq!(
+        fleet.hedge_delay(server(0), 0.95, ms(0)),
+        ms(250),
+        "nothing known yet"
+    );
+    answer(&mut fleet, 0, 100, ms(10), &Report::default());
+    let learned = fleet.hedge_delay(server(0), 0.95, ms(0));
+    assert!((ms(10)..ms(12)).contains(&learned), "{learned:?}");
+    let fallback = fleet.hedge_delay(server(1), 0.95, ms(0));
+    assert_eq!(
+        fallback, learned,
+        "the group stands in for a server without history"
+    );
+}
+
+// Symptom: hedging leaves the tail that one slow replica makes.
+// Events:  one replica of three takes 100 ms, the others 5 ms.
+// Cause:   by the slow replica's own quantile 100 ms are nothing unusual.
+#[test]
+fn hedge_delay_of_slow_replica_is_bounded_by_group() {
+    let mut fleet = fleet();
+    (1..REPLICAS).for_each(|number| answer(&mut fleet, number, 200, ms(5), &Report::default()));
+    answer(&mut fleet, 0, 21, ms(100), &Report::default());
+    let delay = fleet.hedge_delay(server(0), 0.9, ms(0));
+    assert!(delay < ms(15), "{delay:?}");
+}
+
+// Symptom: new work reaches a server seconds after it said that it is leaving.
+// Events:  any one sign of leaving; after it the lagging ones still say that it serves.
+// Cause:   the sign that came last wins.
+#[test_case(|fleet| drop(fleet.leave(server(0), Some(5), ms(1))); "told with its start number")]
+#[test_case(|fleet| drop(fleet.leave(server(0), None, ms(1))); "told without")]
+#[test_case(|fleet| drop(fleet.polled(server(0), Some(&Report { draining: true, ..started(5) }), ms(1))); "health endpoint")]
+#[test_case(|fleet| {
+    fleet.sent(server(0), 1, ms(0));
+    let failure = refused(Refusal::Draining, None, started(5));
+    let verdict = fleet.failed(1, &failure, ms(1));
+    assert!(verdict.news.leaving && verdict.not_run);
+}; "refusal")]
+fn leave_by_any_sign_ends_only_with_higher_start(sign: fn(&mut Fleet)) {
+    let mut fleet = fleet();
+    fleet.polled(server(0), Some(&started(5)), ms(0));
+    sign(&mut fleet);
+    fleet.polled(server(0), Some(&started(5)), ms(2));
+    assert!(
+        !fleet.leave(server(0), Some(5), ms(2)),
+        "not new a second time"
+    );
+    assert!(fleet.is_leaving(server(0)));
+    assert_eq!(shares(&mut fleet, ms(3))[0], 0);
+    assert!(fleet.polled(server(0), Some(&started(6)), ms(4)).restarted);
+    assert!(!fleet.is_leaving(server(0)));
+    assert!(
+        !fleet.leave(server(0), Some(5), ms(5)),
+        "a late sign of the old process"
+    );
+    assert!(!fleet.is_leaving(server(0)));
+}
+
+// Symptom: a latency peak or refusals whenever a backend server has restarted.
+// Events:  a restarted, new or returning server has nothing outstanding and wins every choice.
+// Cause:   it gets its full share before its caches are warm.
+#[test_case(|fleet| {
+    fleet.polled(server(0), Some(&started(1)), ms(0));
+    fleet.polled(server(0), Some(&started(2)), ms(1));
+}; "higher start number")]
+#[test_case(|fleet| {
+    fleet.sent(server(0), 1, ms(0));
+    fleet.failed(1, &refused(Refusal::Starting, Some(ms(1)), Report::default()), ms(0));
+}; "refused as starting")]
+#[test_case(|fleet| {
+    fleet.reconfigure(&route(1, 0), ms(0));
+    fleet.reconfigure(&route(1, REPLICAS), ms(1));
+}; "new in the configuration")]
+#[test_case(|fleet| {
+    fleet.set_reachable(server(0), false, ms(0));
+    fleet.set_reachable(server(0), true, ms(1));
+}; "reachable again")]
+fn replied_ramps_cold_server(cold: fn(&mut Fleet)) {
+    let mut fleet = fleet();
+    cold(&mut fleet);
+    let limit = |fleet: &Fleet| fleet.snapshot(ms(10))[0].limit;
+    assert_eq!(limit(&fleet), 1);
+    answer(&mut fleet, 0, 3, ms(5), &Report::default());
+    assert_eq!(limit(&fleet), 2);
+    answer(&mut fleet, 0, 400, ms(5), &Report::default());
+    assert_eq!(limit(&fleet), 27, "30 connections less the reserve");
+}
+
+#[test]
+fn new_fleet_needs_no_ramp() {
+    assert_eq!(fleet().snapshot(ms(0))[0].limit, 27);
+}
+
+// Symptom: a server that sheds load is asked again at once, by all homes at the same moment.
+// Events:  it refuses with a time to come back; that time passes.
+// Cause:   the time is not kept, or kept by everybody to the millisecond.
+#[test]
+fn failed_shedding_backs_off_with_jitter() {
+    let mut untils = Vec::new();
+    for start in 0..5 {
+        let mut fleet = fleet();
+        fleet.sent(server(0), 1, ms(start));
+        let verdict = fleet.failed(
+            1,
+            &refused(Refusal::Shedding, Some(ms(200)), Report::default()),
+            ms(start),
+        );
+        let until = verdict.back_off.expect("it backs off");
+        assert!(verdict.not_run && (ms(200)..=ms(300)).contains(&(until - ms(start))));
+        assert_eq!(shares(&mut fleet, ms(start + 199))[0], 0);
+        assert_eq!(fleet.next_wake(), Some(until));
+        assert_eq!(fleet.tick(until), [server(0)]);
+        assert!(shares(&mut fleet, until)[0] > 0);
+        untils.push(until - ms(start));
+    }
+    untils.dedup();
+    assert!(untils.len() > 1, "{untils:?}");
+}
+
+#[test_case(Failure::NotSent, true, true, false; "not sent")]
+#[test_case(Failure::Lost, true, false, true; "lost")]
+#[test_case(Failure::Mismatched, true, false, false; "mismatched")]
+#[test_case(Failure::Ran { report: Report::default() }, false, false, false; "ran")]
+#[test_case(refused(Refusal::Deadline, None, Report::default()), false, true, false; "deadline")]
+#[test_case(refused(Refusal::Connections, None, Report::default()), true, true, false; "connections")]
+fn failed_verdict(failure: Failure, discard: bool, not_run: bool, crash: bool) {
+    let mut fleet = fleet();
+    fleet.sent(server(0), 1, ms(0));
+    let verdict = fleet.failed(1, &failure, ms(1));
+    assert_eq!(verdict.server, Some(server(0)));
+    assert_eq!(verdict.discard_connection, discard);
+    assert_eq!(verdict.not_run, not_run);
+    assert_eq!(verdict.crash_evidence, crash);
+    assert_eq!(fleet.outstanding(), 0);
+}
+
+#[test_case(5, true, false; "same process")]
+#[test_case(6, false, true; "next process")]
+fn polled_after_loss_tells(start: u64, survived: bool, restarted: bool) {
+    let mut fleet = fleet();
+    fleet.polled(server(0), Some(&started(5)), ms(0));
+    fleet.sent(server(0), 1, ms(0));
+    fleet.failed(1, &Failure::Lost, ms(1));
+    let news = fleet.polled(server(0), Some(&started(start)), ms(2));
+    assert_eq!((news.survived, news.restarted), (survived, restarted));
+}
+
+#[test]
+fn reconfigure_keeps_what_stays_and_ends_what_goes() {
+    let mut fleet = fleet();
+    answer(&mut fleet, 0, 100, ms(10), &Report::default());
+    fleet.sent(server(2), 1_000, ms(1));
+    fleet.reconfigure(&route(1, 2), ms(2));
+    assert!(fleet.snapshot(ms(2))[0].median_ms < 12.0);
+    assert_eq!(shares(&mut fleet, ms(2))[2], 0);
+    assert_eq!(fleet.outstanding(), 1);
+    fleet.replied(1_000, &Report::default(), ms(3));
+    assert_eq!(fleet.snapshot(ms(3)).len(), 2);
+}
+
+#[test]
+fn room_of_busiest_group() {
+    let mut fleet = Fleet::new(&route(2, 3), 1, ms(0));
+    assert_eq!(
+        (fleet.room(ms(0)).slots, fleet.room(ms(0)).wait),
+        (9.0, ms(0))
+    );
+    for attempt in 0..18 {
+        fleet.sent(server(3 + (attempt % 3) as u16), attempt, ms(0));
+    }
+    let room = fleet.room(ms(0));
+    assert_eq!(room.busy, 18.0);
+    // Ten of eighteen must end before the next starts, on nine slots, 250 ms each by default.
+    assert_eq!(room.wait.as_millis(), 277);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Choose(u8, Option<u64>),
+    Reply(usize),
+    Lose(usize),
+    Shed(usize),
+    Leave(u16),
+    Start(u16, u64),
+    Homes(usize),
+    Servers(u16),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        8 => (any::<u8>(), prop::option::of(6..8_u64)).prop_map(|(tried, version)| Step::Choose(tried, version)),
+        4 => any::<usize>().prop_map(Step::Reply),
+        1 => any::<usize>().prop_map(Step::Lose),
+        1 => any::<usize>().prop_map(Step::Shed),
+        1 => (0..REPLICAS).prop_map(Step::Leave),
+        1 => (0..REPLICAS, 0..9_u64).prop_map(|(number, start)| Step::Start(number, start)),
+        1 => (1..9_usize).prop_map(Step::Homes),
+        1 => (1..=REPLICAS).prop_map(Step::Servers),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn choose_after_anything_is_allowed(steps in prop::collection::vec(step(), 0..300)) {
+        let mut fleet = fleet();
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        let mut sent: Vec<u64> = Vec::new();
+        let mut configured = REPLICAS;
+        for (index, step) in steps.into_iter().enumerate() {
+            let now = ms(index as u64);
+            let nth = |index: usize| sent.get(index % sent.len().max(1)).copied();
+            match step {
+                Step::Choose(mask, version) => {
+                    let tried: Vec<_> = (0..REPLICAS).filter(|bit| mask & 1 << bit != 0).map(server).collect();
+                    if let Some(choice) = fleet.choose(&replicas(), &tried, version, now, &mut rng) {
+                        prop_assert!(!tried.contains(&choice.server));
+                        prop_assert!(!fleet.is_leaving(choice.server));
+                        prop_assert!(choice.server < server(configured));
+                        let versions = fleet.versions(choice.server);
+                        prop_assert!(version.is_none_or(|one| versions.is_empty() || versions.contains(&one)));
+                        fleet.sent(choice.server, index as u64, now);
+                        sent.push(index as u64);
+                        let mut state = fleet.snapshot(now).into_iter().filter(|state| state.server == choice.server);
+                        prop_assert!(state.all(|state| state.outstanding <= state.limit));
+                    }
+                }
+                Step::Reply(index) => if let Some(attempt) = nth(index) {
+                    fleet.replied(attempt, &Report { index_versions: vec![attempt % 3 + 5], ..loaded(2) }, now);
+                    sent.retain(|one| *one != attempt);
+                },
+                Step::Lose(index) => if let Some(attempt) = nth(index) {
+                    fleet.failed(attempt, &Failure::Lost, now);
+                    sent.retain(|one| *one != attempt);
+                },
+                Step::Shed(index) => if let Some(attempt) = nth(index) {
+                    fleet.failed(attempt, &refused(Refusal::Shedding, None, Report::default()), now);
+                    sent.retain(|one| *one != attempt);
+                },
+                Step::Leave(number) => drop(fleet.leave(server(number), None, now)),
+                Step::Start(number, start) => drop(fleet.polled(server(number), Some(&started(start)), now)),
+                Step::Homes(homes) => fleet.set_homes(homes, now),
+                Step::Servers(count) => {
+                    configured = count;
+                    fleet.reconfigure(&route(1, count), now);
+                }
+            }
+            prop_assert_eq!(fleet.outstanding(), sent.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/tests/budget.rs
@@ -0,0 +1,94 @@
+//! Tests of the budgets for extra attempts.
+
+use monsoonring_decision::Time;
+use monsoonring_decision::budget::Budget;
+use proptest::prelude::*;
+use test_case::test_case;
+
+const NOW: Time = Time::ZERO;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    First,
+    Extra,
+    Success,
+    Failure,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        Just(Step::First),
+        Just(Step::Extra),
+        Just(Step::Success),
+        Just(Step::Failure),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn take_in_any_order_stays_within_percentage(
+        percent in 0.0..50.0_f64,
+        steps in prop::collection::vec(step(), 0..2_000),
+    ) {
+        let mut budget = Budget::new(percent);
+        let (mut firsts, mut extras) = (0_u32, 0_u32);
+        for step in steps {
+            match step {
+                Step::First => { firsts += 1; budget.deposit(NOW); }
+                Step::Extra => extras += u32::from(budget.take(NOW)),
+                Step::Success => budget.succeeded(NOW),
+                Step::Failure => budget.failed(NOW),
+            }
+            let most = Budget::INITIAL + percent / 100.0 * f64::from(firsts);
+            prop_assert!(f64::from(extras) <= most + 1e-6);
+        }
+    }
+}
+
+/// Runs first attempts of which `failing` in a hundred fail, each failure asking for a retry, and
+/// returns the retries per hundred first attempts.
+fn retries_per_hundred(failing: u32) -> u32 {
+    let mut budget = Budget::new(10.0);
+    let mut retries = 0;
+    for first in 0..10_000_u32 {
+        budget.deposit(NOW);
+        if first * 37 % 100 < failing {
+            budget.failed(NOW);
+            retries += u32::from(budget.take(NOW));
+        } else {
+            budget.succeeded(NOW);
+        }
+    }
+    retries / 100
+}
+
+// Symptom: servers that are slow from overload get a tenth more load from retries, and stay slow.
+// Events:  half of the attempts, or all of them, fail for long; each asks for a retry.
+// Cause:   a budget in per cent of the load is full when it does the most harm.
+#[test_case(5, 4, 5; "few failures are all retried")]
+#[test_case(50, 0, 2; "half failing leaves a fifth of the budget at most")]
+#[test_case(100, 0, 0; "all failing leaves next to nothing")]
+fn failed_often_shrinks_budget(failing: u32, at_least: u32, at_most: u32) {
+    let retries = retries_per_hundred(failing);
+    assert!(
+        (at_least..=at_most).contains(&retries),
+        "{retries} retries per hundred first attempts"
+    );
+}
+
+#[test]
+fn take_without_percentage_is_refused() {
+    let mut budget = Budget::new(0.0);
+    (0..1_000).for_each(|_| budget.deposit(NOW));
+    assert!(!budget.take(NOW));
+}
+
+// Symptom: one second of trouble after a quiet night is answered with thousands of retries.
+// Events:  a million first attempts succeed; then everything asks for a retry.
+// Cause:   tokens that nobody needed pile up without a bound.
+#[test]
+fn deposit_for_long_keeps_bounded_tokens() {
+    let mut budget = Budget::new(10.0);
+    (0..1_000_000).for_each(|_| budget.deposit(NOW));
+    assert!(budget.available() <= 100.0, "{}", budget.available());
+}
--- /dev/null
+++ b/crates/decision/tests/pool.rs
@@ -0,0 +1,318 @@
+//! Tests of the connection pool.
+
+mod support;
+
+use monsoonring_decision::attempt::ConnectionId;
+use monsoonring_decision::backend::pool::{Command, Pool};
+use monsoonring_decision::backend::share;
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+use support::{CONNECTIONS, ms, route, server};
+use test_case::test_case;
+
+const HOMES: usize = 8;
+/// Share of 30 connections, less a reserve of 3, over 8 homes.
+const SHARE: usize = 3;
+
+fn pool(servers: u16) -> Pool {
+    Pool::new(&route(1, servers), HOMES, 0, ms(0))
+}
+
+/// Carries out what the pool wants until it wants no more. Returns the ids opened.
+fn settle(pool: &mut Pool, now: u64) -> Vec<ConnectionId> {
+    let mut opened = Vec::new();
+    loop {
+        let commands = pool.want(ms(now));
+        if commands.is_empty() {
+            return opened;
+        }
+        for command in commands {
+            if let Command::Open(id, _) = command {
+                pool.opened(id, ms(now));
+                opened.push(id);
+            }
+        }
+    }
+}
+
+/// Takes `count` connections to server 0, opening them as needed.
+fn take(pool: &mut Pool, count: usize, now: u64) -> Vec<ConnectionId> {
+    let mut taken = Vec::new();
+    for _ in 0..count * 4 {
+        settle(pool, now);
+        taken.extend(pool.acquire(server(0), ms(now)));
+        if taken.len() == count {
+            break;
+        }
+    }
+    assert_eq!(taken.len(), count);
+    taken
+}
+
+#[test_case(30, 8, 3; "eight homes")]
+#[test_case(25, 8, 2; "few connections")]
+#[test_case(110, 8, 12; "many connections")]
+#[test_case(30, 28, 1; "the reserve gives way to one for each")]
+#[test_case(30, 31, 0; "more homes than connections")]
+fn share_of_limit(connections: u32, homes: usize, expected: usize) {
+    let mut capacity = route(1, 1).capacity;
+    capacity.connections = connections;
+    assert_eq!(share::of(capacity, homes), expected);
+}
+
+// Symptom: the first query after a quiet time waits 6 ms for a connection at each group.
+// Events:  nothing was asked yet, or all connections but the spare have been closed.
+// Cause:   connections are opened only when they are needed.
+#[test]
+fn want_before_need_opens_spare() {
+    let mut pool = pool(3);
+    assert_eq!(settle(&mut pool, 0).len(), 3);
+    assert!(pool.acquire(server(2), ms(1)).is_some());
+    assert_eq!(settle(&mut pool, 1).len(), 1);
+}
+
+// Symptom: connect times rise to many times the usual just after a backend server has restarted.
+// Events:  a restarted server has lost all connections; ten requests want one at the same time.
+// Cause:   each request that finds no connection opens one.
+#[test]
+fn want_after_many_misses_opens_few_at_once() {
+    let mut pool = Pool::new(&route(1, 1), 1, 0, ms(0));
+    (0..10).for_each(|_| assert!(pool.acquire(server(0), ms(0)).is_none()));
+    assert_eq!(pool.want(ms(0)).len(), 2);
+    assert_eq!(pool.want(ms(1)), []);
+}
+
+#[test]
+fn want_without_need_shrinks_slowly() {
+    let mut pool = pool(1);
+    for id in take(&mut pool, 3, 0) {
+        pool.release(id, ms(10));
+    }
+    assert_eq!(pool.connections(server(0)), SHARE);
+    settle(&mut pool, 4_000);
+    assert_eq!(pool.connections(server(0)), SHARE);
+    (1..20).for_each(|step| drop(settle(&mut pool, 4_000 + step * 5_000)));
+    assert_eq!(pool.connections(server(0)), 1);
+}
+
+#[test]
+fn next_wake_after_want_is_later() {
+    let mut pool = pool(2);
+    let ids = take(&mut pool, 3, 0);
+    ids.iter().for_each(|id| pool.release(*id, ms(1)));
+    let mut now = ms(1);
+    while let Some(wake) = pool.next_wake() {
+        pool.want(now);
+        assert!(pool.next_wake().is_none_or(|next| next > now), "at {now:?}");
+        now = now.max(wake);
+    }
+}
+
+// Symptom: for a moment after a change of members servers refuse connections.
+// Events:  the number of homes doubles while all connections are in use.
+// Cause:   the old share is kept until the connections are closed for another reason.
+#[test]
+fn set_homes_higher_closes_what_is_too_many() {
+    let mut pool = pool(1);
+    let ids = take(&mut pool, SHARE, 0);
+    pool.set_homes(HOMES * 2, ms(1));
+    settle(&mut pool, 1);
+    ids.iter().for_each(|id| pool.release(*id, ms(2)));
+    settle(&mut pool, 2);
+    assert_eq!(pool.connections(server(0)), 1);
+}
+
+#[test]
+fn set_leaving_closes_idle_and_opens_none() {
+    let mut pool = pool(1);
+    let ids = take(&mut pool, 2, 0);
+    pool.release(ids[0], ms(1));
+    pool.set_leaving(server(0), true, ms(2));
+    assert!(settle(&mut pool, 2).is_empty());
+    assert_eq!(pool.connections(server(0)), 1);
+    pool.release(ids[1], ms(3));
+    settle(&mut pool, 3);
+    assert_eq!(pool.connections(server(0)), 0);
+}
+
+// Symptom: a healthy replica is marked down after a restart of a network element.
+// Events:  one connection goes silent under an attempt; later attempts on another are answered.
+// Cause:   the silence of a connection is taken for the silence of the server.
+#[test]
+fn silent_while_others_answer_is_connections_fault() {
+    let mut pool = pool(1);
+    let ids = take(&mut pool, 2, 0);
+    pool.release(ids[1], ms(30));
+    assert!(
+        pool.silent(ms(100), |_| ms(50)).is_empty(),
+        "no answer since it was overdue"
+    );
+    let other = pool.acquire(server(0), ms(90)).expect("one is idle");
+    pool.release(other, ms(100));
+    assert!(
+        pool.silent(ms(49), |_| ms(50)).is_empty(),
+        "not overdue yet"
+    );
+    assert_eq!(pool.silent(ms(100), |_| ms(50)), [ids[0]]);
+    pool.condemn(ids[0], ms(100));
+    assert!(pool.is_reachable(server(0)));
+    assert!(pool.want(ms(100)).contains(&Command::Close(ids[0])));
+}
+
+// Symptom: attempts wait to the deadline although new connections work.
+// Events:  all open connections to a server go silent at once; none can answer.
+// Cause:   the silence is only noticed where an old connection still answers.
+#[test]
+fn silent_all_is_noticed_by_new_connection() {
+    let mut pool = pool(1);
+    let ids = take(&mut pool, 2, 0);
+    let spare = settle(&mut pool, 210);
+    assert_eq!(spare.len(), 1);
+    assert_eq!(pool.silent(ms(210), |_| ms(50)), ids);
+}
+
+// Symptom: one request after another loses its patience on the same server.
+// Events:  the connections that were idle when one went silent are used next.
+// Cause:   only the connection that was noticed is replaced.
+#[test]
+fn condemn_gives_up_unproven_idle_ones() {
+    let mut pool = pool(1);
+    let ids = take(&mut pool, 3, 0);
+    pool.release(ids[0], ms(5));
+    pool.release(ids[1], ms(10));
+    let silent = pool.acquire(server(0), ms(20)).expect("two are idle");
+    pool.release(ids[2], ms(100));
+    pool.condemn(silent, ms(100));
+    let closed: BTreeSet<_> = pool
+        .want(ms(100))
+        .iter()
+        .filter_map(|command| match command {
+            Command::Close(id) => Some(*id),
+            Command::Open(..) => None,
+        })
+        .collect();
+    assert_eq!(closed, BTreeSet::from([ids[0], ids[1]]));
+}
+
+// Symptom: repair tickets end as unknown after quiet hours, one per connection.
+// Events:  a connection idle for long has gone silent; a non-idempotent request is put on it.
+// Cause:   an idle connection counts as working because nobody has seen it fail.
+#[test]
+fn acquire_fresh_after_long_idle_takes_new_one() {
+    let mut pool = Pool::new(&route(1, 1), 30, 0, ms(0));
+    settle(&mut pool, 0);
+    assert!(pool.acquire_fresh(server(0), ms(60_000)).is_none());
+    let new = settle(&mut pool, 60_000);
+    assert_eq!(new.len(), 1, "the stale one has made place");
+    assert_eq!(pool.acquire_fresh(server(0), ms(60_001)), Some(new[0]));
+}
+
+#[test]
+fn closed_idle_says_nothing_of_server() {
+    let mut pool = pool(1);
+    let ids = settle(&mut pool, 0);
+    let ending = pool.closed(ids[0], ms(1)).expect("it was open");
+    assert!(!ending.down && pool.is_reachable(server(0)));
+}
+
+// Symptom: a dead server is connected to thousands of times a second, by each home.
+// Events:  the last connection ends under an attempt; each connect is refused.
+// Cause:   a connect that fails is tried again at once.
+#[test]
+fn closed_while_opening_probes_with_growing_pauses() {
+    let mut pool = pool(1);
+    let ids = take(&mut pool, 1, 0);
+    settle(&mut pool, 0)
+        .iter()
+        .chain(&ids)
+        .for_each(|id| drop(pool.closed(*id, ms(1))));
+    let mut probes = 0;
+    for now in 1..60_000 {
+        for command in pool.want(ms(now)) {
+            let Command::Open(id, _) = command else {
+                continue;
+            };
+            probes += 1;
+            pool.closed(id, ms(now));
+            assert!(!pool.is_reachable(server(0)));
+        }
+    }
+    assert!((8..=20).contains(&probes), "{probes} probes a minute");
+    let id = pool.want(ms(120_000)).first().copied();
+    let Some(Command::Open(id, _)) = id else {
+        panic!("no probe: {id:?}")
+    };
+    pool.opened(id, ms(120_000));
+    assert!(pool.is_reachable(server(0)));
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Acquire(u16),
+    Fresh(u16),
+    Open(usize),
+    Close(usize),
+    Release(usize),
+    Discard(usize),
+    Condemn(usize),
+    Leave(u16, bool),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = 0..64_usize;
+    prop_oneof![
+        6 => (0..2_u16).prop_map(Step::Acquire),
+        2 => (0..2_u16).prop_map(Step::Fresh),
+        6 => index.clone().prop_map(Step::Open),
+        1 => index.clone().prop_map(Step::Close),
+        4 => index.clone().prop_map(Step::Release),
+        1 => index.clone().prop_map(Step::Discard),
+        1 => index.prop_map(Step::Condemn),
+        1 => (0..2_u16, any::<bool>()).prop_map(|(server, leaving)| Step::Leave(server, leaving)),
+        2 => (1..20_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn want_in_any_order_stays_within_share(
+        homes in 1..40_usize,
+        steps in prop::collection::vec(step(), 0..300),
+    ) {
+        let mut pool = Pool::new(&route(1, 2), homes, 0, ms(0));
+        let share = share::of(route(1, 2).capacity, homes);
+        // What a driver that carries out the commands has open.
+        let mut open = vec![BTreeSet::new(), BTreeSet::new()];
+        let mut now = 0;
+        for step in steps {
+            let ids: Vec<ConnectionId> = open.iter().flatten().copied().collect();
+            let pick = |index: usize| ids.get(index % ids.len().max(1)).copied();
+            match step {
+                Step::Acquire(number) => drop(pool.acquire(server(number), ms(now))),
+                Step::Fresh(number) => drop(pool.acquire_fresh(server(number), ms(now))),
+                Step::Open(index) => drop(pick(index).map(|id| pool.opened(id, ms(now)))),
+                Step::Release(index) => drop(pick(index).map(|id| pool.release(id, ms(now)))),
+                Step::Discard(index) => drop(pick(index).map(|id| pool.discard(id, ms(now)))),
+                Step::Condemn(index) => drop(pick(index).map(|id| pool.condemn(id, ms(now)))),
+                Step::Leave(number, leaving) => pool.set_leaving(server(number), leaving, ms(now)),
+                Step::Wait(time) => now += time,
+                Step::Close(index) => if let Some(id) = pick(index) {
+                    pool.closed(id, ms(now));
+                    open.iter_mut().for_each(|ids| drop(ids.remove(&id)));
+                },
+            }
+            for command in pool.want(ms(now)) {
+                match command {
+                    Command::Open(id, at) => drop(open[usize::from(at == server(1))].insert(id)),
+                    Command::Close(id) => open.iter_mut().for_each(|ids| drop(ids.remove(&id))),
+                }
+            }
+            for (number, ids) in open.iter().enumerate() {
+                prop_assert!(ids.len() <= share, "{} connections", ids.len());
+                prop_assert_eq!(ids.len(), pool.connections(server(number as u16)));
+            }
+            prop_assert!(share * homes <= CONNECTIONS as usize);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/tests/suspect.rs
@@ -0,0 +1,139 @@
+//! Tests of the search for requests that crash backend servers.
+
+mod support;
+
+use monsoonring_decision::Time;
+use monsoonring_decision::backend::suspect::{Standing, Table};
+use proptest::prelude::*;
+use support::{ms, server};
+
+const CULPRIT: u64 = 666;
+
+/// Sends one attempt of each fingerprint to a server, which then dies. Returns the fingerprints
+/// that are refused from then on.
+fn die(table: &mut Table, number: u16, fingerprints: &[u64], now: Time) -> Vec<u64> {
+    let attempt = |index: usize| u64::from(number) * 1_000 + index as u64;
+    for (index, fingerprint) in fingerprints.iter().enumerate() {
+        table.sent(attempt(index), *fingerprint, server(number), now);
+    }
+    (0..fingerprints.len())
+        .filter_map(|index| table.lost(attempt(index), now + ms(1)))
+        .map(|(fingerprint, _)| fingerprint)
+        .collect()
+}
+
+// Symptom: replica after replica goes down, each a moment after the same request reached it.
+// Events:  a request crashes a server; its retry crashes the next; its caller sends it again.
+// Cause:   each loss by itself looks like a server failure, to be answered with a retry elsewhere.
+#[test]
+fn lost_alone_on_two_servers_is_refused() {
+    let mut table = Table::new();
+    assert!(die(&mut table, 1, &[CULPRIT], ms(0)).is_empty());
+    assert_eq!(table.standing(CULPRIT, ms(10)), Standing::Quarantined);
+    assert_eq!(die(&mut table, 2, &[CULPRIT], ms(1_000)), [CULPRIT]);
+    assert!(matches!(
+        table.standing(CULPRIT, ms(1_010)),
+        Standing::Refused(_)
+    ));
+    assert!(!table.may_send(CULPRIT, ms(1_010)));
+}
+
+// Symptom: as above on a busy fleet, where the culprit never runs alone.
+// Events:  the culprit and other requests, new ones each time, are running on a server that dies.
+// Cause:   only what the deaths have in common tells the culprit from the bystanders.
+#[test]
+fn lost_among_others_is_refused_before_long() {
+    let mut table = Table::new();
+    for death in 1..=4_u16 {
+        let bystanders = u64::from(death) * 10;
+        let running = [bystanders, bystanders + 1, CULPRIT, bystanders + 2];
+        let refused = die(&mut table, death, &running, ms(u64::from(death) * 1_000));
+        if !refused.is_empty() {
+            assert_eq!(refused, [CULPRIT]);
+            return;
+        }
+    }
+    panic!("four servers died of it and it is not refused");
+}
+
+// Symptom: after the loss of a rack the dispatchers' requests are refused as crashing servers.
+// Events:  eight servers vanish at once, under the same three searches, which ask every group.
+// Cause:   counted by server, each of the searches was there at eight deaths.
+#[test]
+fn lost_together_by_many_is_not_refused() {
+    let mut table = Table::new();
+    for number in 1..=8 {
+        assert!(die(&mut table, number, &[1, 2, 3], ms(0)).is_empty());
+    }
+    assert_eq!(table.standing(1, ms(10)), Standing::Quarantined);
+}
+
+// Symptom: a harmless request stays in quarantine, without hedges, for ten minutes.
+// Events:  a server dies of a power cut under it; the request is answered by another replica.
+// Cause:   evidence that is not withdrawn when the request proves harmless.
+#[test]
+fn succeeded_on_replica_clears() {
+    let mut table = Table::new();
+    die(&mut table, 1, &[7], ms(0));
+    table.sent(9, 7, server(2), ms(10));
+    table.succeeded(9, &[server(1), server(2)], ms(20));
+    assert_eq!(table.standing(7, ms(20)), Standing::Clear);
+}
+
+#[test]
+fn succeeded_on_other_group_clears_nothing() {
+    let mut table = Table::new();
+    die(&mut table, 1, &[7], ms(0));
+    table.sent(9, 7, server(5), ms(10));
+    table.succeeded(9, &[server(4), server(5)], ms(20));
+    assert_eq!(table.standing(7, ms(20)), Standing::Quarantined);
+}
+
+// Symptom: requests are refused as crashing servers although no server ever stopped.
+// Events:  something between the ends resets connections; the servers answer on others.
+// Cause:   a lost connection is taken for a dead process.
+#[test]
+fn survived_withdraws_evidence() {
+    let mut table = Table::new();
+    die(&mut table, 1, &[7], ms(0));
+    table.survived(server(1), ms(5));
+    assert!(die(&mut table, 2, &[7], ms(1_000)).is_empty());
+    assert_eq!(table.standing(7, ms(1_010)), Standing::Quarantined);
+}
+
+#[test]
+fn may_send_in_quarantine_allows_one_at_a_time() {
+    let mut table = Table::new();
+    die(&mut table, 1, &[7], ms(0));
+    assert!(table.may_send(7, ms(10)));
+    table.sent(9, 7, server(2), ms(10));
+    assert!(!table.may_send(7, ms(11)));
+    table.ended(9, ms(12));
+    assert!(table.may_send(7, ms(12)));
+}
+
+#[test]
+fn told_by_other_home_refuses_until_then() {
+    let mut table = Table::new();
+    table.told(7, ms(500), ms(0));
+    assert_eq!(table.standing(7, ms(499)), Standing::Refused(ms(500)));
+    table.tick(ms(500));
+    assert_eq!(table.standing(7, ms(500)), Standing::Clear);
+}
+
+proptest! {
+    /// Servers that die one by one under different requests, as ordinary hardware does.
+    #[test]
+    fn lost_under_different_requests_refuses_none(
+        deaths in prop::collection::vec(1..6_u64, 1..20),
+    ) {
+        let mut table = Table::new();
+        for (index, running) in deaths.iter().enumerate() {
+            let number = index as u16;
+            let first = u64::from(number) * 100;
+            let fingerprints: Vec<u64> = (first..first + running).collect();
+            let now = ms(u64::from(number) * 1_000);
+            prop_assert!(die(&mut table, number, &fingerprints, now).is_empty());
+        }
+    }
+}
