--- a/crates/decision/src/admission/limit.rs
+++ b/crates/decision/src/admission/limit.rs
@@ -1,6 +1,7 @@
 //! Adaptive limit on the requests in flight.
 //!
-//! The limit grows by one per round of requests that end in time and shrinks by a tenth when one
+//! Until the first request is late the limit grows by one with each that ends in time. From then on
+//! it grows by one per round of requests that end in time and shrinks by a tenth when one
 //! takes more than its share of the deadline while backend servers have work waiting. Additive
 //! increase with multiplicative decrease was chosen over a gradient on latency for two reasons. A
 //! gradient needs the latency without load as its base, and in an overload that lasts it forgets
@@ -48,20 +49,27 @@
 
     /// Records a request that ended within its share of the deadline, when `in_flight` were.
     pub(super) fn in_time(&mut self, in_flight: usize) {
-        if in_flight as f64 >= self.limit * USED {
-            self.limit = (self.limit + 1.0 / self.limit).min(AT_MOST);
+        if (in_flight as f64) < self.limit * USED {
+            return;
         }
+        let step = match self.shrunk {
+            None => 1.0,
+            Some(_) => 1.0 / self.limit,
+        };
+        self.limit = (self.limit + step).min(AT_MOST);
     }
 
-    /// Records a request that was late after `took`, when `in_flight` were.
-    pub(super) fn late(&mut self, in_flight: usize, took: Duration, now: Time) {
+    /// Records a request that was late after `took`.
+    ///
+    /// The cut is taken from the limit and not from what is in flight: now and then a single request
+    /// takes long by itself, and must not cost half of the limit on a quiet day.
+    pub(super) fn late(&mut self, took: Duration, now: Time) {
         // Requests admitted before the last decrease were slowed by what it has already cut.
         let sent = now.saturating_sub(took);
         if self.shrunk.is_some_and(|shrunk| sent < shrunk) {
             return;
         }
-        let used = self.limit.min(in_flight as f64);
-        self.limit = (used * SHRINK).max(AT_LEAST);
+        self.limit = (self.limit * SHRINK).max(AT_LEAST);
         self.shrunk = Some(now);
     }
 }
--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -105,7 +105,7 @@
         if took <= self.target {
             self.limit.in_time(in_flight);
         } else if self.waiting {
-            self.limit.late(in_flight, took, now);
+            self.limit.late(took, now);
         }
     }
 
