Look at all servers only when time has given some of them something to do

Cause: after each event the home asked the fleet and the pool for their next wake-up, and both looked at every server and every attempt; the pool's `want` did so twice more. Weighed: a heap of wake-ups in either; more state to keep right for the same effect. Change: the pool keeps a lower bound of its wake-ups, the home a timer for the fleet, asked anew only after a back-off or a cancellation.

--- a/crates/decision/src/backend/pool/mod.rs
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -55,6 +55,8 @@
     /// Servers that something has happened to since the last [`Pool::want`].
     changed: BTreeSet<BackendServerId>,
     closing: Vec<ConnectionId>,
+    /// Time at which time alone may have given some line something to do; never too late.
+    due: Option<Time>,
 }
 
 impl Pool {
@@ -69,6 +71,7 @@
             homes,
             changed: BTreeSet::new(),
             closing: Vec::new(),
+            due: None,
         };
         pool.adopt(route, now);
         pool
@@ -116,16 +119,17 @@
     }
 
     /// Returns what is to be opened and closed now.
+    ///
+    /// It is asked after each event: only servers to which something happened are looked at, and
+    /// all of them only when time has given some of them something to do.
     pub fn want(&mut self, now: Time) -> Vec<Command> {
-        let due = self.lines.iter().filter(|(_, line)| line.is_due(now));
-        let due: Vec<BackendServerId> = due.map(|(server, _)| *server).collect();
-        self.changed.extend(due);
+        self.take_due(now);
         let mut opens = Vec::new();
         for server in std::mem::take(&mut self.changed) {
             self.close_excess(server, now);
             self.open_missing(server, now, &mut opens);
+            self.settle(server);
         }
-        self.lines.retain(|_, line| !line.is_over());
         let closes = std::mem::take(&mut self.closing);
         closes
             .into_iter()
@@ -134,6 +138,28 @@
             .collect()
     }
 
+    fn take_due(&mut self, now: Time) {
+        if self.due.is_none_or(|due| due > now) {
+            return;
+        }
+        let due = self.lines.iter().filter(|(_, line)| line.is_due(now));
+        self.changed.extend(due.map(|(server, _)| *server));
+        let later = self.lines.values().filter(|line| !line.is_due(now));
+        self.due = later.filter_map(Line::wake).min();
+    }
+
+    /// Notes when a server is to be looked at again, or forgets it if it has gone for good.
+    fn settle(&mut self, server: BackendServerId) {
+        let Some(line) = self.lines.get(&server) else {
+            return;
+        };
+        if line.is_over() {
+            self.lines.remove(&server);
+            return;
+        }
+        self.due = self.due.into_iter().chain(line.wake()).min();
+    }
+
     /// Records that a connection is ready. Returns its server.
     pub fn opened(&mut self, id: ConnectionId, now: Time) -> Option<BackendServerId> {
         let connection = self.connections.get_mut(&id)?;
@@ -213,6 +239,7 @@
     pub fn crowded(&mut self, server: BackendServerId, now: Time) {
         if let Some(line) = self.lines.get_mut(&server) {
             line.crowded(now);
+            self.changed.insert(server);
         }
     }
 
@@ -233,7 +260,7 @@
 
     /// Returns the time at which [`Self::want`] has something to do, if nothing else happens.
     pub fn next_wake(&self) -> Option<Time> {
-        self.lines.values().filter_map(Line::wake).min()
+        self.due
     }
 
     fn adopt(&mut self, route: &Route, now: Time) {
--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -24,6 +24,9 @@
 /// be lost from the home's share for good.
 const ANSWER_GRACE: Duration = Duration::from_secs(1);
 
+/// Time within which cancellations are confirmed. The fleet looks for those that were not.
+const CONFIRMATION: Duration = Duration::from_secs(5);
+
 /// Time between two looks for silent connections, as long as any is in use.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -219,6 +222,9 @@
         flight.owner = Owner::Nobody;
         let server = flight.server;
         self.fleet.cancelling(id, now);
+        if self.fleet_at.is_none_or(|at| at > now + CONFIRMATION) {
+            self.fleet_changed = true;
+        }
         self.actions.push(Action::Cancel(id, server));
     }
 
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -66,6 +66,7 @@
 
     /// Takes over until when a server wants no work.
     pub(super) fn back_off(&mut self, server: BackendServerId, until: Time) {
+        self.fleet_changed = true;
         let old = self.back_offs.entry(server).or_default();
         *old = until.max(*old);
         let why = format!("back off until {until:?}");
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -61,6 +61,10 @@
     /// Until when a server asked for no work.
     pub(super) back_offs: BTreeMap<BackendServerId, Time>,
     pub(super) timers: timer::Queue,
+    /// When the fleet is to be told the time.
+    pub(super) fleet_at: Option<Time>,
+    /// Whether that may have to be earlier.
+    pub(super) fleet_changed: bool,
     /// Whether silent connections are going to be looked for.
     pub(super) looking: bool,
     pub(super) next_attempt: AttemptId,
@@ -93,6 +97,8 @@
             callable: BTreeMap::new(),
             back_offs: BTreeMap::new(),
             timers: timer::Queue::default(),
+            fleet_at: None,
+            fleet_changed: true,
             looking: false,
             next_attempt: 1,
             stopping: false,
@@ -241,14 +247,32 @@
                 Timer::Deadline(id) => self.expire(id, now),
                 Timer::Soft(id) => self.with_run(id, now, |_, _| {}),
                 Timer::Attempt(id) => self.overdue(id, now),
+                Timer::Fleet => self.tick_fleet(now),
                 Timer::Silence => self.look_for_silence(now),
             }
         }
-        if self.fleet.next_wake().is_some_and(|at| at <= now) {
-            for server in self.fleet.tick(now) {
-                self.changed(server);
-            }
-            self.suspects.tick(now);
+    }
+
+    fn tick_fleet(&mut self, now: Time) {
+        for server in self.fleet.tick(now) {
+            self.changed(server);
+        }
+        self.suspects.tick(now);
+        self.fleet_changed = true;
+    }
+
+    /// Sets the timer of the fleet. To find its next wake-up all servers and attempts are looked
+    /// at, so it is asked only after what may have brought it forward.
+    fn time_fleet(&mut self) {
+        if !std::mem::take(&mut self.fleet_changed) {
+            return;
+        }
+        if let Some(at) = self.fleet_at.take() {
+            self.timers.clear(at, Timer::Fleet);
+        }
+        self.fleet_at = self.fleet.next_wake();
+        if let Some(at) = self.fleet_at {
+            self.timers.set(at, Timer::Fleet);
         }
     }
 
@@ -267,9 +291,8 @@
             self.transmit(now);
         }
         self.command(now);
-        let fleet = self.fleet.next_wake();
-        let other = fleet.into_iter().chain(self.pool.next_wake()).min();
-        if let Some(at) = self.timers.wake(other, now) {
+        self.time_fleet();
+        if let Some(at) = self.timers.wake(self.pool.next_wake(), now) {
             self.actions.push(Action::Wake(at));
         }
         std::mem::take(&mut self.actions)
--- a/crates/decision/src/home/timer.rs
+++ b/crates/decision/src/home/timer.rs
@@ -13,6 +13,8 @@
     Soft(RequestId),
     /// An attempt is slow, or its connection is given up.
     Attempt(AttemptId),
+    /// A back-off ends, or a cancellation was never confirmed.
+    Fleet,
     /// Silent connections are to be looked for.
     Silence,
 }
