--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -144,6 +144,10 @@
     pub(crate) now: Time,
     /// Servers that refuse connections.
     pub(crate) refusing: BTreeSet<BackendServerId>,
+    /// Servers to which connections take as long as the test wants.
+    pub(crate) pending: BTreeSet<BackendServerId>,
+    /// Connections asked for.
+    pub(crate) opens: Vec<(ConnectionId, BackendServerId)>,
     /// Attempts sent, whether they have ended or not.
     pub(crate) sends: Vec<Send>,
     pub(crate) cancels: Vec<AttemptId>,
@@ -162,11 +166,22 @@
 
     /// Returns a session in which some servers refuse connections from the start.
     pub(crate) fn refusing(route: Route, refusing: &[BackendServerId]) -> Self {
+        Self::with(route, refusing, &[])
+    }
+
+    /// Returns a session in which connections to some servers take as long as the test wants.
+    pub(crate) fn pending(route: Route, pending: &[BackendServerId]) -> Self {
+        Self::with(route, &[], pending)
+    }
+
+    fn with(route: Route, refusing: &[BackendServerId], pending: &[BackendServerId]) -> Self {
         let (home, actions) = Home::new(Arc::new(route), 1, 7, Time::ZERO);
         let mut session = Self {
             home,
             now: Time::ZERO,
             refusing: refusing.iter().copied().collect(),
+            pending: pending.iter().copied().collect(),
+            opens: Vec::new(),
             sends: Vec::new(),
             cancels: Vec::new(),
             closes: Vec::new(),
@@ -213,6 +228,10 @@
             }
             match action {
                 Action::Open(connection, server) => {
+                    self.opens.push((connection, server));
+                    if self.pending.contains(&server) {
+                        continue;
+                    }
                     let event = match self.refusing.contains(&server) {
                         true => Event::Closed(connection),
                         false => Event::Opened(connection),
