--- a/crates/decision/examples/membership.rs
+++ b/crates/decision/examples/membership.rs
@@ -5,14 +5,14 @@
 //! latency and no load, so the rounds are those of the protocol and the bytes those of the messages
 //! without their attachments, envelopes and encryption.
 
-#[path = "../tests/support/mod.rs"]
+#[path = "../tests/network/mod.rs"]
 #[allow(dead_code)]
-mod support;
+mod network;
 
 use monsoonring_decision::member::{Action, Event, State};
+use network::{Network, id};
 use std::ops::Range;
 use std::time::Duration;
-use support::{Network, id};
 
 const SIZES: [usize; 4] = [8, 64, 512, 3_800];
 const LOSSES: [f64; 2] = [0.0, 0.02];
--- a/crates/decision/tests/member.rs
+++ b/crates/decision/tests/member.rs
@@ -1,15 +1,15 @@
 //! Failures of members and of the network between them.
 
-mod support;
+mod network;
 
 use monsoonring_decision::Time;
 use monsoonring_decision::member::{
     Action, Change, Event, Incarnation, Page, Seed, Settings, Span, State, Table,
 };
+use network::{Network, STEP, id, table};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use support::{Network, STEP, id, table};
 use test_case::test_case;
 
 const SECOND: Duration = Duration::from_secs(1);
