Test short deafness and a newcomer whose news was lost

Cause: with the taking back of unspoken verdicts, or the comparison of buckets, disabled no test failed: other mechanisms covered the cases.

--- a/crates/decision/tests/network/mod.rs
+++ b/crates/decision/tests/network/mod.rs
@@ -71,6 +71,13 @@
         network
     }
 
+    /// Adds a running table, whose number is that of its address.
+    pub(crate) fn add(&mut self, table: Table) {
+        self.tables.push(table);
+        self.running.push(true);
+        self.bytes.push(0);
+    }
+
     /// Loses each message with this chance.
     pub(crate) fn lose(&mut self, chance: f64) {
         let mut rng = ChaCha8Rng::seed_from_u64(7);
