--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -8,6 +8,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use snafu::{OptionExt, ResultExt, Snafu};
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -111,7 +112,7 @@
     }
 
     /// Makes the error for an unreadable answer.
-    pub(crate) fn unreadable(&self, path: &str, reason: impl ToString) -> Error {
+    pub(crate) fn unreadable(&self, path: &str, reason: &dyn Display) -> Error {
         Error::Body {
             peer: self.peer,
             path: path.to_owned(),
--- a/crates/daemon/src/platform/configuration.rs
+++ b/crates/daemon/src/platform/configuration.rs
@@ -41,7 +41,7 @@
     /// Reads the value as it is now.
     pub(crate) async fn read(&self) -> Result<Value> {
         let value = self.call(VALUE, READ_TIMEOUT).await?;
-        value.ok_or_else(|| self.client.unreadable(VALUE, "no value"))
+        value.ok_or_else(|| self.client.unreadable(VALUE, &"no value"))
     }
 
     /// Waits as long as `wait` for a revision above `after`; `None` where none came.
@@ -62,7 +62,7 @@
             .get(REVISION)
             .and_then(|value| value.to_str().ok());
         let revision = revision.and_then(|text| text.parse().ok());
-        let revision = revision.ok_or_else(|| self.client.unreadable(path, "no revision"))?;
+        let revision = revision.ok_or_else(|| self.client.unreadable(path, &"no revision"))?;
         Ok(Some(Value { revision, bytes }))
     }
 }
