--- a/crates/experiment/examples/demo.rs
+++ b/crates/experiment/examples/demo.rs
@@ -3,6 +3,8 @@
 //! `cargo run --release --example demo` starts stand-ins for the backend servers of three routes,
 //! the configuration service and the host list, and real daemons between them and a caller. It then
 //! breaks things and tells what callers saw. It ends with 0 if every promise was kept, else with 1.
+//! With a longer `--seconds` there is time to look at the daemons meanwhile, such as by
+//! `monsoonring status --daemon` with the operator addresses that it prints.
 
 use clap::Parser;
 use monsoonring_experiment::caller::{Answer, Caller};
@@ -74,6 +76,12 @@
         deployment.fleet.servers().count(),
         millis(began.elapsed())
     );
+    for daemon in &deployment.daemons {
+        println!(
+            "   callers at {}, operators at {}",
+            daemon.caller, daemon.operator
+        );
+    }
     let mut demo = Demo {
         deployment,
         searches,
