--- a/crates/experiment/examples/policies.rs
+++ b/crates/experiment/examples/policies.rs
@@ -101,16 +101,11 @@
     let Some(first) = rows.first() else {
         return Ok(());
     };
-    let letters = first.scenario.chars();
-    let name: String = letters
-        .map(|letter| {
-            if letter.is_ascii_alphanumeric() {
-                letter
-            } else {
-                '-'
-            }
-        })
-        .collect();
+    let words = first
+        .scenario
+        .split(|letter: char| !letter.is_ascii_alphanumeric());
+    let words: Vec<&str> = words.filter(|word| !word.is_empty()).collect();
+    let name = words.join("-");
     let rows: Vec<&Row> = rows.iter().collect();
     plot::latencies(&rows, &first.scenario, &out.join(format!("{name}.svg")))?;
     Ok(())
