Count doubled requests at the backend servers; executed requests have no coverage

Cause: the table said 0 % coverage of repair tickets, and a doubled ticket would not have shown in it. Ruled out: counting runs for each backend server by itself, as two servers can run one key.

--- a/crates/experiment/examples/demo.rs
+++ b/crates/experiment/examples/demo.rs
@@ -10,7 +10,7 @@
 use monsoonring_experiment::caller::{Answer, Caller};
 use monsoonring_experiment::deployment::{Deployment, Error, Launch, Setup};
 use monsoonring_experiment::load::{self, Plan};
-use monsoonring_experiment::report::Summary;
+use monsoonring_experiment::report::{Coverage, Summary};
 use monsoonring_experiment::sample::Outcome;
 use monsoonring_experiment::scenario::{Policy, saturation};
 use monsoonring_experiment::tally::Tally;
@@ -172,8 +172,12 @@
             for (reason, count) in &summary.reasons {
                 println!("      {count} without an answer: {reason}");
             }
-            self.promises
-                .keep(promise, summary.coverage_mean >= LEAST_COVERAGE);
+            self.promises.keep(
+                promise,
+                summary
+                    .coverage
+                    .is_some_and(|coverage| coverage.mean >= LEAST_COVERAGE),
+            );
             self.promises.keep(
                 "every answer tells the truth about itself",
                 summary.untrue == 0,
@@ -311,13 +315,15 @@
 }
 
 fn sum(summary: &Summary) -> String {
+    let coverage =
+        |share: fn(&Coverage) -> f64| summary.coverage.as_ref().map_or(0.0, share) * PERCENT;
     format!(
         "{} searches, p50 {}, p99 {}, coverage {:.3} % (least {:.1} %), extra load {:.1} %",
         summary.requests,
         millis(summary.latency(MEDIAN)),
         millis(summary.latency(P99)),
-        summary.coverage_mean * PERCENT,
-        summary.coverage_min * PERCENT,
+        coverage(|coverage| coverage.mean),
+        coverage(|coverage| coverage.min),
         summary.attempts.extra_percent()
     )
 }
--- a/crates/experiment/src/load.rs
+++ b/crates/experiment/src/load.rs
@@ -95,7 +95,7 @@
             lag,
             latency,
             outcome: answer.outcome,
-            coverage: answer.coverage,
+            coverage: (self.plan.kind == Kind::Search).then_some(answer.coverage),
             index_version: answer.index_version,
             untrue: !verify::is_true(&answer, &self.plan.data),
             reason: answer.why,
--- a/crates/experiment/src/report/mod.rs
+++ b/crates/experiment/src/report/mod.rs
@@ -26,6 +26,8 @@
     pub all: u64,
     /// Processes of backend servers that crashed.
     pub crashes: u64,
+    /// Times that a non-idempotent request ran beyond its first run; anything but 0 is a fault.
+    pub doubled: u64,
 }
 
 impl AddAssign for Attempts {
@@ -33,6 +35,7 @@
         self.first += other.first;
         self.all += other.all;
         self.crashes += other.crashes;
+        self.doubled += other.doubled;
     }
 }
 
@@ -47,6 +50,30 @@
 /// Latencies in microseconds.
 pub type Latencies = Histogram<u64>;
 
+/// Coverage of the searches of a run, as shares from 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Coverage {
+    /// Mean over all searches; one without an answer counts as 0.
+    pub mean: f64,
+    /// Least coverage of an answer; 1 without answers.
+    pub min: f64,
+}
+
+impl Coverage {
+    fn new(samples: &[Sample]) -> Option<Self> {
+        let all: Vec<f64> = samples
+            .iter()
+            .filter_map(|sample| sample.coverage)
+            .collect();
+        let answers = samples.iter().filter(|sample| sample.outcome.is_answer());
+        let answered = answers.filter_map(|sample| sample.coverage);
+        (!all.is_empty()).then(|| Self {
+            mean: all.iter().sum::<f64>() / all.len() as f64,
+            min: answered.fold(1.0, f64::min),
+        })
+    }
+}
+
 /// One row of a report.
 #[derive(Clone, Debug)]
 pub struct Row {
@@ -71,10 +98,8 @@
     pub latencies: Latencies,
     /// Answers within the deadline, a second.
     pub goodput: f64,
-    /// Mean coverage over all requests; one without an answer counts as 0.
-    pub coverage_mean: f64,
-    /// Least coverage of an answer.
-    pub coverage_min: f64,
+    /// Coverage of searches; none for non-idempotent requests.
+    pub coverage: Option<Coverage>,
     /// Answers that contradict themselves or the data.
     pub untrue: usize,
     /// Attempts at the backend servers.
@@ -96,15 +121,13 @@
         let in_time = answers()
             .filter(|sample| sample.latency <= deadline)
             .count();
-        let coverage: f64 = answers().map(|sample| sample.coverage).sum();
         Self {
             requests: samples.len(),
             outcomes: count(samples.iter().map(|sample| sample.outcome)),
             reasons: count(lost.map(|sample| sample.reason.clone())),
             latencies: latencies(answers()),
             goodput: in_time as f64 / duration.as_secs_f64(),
-            coverage_mean: coverage / samples.len().max(1) as f64,
-            coverage_min: answers().map(|sample| sample.coverage).fold(1.0, f64::min),
+            coverage: Coverage::new(samples),
             untrue: samples.iter().filter(|sample| sample.untrue).count(),
             attempts,
             lag_max: samples.iter().map(|s| s.lag).max().unwrap_or_default(),
--- a/crates/experiment/src/report/table.rs
+++ b/crates/experiment/src/report/table.rs
@@ -15,7 +15,7 @@
     value: fn(&Summary) -> String,
 }
 
-const COLUMNS: [Column; 16] = [
+const COLUMNS: [Column; 17] = [
     column("requests", |s| s.requests.to_string()),
     column("p50 ms", |s| millis(s.latency(MEDIAN))),
     column("p99 ms", |s| millis(s.latency(P99))),
@@ -24,8 +24,8 @@
         millis(Duration::from_micros(s.latencies.max()))
     }),
     column("goodput /s", |s| format!("{:.1}", s.goodput)),
-    column("coverage mean %", |s| percent(s.coverage_mean)),
-    column("coverage min %", |s| percent(s.coverage_min)),
+    column("coverage mean %", |s| percent(s.coverage.map(|c| c.mean))),
+    column("coverage min %", |s| percent(s.coverage.map(|c| c.min))),
     column("extra load %", |s| {
         format!("{:.2}", s.attempts.extra_percent())
     }),
@@ -38,6 +38,7 @@
         (silent + s.outcome(Outcome::Unreachable)).to_string()
     }),
     column("crashes", |s| s.attempts.crashes.to_string()),
+    column("doubled", |s| s.attempts.doubled.to_string()),
     column("untrue", |s| s.untrue.to_string()),
 ];
 
@@ -96,6 +97,6 @@
     format!("{:.1}", time.as_secs_f64() * MILLIS_PER_SECOND)
 }
 
-fn percent(share: f64) -> String {
-    format!("{:.3}", share * PERCENT)
+fn percent(share: Option<f64>) -> String {
+    share.map_or_else(|| "-".to_owned(), |share| format!("{:.3}", share * PERCENT))
 }
--- a/crates/experiment/src/sample.rs
+++ b/crates/experiment/src/sample.rs
@@ -56,8 +56,9 @@
     pub latency: Duration,
     /// How it ended.
     pub outcome: Outcome,
-    /// Share of the data that the answer was taken from, as the answer says.
-    pub coverage: f64,
+    /// Share of the data that the answer was taken from, as the answer says, and 0 without an answer;
+    /// a non-idempotent request has none.
+    pub coverage: Option<f64>,
     /// Snapshot that the answer was taken from.
     pub index_version: Option<IndexVersion>,
     /// Why there was no answer; empty where there was one.
--- a/crates/experiment/src/tally.rs
+++ b/crates/experiment/src/tally.rs
@@ -6,7 +6,7 @@
 use crate::report::Attempts;
 use monsoonring_fakes::backend_server::Server;
 use monsoonring_fakes::fleet::{Fleet, Shape};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 /// A count that has begun.
 pub struct Tally<'a> {
@@ -60,5 +60,16 @@
         requests.extend(attempts.into_iter().map(|attempt| attempt.request));
     }
     group.first = requests.len() as u64;
+    group.doubled = doubled(servers);
     group
 }
+
+/// Runs beyond the first one under each key. A key is doubled whenever its runs began, so this counts
+/// from the start of the servers on, and wherever in the group the runs took place.
+fn doubled(servers: &[Server]) -> u64 {
+    let mut runs: HashMap<String, u64> = HashMap::new();
+    for (key, of_key) in servers.iter().flat_map(Server::runs) {
+        *runs.entry(key).or_default() += of_key.begun;
+    }
+    runs.values().map(|begun| begun.saturating_sub(1)).sum()
+}
--- a/crates/experiment/tests/load.rs
+++ b/crates/experiment/tests/load.rs
@@ -102,8 +102,8 @@
 
 // Symptom: a system that stalls looks fast, because few requests are sent while it stalls.
 // Events: the daemon answers nothing until every request of the plan has arrived.
-// Cause: a generator that waits for an answer before it sends the next request. It would never
-// end here.
+// Cause: a generator that waits for an answer before it sends the next request. Here it would wait
+// until its patience ends, and get no answer.
 #[tokio::test]
 async fn run_sends_without_waiting_for_answers() {
     let (address, _daemon) = Daemon::start(200, ANSWER, planned()).await;
--- a/crates/experiment/tests/report.rs
+++ b/crates/experiment/tests/report.rs
@@ -11,7 +11,7 @@
         lag: Duration::ZERO,
         latency: Duration::from_millis(millis),
         outcome,
-        coverage,
+        coverage: Some(coverage),
         index_version: Some(1),
         reason: String::new(),
         untrue: false,
@@ -28,6 +28,7 @@
         first: 1_000,
         all: 1_025,
         crashes: 0,
+        doubled: 0,
     };
     let duration = Duration::from_secs(2);
     let deadline = Duration::from_millis(150);
@@ -43,8 +44,22 @@
     let summary = row().summary;
     assert_eq!(summary.requests, 100);
     assert_eq!(summary.outcome(Outcome::NotRun), 1);
-    assert!((summary.coverage_mean - 0.985).abs() < 1e-9);
-    assert!((summary.coverage_min - 0.5).abs() < 1e-9);
+    let coverage = summary.coverage.expect("searches");
+    assert!((coverage.mean - 0.985).abs() < 1e-9);
+    assert!((coverage.min - 0.5).abs() < 1e-9);
+}
+
+#[test]
+fn summary_executed_requests_have_no_coverage() {
+    let executed = Sample {
+        coverage: None,
+        ..sample(5, Outcome::Executed, 0.0)
+    };
+    let second = Duration::from_secs(1);
+    let summary = Summary::new(&[executed], second, second, Attempts::default());
+    assert_eq!(summary.coverage, None);
+    let row = Row { summary, ..row() };
+    assert!(markdown(&[row]).contains("| - | - |"));
 }
 
 #[test]
