--- a/crates/decision/src/backend/pool/line.rs
+++ b/crates/decision/src/backend/pool/line.rs
@@ -161,11 +161,10 @@
 
     /// Returns the idle connection to be closed now, if there is one too many.
     pub(super) fn excess(&self, share: usize) -> Option<ConnectionId> {
-        let oldest = self.idle.first().copied()?;
-        if !self.configured || self.leaving || self.len() > share {
-            return Some(oldest);
-        }
-        (self.len() > self.target(share)).then_some(oldest)
+        let wanted = self.configured && !self.leaving;
+        let target = if wanted { self.target(share) } else { 0 };
+        let oldest = self.idle.first().copied();
+        oldest.filter(|_| self.len() > target)
     }
 
     /// Tells whether time alone has given it something to do.
--- a/crates/decision/src/backend/trust.rs
+++ b/crates/decision/src/backend/trust.rs
@@ -4,7 +4,9 @@
 //! attempt left is held against the latency that followed; the slope of the one over the other,
 //! relative to what a slot's work time makes of one more request, is the weight that reports get.
 //! Reports that are made up, inverted, late or constant show no slope and weigh nothing; inflated
-//! ones show a flat slope and are scaled back. Only the deviation from the server's own mean is
+//! ones show a flat slope and are scaled back. From the slope its own uncertainty is taken off:
+//! numbers that are made up show some slope by chance, up and down, and only the positive part would
+//! count. Only the deviation from the server's own mean is
 //! used, so a constant bias can neither attract nor repel work.
 
 use std::time::Duration;
@@ -15,6 +17,9 @@
 /// Observations before reports are believed at all.
 const ENOUGH: f64 = 15.0;
 
+/// Standard errors of the slope that are taken off it.
+const CONFIDENCE: f64 = 2.0;
+
 /// A server with free slots answers no slower for one more request, so even honest reports show
 /// less than the full slope; a weight is reached at this fraction of it.
 const FULL_AT: f64 = 0.5;
@@ -26,6 +31,7 @@
     load: f64,
     latency: f64,
     load_squared: f64,
+    latency_squared: f64,
     product: f64,
 }
 
@@ -38,6 +44,7 @@
         self.load = self.load * MEMORY + load;
         self.latency = self.latency * MEMORY + latency;
         self.load_squared = self.load_squared * MEMORY + load * load;
+        self.latency_squared = self.latency_squared * MEMORY + latency * latency;
         self.product = self.product * MEMORY + load * latency;
     }
 
@@ -61,8 +68,12 @@
         if variance < f64::EPSILON {
             return 0.0;
         }
-        let covariance = self.product / self.weight - mean * self.latency / self.weight;
-        let slope = covariance / variance;
-        (slope / (FULL_AT * step.as_secs_f64())).clamp(0.0, 1.0)
+        let mean_latency = self.latency / self.weight;
+        let slope = (self.product / self.weight - mean * mean_latency) / variance;
+        let spread = self.latency_squared / self.weight - mean_latency * mean_latency;
+        let unexplained = (spread - slope * slope * variance).max(0.0);
+        let error = (unexplained / (variance * self.weight)).sqrt();
+        let sure = slope - CONFIDENCE * error;
+        (sure / (FULL_AT * step.as_secs_f64())).clamp(0.0, 1.0)
     }
 }
--- a/crates/decision/tests/admission.rs
+++ b/crates/decision/tests/admission.rs
@@ -258,7 +258,9 @@
         gate.finished(Class::Urgent, ms(10), ms(step * 10 + 10));
     }
     let now = ms(1_000);
-    while gate.admit(Class::Urgent, now + DEADLINE, &room(0), now) == Admission::Admit {}
+    for _ in 0..100 {
+        gate.admit(Class::Urgent, now + DEADLINE, &room(0), now);
+    }
     let turns: Vec<Duration> = (0..100)
         .map(
             |_| match gate.admit(Class::Urgent, now + DEADLINE, &room(0), now) {
