Show that a late copy of a handover changes nothing

Change: a test of its own. With the memory disabled it fails with `left: Run(Permit {..}) right: PassTo(..)`. Keys may be 256 bytes, as docs/protocols.md says. Worlds of the exploration share their daemons.

--- a/crates/decision/src/idempotency/key.rs
+++ b/crates/decision/src/idempotency/key.rs
@@ -22,7 +22,7 @@
 pub const MAC_BYTES: usize = 16;
 
 /// Longest key taken, in bytes.
-pub const MAX_KEY_BYTES: usize = 200;
+pub const MAX_KEY_BYTES: usize = 256;
 
 const PREFIX: &str = "m1.";
 const SEPARATOR: char = '.';
--- a/crates/decision/tests/idempotency.rs
+++ b/crates/decision/tests/idempotency.rs
@@ -235,6 +235,26 @@
     let _late = first.sent(at(15)).expect("in time");
 }
 
+// Symptom: a ticket is doubled long after a stop.
+// Events: the successor takes a handover and runs a key that it holds no record of; the key expires
+// and the fence is dropped; a copy of the handover arrives, then another send of the key.
+// Cause: the copy sets the fence's clock back to when it was made, and has no record of the run.
+#[test]
+fn inherit_late_copy_after_expiry_changes_nothing() {
+    let mut old = ledger(1);
+    let key = mint(&mut old, at(0));
+    let handover = old.hand_over(fence(2), at(0)).expect("the first");
+    let mut heir = ledger(2);
+    let receipt = heir
+        .inherit(handover.clone(), at(0))
+        .expect("there is room");
+    execute(&mut heir, &key, "1", at(1));
+    heir.tick(at(40));
+    assert_eq!(heir.inherit(handover, at(40)), Ok(receipt));
+    let decision = heir.begin(&key, &request(2), at(41));
+    assert_eq!(decision, Decision::PassTo(fence(1)));
+}
+
 #[test]
 fn inherit_for_another_incarnation_is_refused() {
     let handover = ledger(1).hand_over(fence(2), at(0)).expect("the first");
--- a/crates/decision/tests/model/daemon.rs
+++ b/crates/decision/tests/model/daemon.rs
@@ -10,6 +10,7 @@
 use monsoonring_decision::reply::Report;
 use monsoonring_decision::{RequestId, Time};
 use std::collections::BTreeSet;
+use std::rc::Rc;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Daemon {
@@ -263,7 +264,7 @@
         if !self.left_to.insert(to) {
             world.budget.copies -= 1;
         }
-        world.net.push(Message::Handover(to, Box::new(handover)));
+        world.net.push(Message::Handover(to, Rc::new(handover)));
     }
 
     pub(crate) fn inherit(&mut self, handover: Handover, world: &mut World) {
--- a/crates/decision/tests/model/mod.rs
+++ b/crates/decision/tests/model/mod.rs
@@ -12,6 +12,8 @@
     Fence, Handover, Key, Limits, Outcome, Receipt, Request, Secret,
 };
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::iter;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// Time by which the clock moves in one action.
@@ -72,7 +74,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Message {
     Request(Place, Arrival),
-    Handover(Place, Box<Handover>),
+    Handover(Place, Rc<Handover>),
     Receipt(Place, Receipt),
     /// At the backend server, from this incarnation.
     Work(Place, u64),
@@ -97,9 +99,10 @@
     Step,
 }
 
+/// Daemons and handovers are shared between the worlds, as an action changes few of them.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct World {
-    pub(crate) daemons: Vec<Option<Daemon>>,
+    pub(crate) daemons: Vec<Option<Rc<Daemon>>>,
     pub(crate) net: Vec<Message>,
     pub(crate) key: Key,
     pub(crate) now: Time,
@@ -146,17 +149,19 @@
         budget: Budget,
         mutant: Option<Mutant>,
     ) -> Self {
-        let mut started: Vec<_> = (0..daemons)
-            .map(|place| Some(Daemon::new(place, 1, Time::ZERO)))
-            .collect();
-        let first = started[0].as_mut().expect("just started");
+        let new = |place| Daemon::new(place, 1, Time::ZERO);
+        let mut first = new(0);
         let mut issued = || first.ledger.mint(&caller(), &route(), Time::ZERO);
         let key = own.map_or_else(
             || issued().expect("an empty ledger has room"),
             |text| text.parse().expect("a valid key"),
         );
         Self {
-            daemons: started,
+            daemons: iter::once(first)
+                .chain((1..daemons).map(new))
+                .map(Rc::new)
+                .map(Some)
+                .collect(),
             net: Vec::new(),
             key,
             now: Time::ZERO,
@@ -275,7 +280,8 @@
             Action::Start(place) => {
                 self.budget.starts -= 1;
                 self.starts += 1;
-                self.daemons[place] = Some(Daemon::new(place, self.starts, self.now));
+                let daemon = Daemon::new(place, self.starts, self.now);
+                self.daemons[place] = Some(Rc::new(daemon));
             }
             Action::Step => {
                 self.budget.steps -= 1;
@@ -326,7 +332,9 @@
                 self.with(place, |daemon, world| daemon.request(&arrival, world));
             }
             Message::Handover(place, handover) => {
-                self.with(place, |daemon, world| daemon.inherit(*handover, world));
+                self.with(place, |daemon, world| {
+                    daemon.inherit((*handover).clone(), world)
+                });
             }
             Message::Receipt(place, receipt) => {
                 self.with(place, |daemon, _| daemon.ledger.acknowledge(receipt));
@@ -351,10 +359,11 @@
 
     /// Runs a step of a daemon, outside of the world that it acts on.
     fn with(&mut self, place: Place, step: impl FnOnce(&mut Daemon, &mut World)) {
-        if let Some(mut daemon) = self.daemons[place].take() {
+        if let Some(daemon) = self.daemons[place].take() {
+            let mut daemon = Rc::unwrap_or_clone(daemon);
             daemon.ledger.tick(daemon.clock(self.now));
             step(&mut daemon, self);
-            self.daemons[place] = Some(daemon);
+            self.daemons[place] = Some(Rc::new(daemon));
         }
     }
 
