--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -86,6 +86,8 @@
     in_force: Option<(Read, Arc<Configuration>)>,
     members: Arc<[Member]>,
     reader: bool,
+    /// Whether the holder knows of the members.
+    announced: bool,
     next_list: monsoonring_decision::Time,
 }
 
@@ -114,6 +116,7 @@
             in_force: None,
             members: Arc::default(),
             reader: true,
+            announced: false,
             next_list: now,
         }
     }
@@ -141,6 +144,10 @@
 
     fn tick(&mut self) {
         self.member(member::Event::Tick, None);
+        if self.announced != self.table.is_current() {
+            self.members = self.table.members().into();
+            self.announce();
+        }
         self.configuration(configuration::Event::Tick);
         let now = self.clock.now();
         self.facts.expire(now);
@@ -289,6 +296,19 @@
             self.driver.forget(member);
         }
         self.members = self.table.members().into();
+        self.facts.set_members(self.members.len());
+        self.announce();
+    }
+
+    /// Tells the configuration's holder of the members, once the table is current.
+    ///
+    /// Before that a daemon that starts seems to be alone. It would believe a service that is stale,
+    /// adopt an older document than its peers hold, and be ready with it.
+    fn announce(&mut self) {
+        self.announced = self.table.is_current();
+        if !self.announced {
+            return;
+        }
         self.reader = is_reader(&self.own, &self.members);
         let peers = self.members.len().saturating_sub(1);
         let reader = self.reader;
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -107,7 +107,7 @@
                 let address = json!(backend_server);
                 let server = servers
                     .into_iter()
-                    .find(|server| server["address"] == address)?;
+                    .find(|server| server["server"] == address)?;
                 Some(json!({ "route": &*route, "backend_server": server }))
             }
         }
