Say "not run" of a repeated send only where the ledger proves it

Cause: every refusal before the ledger (unknown route, unknown caller, no configuration yet, no time left, not ready) said not_run, which is true of that send, but is read as speaking of the request. If an earlier send under the same key had run and its answer was lost, a caller that files its ticket anew under another key doubles it. Ruled out: asking the ledger for each refusal; a daemon that has no configuration can't pass the send on either. Now such a refusal is unknown, unless the key's first send is certain. A daemon that is not ready concludes the key as not run in its ledger, where that is proven. A key that came to not_run is used up, so the answer offers a fresh one.

--- a/crates/daemon/src/caller/filter/key.rs
+++ b/crates/daemon/src/caller/filter/key.rs
@@ -10,6 +10,9 @@
 /// Keys are kept for as long as they may come back, so their size is bounded.
 const MAX_KEY_BYTES: usize = 256;
 
+/// How a key starts that a daemon has issued.
+const ISSUED: &str = monsoonring_decision::idempotency::key::PREFIX;
+
 /// Reads the key and the number of the send where the action needs them.
 pub(crate) struct Key;
 
@@ -45,6 +48,21 @@
     })
 }
 
+/// Tells whether an earlier send of a non-idempotent request may have run under the same key.
+///
+/// A caller that is told "not run" may file its request anew under another key. That speaks of the
+/// request, so a refusal of one send must not say it where an earlier send may have run; it would
+/// show as a request run twice under two keys. A key of the caller's own has had no run before its
+/// send number 1, and none at all while the sends have no number.
+pub(crate) fn may_be_repeated(headers: &HeaderMap) -> bool {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let Some(key) = text(header::IDEMPOTENCY_KEY) else {
+        return false;
+    };
+    let number = text(header::SEND).and_then(|number| number.trim().parse::<u32>().ok());
+    unquoted(key.trim()).starts_with(ISSUED) || number.is_some_and(|number| number > 1)
+}
+
 /// Takes off the quotes that the header's draft standard asks for. A caller whose library adds them
 /// on one send and not on the next would otherwise have two keys, and two runs.
 fn unquoted(text: &str) -> &str {
--- a/crates/daemon/src/caller/filter/mod.rs
+++ b/crates/daemon/src/caller/filter/mod.rs
@@ -11,7 +11,7 @@
 pub(crate) use deadline::Deadline;
 pub(crate) use fingerprint::Print;
 pub(crate) use identify::Identify;
-pub(crate) use key::Key;
+pub(crate) use key::{Key, may_be_repeated};
 pub(crate) use route::Find;
 
 use super::problem::Problem;
@@ -28,6 +28,6 @@
     ///
     /// # Errors
     ///
-    /// What the caller is told. The request has not run.
+    /// What the caller is told. This send has not run.
     fn apply(&self, before: Before) -> impl Future<Output = Result<Self::After>> + Send;
 }
--- a/crates/daemon/src/caller/front.rs
+++ b/crates/daemon/src/caller/front.rs
@@ -2,7 +2,7 @@
 
 use super::answer::{self, Reply};
 use super::exchange::{Arrived, Exchange, Head, Order};
-use super::filter::{Deadline, Filter, Find, Identify, Key, Print, Read, Result};
+use super::filter::{self, Deadline, Filter, Find, Identify, Key, Print, Read, Result};
 use super::header::{self, IDEMPOTENCY_KEY};
 use super::ledger::{Entry, Ledger};
 use super::problem::Problem;
@@ -89,14 +89,20 @@
         let mut entry = self
             .ledger
             .open(id, header::trace(request.headers()), arrived);
+        let repeated = action == Action::Execute && filter::may_be_repeated(request.headers());
         let answered = async {
             let exchange = self.arrive(id, arrived, request, (name, action), standing)?;
             let (call, order) = self.filter(exchange, &mut entry).await?;
             Ok(self.call(call, order).await)
         };
-        let reply = answered
-            .await
-            .unwrap_or_else(|problem| Reply::Problem(problem, None));
+        let reply = answered.await.unwrap_or_else(|problem: Problem| {
+            let problem = if repeated {
+                problem.of_repeated_send()
+            } else {
+                problem
+            };
+            Reply::Problem(problem, None)
+        });
         finish(id, reply, entry)
     }
 
--- a/crates/daemon/src/caller/problem.rs
+++ b/crates/daemon/src/caller/problem.rs
@@ -1,8 +1,8 @@
 //! Problem documents (RFC 9457): every refusal and failure that a caller is told of.
 //!
 //! The member `outcome` is the part that matters: it says whether the request ran. The
-//! constructors for what the filters find all say `not_run`; only [`super::status`] makes other
-//! ones, from the outcome that the service gave.
+//! constructors for what the filters find all say `not_run`, which a send that may not be its key's
+//! first takes back; only [`super::status`] makes other ones, from the outcome that the service gave.
 
 use super::header;
 use bytes::Bytes;
@@ -79,6 +79,14 @@
         }
     }
 
+    /// Takes back that the request did not run, which holds for this send alone.
+    pub(crate) fn of_repeated_send(mut self) -> Self {
+        self.ran = Ran::Unknown;
+        self.detail
+            .push_str("; an earlier send under this key may have run");
+        self
+    }
+
     fn with(mut self, name: &'static str, value: &'static str) -> Self {
         self.header = Some((name, value));
         self
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -112,20 +112,24 @@
             }
             .into();
         };
-        if self.control.view().ready().is_err() {
-            return unavailable().into();
-        }
+        let fenced = matches!(key, Key::Fenced(_));
         match self.send(call.clone(), key, send, false).await {
+            Sent::Ended(outcome @ Outcome::NotRun { .. }) if fenced => {
+                self.offer(call, outcome).await
+            }
             Sent::Ended(outcome) => outcome.into(),
             Sent::Conflict => conflict(),
-            Sent::Refused(Refusal::Unmarked) => self.offer(call).await,
+            Sent::Refused(Refusal::Unmarked) => {
+                let outcome = Outcome::from(Refusal::Unmarked.outcome());
+                self.offer(call, outcome).await
+            }
             Sent::Refused(refusal) => Execution::from(Outcome::from(refusal.outcome())),
         }
     }
 
-    /// Refuses an own key without its count of sends, and offers a key of ours for it.
-    async fn offer(self: &Arc<Self>, call: Call) -> Execution {
-        let outcome = Outcome::from(Refusal::Unmarked.outcome());
+    /// Offers a fresh key with an outcome that leaves the caller's key without use: one that did not
+    /// run is used up, and an own key without its count of sends is never run.
+    async fn offer(self: &Arc<Self>, call: Call, outcome: Outcome) -> Execution {
         let offered_key = self.mint_call(call).await.ok();
         Execution {
             outcome,
@@ -192,6 +196,11 @@
 
     /// Runs a request that the ledger has recorded.
     async fn run(self: &Arc<Self>, permit: Permit<Unsent>, call: Call, key: &Key) -> Outcome {
+        // A process that was paused, or has just started, may hold old facts: whom to send to, which
+        // servers are leaving. The key is recorded as not run, so that this stays true.
+        if self.control.view().ready().is_err() {
+            return self.conclude(Run::Unsent(permit), unavailable());
+        }
         let (run, may) = Run::Unsent(permit).sent(self.clock.now());
         if !may {
             let outcome = Outcome::NotRun {
--- a/crates/daemon/tests/caller.rs
+++ b/crates/daemon/tests/caller.rs
@@ -17,6 +17,7 @@
 const DISPATCH: &str = "monsoonring-caller: dispatch";
 const CLERK: &str = "monsoonring-caller: clerk";
 const KEY: &str = "idempotency-key: k1";
+const FENCED: &str = "idempotency-key: m1.127.0.0.1~7000.1.0.1000.00";
 
 #[test_case(&get("/elsewhere"), 404, "path"; "unknown_path_is_not_found")]
 #[test_case(&get(QUERY), 405, "method"; "get_of_a_query_is_not_allowed")]
@@ -60,6 +61,42 @@
     daemon.ended().await;
 }
 
+// Symptom: a ticket runs twice, although its caller followed what it was told.
+// Events: a send runs and its answer is lost; the caller sends again under the same key, and a daemon
+// that has just started, or takes the route for unknown, refuses it as "not run"; the caller files the
+// ticket anew under another key.
+// Cause: the refusal spoke of this send and was read as speaking of the request.
+#[test_case(&post("/routes/none/execute", &[DISPATCH, FENCED], "1"), 404, "unknown"; "under_issued_key_is_unknown")]
+#[test_case(&post(EXECUTE, &["monsoonring-caller: x", FENCED], "1"), 401, "unknown"; "of_unknown_caller_is_unknown")]
+#[test_case(&post(EXECUTE, &[DISPATCH, FENCED, "monsoonring-deadline-ms: 0"], "1"), 504, "unknown"; "too_late_is_unknown")]
+#[test_case(&post(EXECUTE, &[DISPATCH, FENCED], "{"), 400, "unknown"; "with_broken_body_is_unknown")]
+#[test_case(&post("/routes/none/execute", &[DISPATCH, KEY, "monsoonring-send: 2"], "1"), 404, "unknown"; "second_under_own_key_is_unknown")]
+#[test_case(&post("/routes/none/execute", &[DISPATCH, KEY, "monsoonring-send: 1"], "1"), 404, "not_run"; "first_under_own_key_is_not_run")]
+#[test_case(&post("/routes/none/query", &[DISPATCH, FENCED], "1"), 404, "not_run"; "search_is_not_run")]
+#[tokio::test]
+async fn refused_send(request: &str, status: u16, outcome: &str) {
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    let response = ask(daemon.callers, request).await;
+    let (_, told) = response.problem();
+    assert_eq!((response.status, told.as_str()), (status, outcome));
+    daemon.signal();
+    daemon.ended().await;
+}
+
+#[tokio::test]
+async fn refused_send_before_the_first_configuration_is_unknown() {
+    let service = Fake {
+        configuration: None,
+        ..Fake::default()
+    };
+    let daemon = Daemon::start(service, &[]).await;
+    let response = ask(daemon.callers, &post(EXECUTE, &[DISPATCH, FENCED], "1")).await;
+    let told = ("starting".into(), "unknown".into());
+    assert_eq!((response.status, response.problem()), (503, told));
+    daemon.signal();
+    daemon.ended().await;
+}
+
 fn chunked(body: &str) -> String {
     let head = search("").replace("content-length: 0", "transfer-encoding: chunked");
     format!("{head}{:x}\r\n{body}\r\n0\r\n\r\n", body.len())
--- a/crates/decision/src/idempotency/key.rs
+++ b/crates/decision/src/idempotency/key.rs
@@ -24,7 +24,8 @@
 /// Longest key taken, in bytes.
 pub const MAX_KEY_BYTES: usize = 256;
 
-const PREFIX: &str = "m1.";
+/// How every issued key starts.
+pub const PREFIX: &str = "m1.";
 const SEPARATOR: char = '.';
 const PORT_SEPARATOR: char = '~';
 
