--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -7,6 +7,7 @@
 use super::hop::context;
 use super::search::unavailable;
 use crate::service::{Call, Execution};
+use futures::stream::{FuturesUnordered, StreamExt};
 use monsoonring_decision::attempt::Failure;
 use monsoonring_decision::idempotency::ledger::Ended;
 use monsoonring_decision::idempotency::lookup::{Answer, Conclusion, Question};
@@ -331,15 +332,19 @@
         let members = self.asked(&call);
         let mut poll = Poll::new(members.iter().copied());
         let mut conclusion = poll.conclude();
-        for member in members {
-            if conclusion.is_some() {
+        let asking = members.into_iter().map(|member| {
+            let answer = self.ask_member(member, question.clone(), call.deadline);
+            async move { (member, answer.await) }
+        });
+        // All at once: one after the other, a few members that are down would use up the deadline.
+        let mut asking: FuturesUnordered<_> = asking.collect();
+        while conclusion.is_none() {
+            let Some((member, answer)) = asking.next().await else {
                 break;
-            }
-            let answer = self
-                .ask_member(member, question.clone(), call.deadline)
-                .await;
+            };
             conclusion = poll.answered(member, answer);
         }
+        drop(asking);
         match conclusion {
             Some(Conclusion::PassTo(member)) => {
                 let sent = self.send_to(member, &call, &key, send).await;
--- a/crates/daemon/src/node/stop.rs
+++ b/crates/daemon/src/node/stop.rs
@@ -65,6 +65,9 @@
 
     /// Waits for what peers passed on, and hands the ledger over.
     pub(super) async fn finish_stop(&self) {
+        // From here on a send of a key is refused, and recorded as not run, so that the ledger that
+        // goes to the successor is complete.
+        self.ledger.ledger().drain();
         while self.stopping.passed_on.load(Ordering::Acquire) > 0 {
             tokio::time::sleep(POLL).await;
         }
