--- a/crates/daemon/src/launch.rs
+++ b/crates/daemon/src/launch.rs
@@ -4,6 +4,7 @@
 use crate::node;
 use crate::run::{self, Ended, Result, Running, Telemetry};
 use crate::settings::Settings;
+use slog::info;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -24,6 +25,7 @@
     let (peers, peer_address) = run::listen(Side::Peer, settings.peer_listen).await?;
     let advertised = settings.advertise.unwrap_or(peer_address);
     let (log, metrics) = (telemetry.log.clone(), telemetry.metrics.clone());
+    info!(log, "serving peers"; "peers" => %peer_address, "advertised" => %advertised);
     let service = Arc::new(node::start(settings, peers, advertised, log, metrics));
     let running = Running::start(settings, service, telemetry).await?;
     Ok(Launched {
--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -230,11 +230,16 @@
 
     /// Returns the number of members that a daemon knows, from its operator port.
     pub async fn members(&self, operator: SocketAddr) -> Option<usize> {
+        let state = self.state(operator).await?;
+        Some(state["members"].as_array()?.len())
+    }
+
+    /// Returns what a daemon says of itself on its operator port.
+    pub async fn state(&self, operator: SocketAddr) -> Option<Value> {
         let address = format!("http://{operator}/state").parse().ok()?;
         let response = tokio::time::timeout(PATIENCE, self.client.get(address)).await;
         let (_, body) = read(response.ok()?.ok()?).await.ok()?;
-        let state: Value = serde_json::from_slice(&body).ok()?;
-        Some(state["members"].as_array()?.len())
+        serde_json::from_slice(&body).ok()
     }
 
     async fn ask(&self, daemon: SocketAddr, question: Question) -> Answer {
--- a/crates/fakes/src/endpoint.rs
+++ b/crates/fakes/src/endpoint.rs
@@ -123,11 +123,11 @@
     }
 }
 
-/// Accepts the next connection.
-pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+/// Accepts the next connection, and tells where it comes from.
+pub(crate) async fn accept(listener: &TcpListener) -> (TcpStream, SocketAddr) {
     loop {
-        if let Ok((stream, _)) = listener.accept().await {
-            return stream;
+        if let Ok(accepted) = listener.accept().await {
+            return accepted;
         }
         // Without file descriptors accepting fails at once, again and again, and a loop without a
         // pause would keep the tasks that could give some back from running: the test would hang.
@@ -143,7 +143,7 @@
 ) {
     let count = AtomicU64::new(0);
     loop {
-        let stream = accept(&listener).await;
+        let (stream, _) = accept(&listener).await;
         let connection = Connection {
             id: count.fetch_add(1, Ordering::Relaxed) + 1,
             silent: Arc::default(),
--- a/crates/fakes/src/relay/mod.rs
+++ b/crates/fakes/src/relay/mod.rs
@@ -1,7 +1,8 @@
 //! Relays in front of one target, which can fail as the network does.
 //!
 //! The test hands a relay's address to one side in place of the target's. One relay stands for one
-//! pair of ends, so that each pair can be cut by itself.
+//! pair of ends, so that each pair can be cut by itself; the one for TCP can also tell its sources
+//! apart by their IP numbers.
 
 mod tcp;
 pub mod udp;
--- a/crates/fakes/src/relay/tcp.rs
+++ b/crates/fakes/src/relay/tcp.rs
@@ -1,12 +1,14 @@
 //! A relay for TCP connections.
 //!
-//! Bytes that are held are not lost: as with TCP's own retransmission they arrive, in order, once
-//! the link is open again.
+//! The link can be set for everybody or for those that connect from one IP number. Bytes that are
+//! held are not lost: as with TCP's own retransmission they arrive, in order, once the link is open
+//! again.
 
 use crate::endpoint::{self, Reservation};
 use crate::relay::{Direction, Link};
+use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -30,20 +32,22 @@
 }
 
 struct Shared {
-    target: SocketAddr,
+    target: Mutex<Option<SocketAddr>>,
     state: watch::Sender<State>,
     connections: Mutex<Vec<Arc<Connection>>>,
     opened: AtomicUsize,
 }
 
-#[derive(Clone, Copy, Default)]
+#[derive(Clone, Default)]
 struct State {
     link: Link,
+    /// Links of the sources that have one of their own.
+    sources: BTreeMap<IpAddr, Link>,
     delay: Duration,
 }
 
-#[derive(Default)]
 struct Connection {
+    source: IpAddr,
     silent: AtomicBool,
     end: CancellationToken,
 }
@@ -61,11 +65,22 @@
     ///
     /// Panics outside of a tokio runtime and where the loopback interface has no free port.
     pub fn start(target: SocketAddr) -> Self {
+        let relay = Self::without_target();
+        relay.set_target(target);
+        relay
+    }
+
+    /// Starts a relay whose target is not known yet; until then it closes what it accepts.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside of a tokio runtime and where the loopback interface has no free port.
+    pub fn without_target() -> Self {
         let reservation = Reservation::new().expect("the loopback interface has a free port");
         let listener = reservation.listen();
         let listener = listener.expect("the reserved port can be listened on");
         let shared = Arc::new(Shared {
-            target,
+            target: Mutex::default(),
             state: watch::Sender::new(State::default()),
             connections: Mutex::default(),
             opened: AtomicUsize::new(0),
@@ -86,7 +101,19 @@
         self.reservation.address()
     }
 
-    /// Sets what the link lets through, and ends flapping.
+    /// Sets where new connections go.
+    pub fn set_target(&self, target: SocketAddr) {
+        *self.shared.target() = Some(target);
+    }
+
+    /// Sets what the link lets through of those that connect from `source`.
+    pub fn set_link_from(&self, source: IpAddr, link: Link) {
+        self.shared.change(|state| {
+            state.sources.insert(source, link);
+        });
+    }
+
+    /// Sets what the link lets through, whatever the source, and ends flapping.
     pub fn set_link(&self, link: Link) {
         *self.flapping() = None;
         self.shared.set_link(link);
@@ -137,14 +164,29 @@
 
 impl Shared {
     fn set_link(&self, link: Link) {
-        self.state.send_modify(|state| state.link = link);
-        if link == Link::Cut {
-            for connection in self.connections().drain(..) {
+        self.change(|state| {
+            state.link = link;
+            state.sources.clear();
+        });
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        self.state.send_modify(change);
+        for connection in &*self.connections() {
+            if self.is_cut(connection) {
                 connection.end.cancel();
             }
         }
     }
 
+    fn is_cut(&self, connection: &Connection) -> bool {
+        self.state.borrow().link(connection.source) == Link::Cut
+    }
+
+    fn target(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn connections(&self) -> MutexGuard<'_, Vec<Arc<Connection>>> {
         self.connections
             .lock()
@@ -152,18 +194,25 @@
     }
 }
 
+impl State {
+    fn link(&self, source: IpAddr) -> Link {
+        self.sources.get(&source).copied().unwrap_or(self.link)
+    }
+}
+
 async fn accept_all(listener: TcpListener, shared: Arc<Shared>, life: CancellationToken) {
     loop {
-        let stream = endpoint::accept(&listener).await;
+        let (stream, source) = endpoint::accept(&listener).await;
         shared.opened.fetch_add(1, Ordering::SeqCst);
         let connection = Arc::new(Connection {
+            source: source.ip(),
+            silent: AtomicBool::new(false),
             end: life.child_token(),
-            ..Connection::default()
         });
         shared.connections().push(connection.clone());
         // The link is read after the entry into the table: a cut that comes between the two finds
         // the connection there, or else is seen here. Otherwise one would live on across a cut.
-        if shared.state.borrow().link == Link::Cut {
+        if shared.is_cut(&connection) {
             connection.end.cancel();
         }
         let relaying = relay(stream, shared.clone(), connection.clone());
@@ -181,7 +230,9 @@
 
 async fn relay_both(stream: TcpStream, shared: &Shared, connection: &Connection) -> io::Result<()> {
     wait_until_open(shared, connection, Direction::Forward).await;
-    let target = TcpStream::connect(shared.target).await?;
+    let target = *shared.target();
+    let target = target.ok_or(io::ErrorKind::NotConnected)?;
+    let target = TcpStream::connect(target).await?;
     stream.set_nodelay(true)?;
     target.set_nodelay(true)?;
     let (from_caller, to_caller) = stream.into_split();
@@ -250,5 +301,6 @@
     }
     let mut state = shared.state.subscribe();
     // The sender lives in `shared`, so waiting can only end with an open link.
-    let _ = state.wait_for(|state| state.link.passes(direction)).await;
+    let passes = |state: &State| state.link(connection.source).passes(direction);
+    let _ = state.wait_for(passes).await;
 }
