Add the console of forms, and bound the list of faults

Operators write the document from forms: /console on the operator port starts from the document in force or a pasted one, shows each fault beside its field, compares with what is in force, and hands the validated document out as a file.

Weighed: a page of one form for the whole document against one for each caller and route. The whole would be tens of thousands of inputs for a large route set, so the draft travels as one hidden field and a page edits one part of it. Ruled out: scripts, sessions in the daemon (any daemon answers any step), an upload (it needs a multipart parser; pasting serves).

Found while trying hostile drafts: a broken document of 900 kB has up to 450,000 faults, and the check listed all of them.

The fake service of the daemon's tests held a document that the check refuses (an execute route with hedges); it is now read through the check.

Seen failing: without escaping of names `console_text_of_a_draft_is_escaped` (`<script` in the page); without the limit of the body `console_form_too_large_is_refused` (left: 200, right: 413); without the notice `console_newer_revision_in_force_is_told`; with an index out of range `console_form_of_any_kind_is_answered` (left: `500`, right: `200`); without the bound `parse_many_faults_lists_the_first` (left: 450000, right: 1001).

--- a/crates/configuration/src/check.rs
+++ b/crates/configuration/src/check.rs
@@ -81,9 +81,12 @@
 
 fn finish(value: &Value, mut faults: Vec<Fault>) -> Result<Document> {
     faults.extend(structure::faults(value));
-    faults.extend(rule::faults(&Node::root(value)));
+    if faults.len() <= limit::FAULTS {
+        faults.extend(rule::faults(&Node::root(value)));
+    }
     faults.sort();
     faults.dedup();
+    shorten(&mut faults);
     ensure!(faults.is_empty(), Snafu { faults });
     let document = Document::deserialize(value).map_err(|error| Error {
         faults: vec![unreadable(&error)],
@@ -91,6 +94,18 @@
     Ok(without_execute_hedges(document, value))
 }
 
+/// Cuts a list of faults that nobody would read to its end.
+fn shorten(faults: &mut Vec<Fault>) {
+    if faults.len() > limit::FAULTS {
+        faults.truncate(limit::FAULTS);
+        let more = format!("it has more faults than the {} listed", limit::FAULTS);
+        faults.insert(
+            0,
+            Fault::new(Path::default(), more, "a document without them"),
+        );
+    }
+}
+
 /// Turns hedging off on the execute routes that don't mention it.
 ///
 /// The default of `hedge` is made for searches. Taken over by a non-idempotent route it would ask
--- a/crates/configuration/src/check/rule.rs
+++ b/crates/configuration/src/check/rule.rs
@@ -5,10 +5,11 @@
 use super::tiling;
 use crate::document::{Hedge, Kind};
 use crate::id::BackendServerId;
+use crate::limit;
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet};
 
-/// Finds all breaches of the rules in a document.
+/// Finds all breaches of the rules in a document, or more than are listed.
 pub(super) fn faults(document: &Node<'_>) -> Vec<Fault> {
     let callers = document.items("callers");
     let routes = document.items("routes");
@@ -19,6 +20,9 @@
     let mut faults = repeated(names(&callers), "another caller");
     faults.extend(repeated(names(&routes), "another route"));
     for route in &routes {
+        if faults.len() > limit::FAULTS {
+            break;
+        }
         faults.extend(route_faults(route, &known));
     }
     faults
@@ -49,6 +53,7 @@
                 "the name of one of the document's callers",
             )
         })
+        .take(limit::FAULTS + 1)
         .collect();
     faults.extend(repeated(callers, "another entry of the list"));
     faults
@@ -62,6 +67,9 @@
     let mut faults = Vec::new();
     let mut first = HashMap::new();
     for server in &servers {
+        if faults.len() > limit::FAULTS {
+            break;
+        }
         let Some(address) = server.read::<BackendServerId>() else {
             faults.extend(spelling_fault(server));
             continue;
@@ -167,6 +175,9 @@
     let mut first = HashMap::new();
     let mut faults = Vec::new();
     for node in nodes {
+        if faults.len() > limit::FAULTS {
+            break;
+        }
         let Some(name) = node.read::<&str>() else {
             continue;
         };
--- a/crates/configuration/src/check/structure.rs
+++ b/crates/configuration/src/check/structure.rs
@@ -1,6 +1,7 @@
 //! Holds a JSON value against the schema, and says in words what the schema asks for.
 
 use super::{Fault, Path};
+use crate::limit;
 use crate::schema;
 use jsonschema::Validator;
 use jsonschema::error::{TypeKind, ValidationError, ValidationErrorKind};
@@ -14,12 +15,13 @@
 /// Most characters of a wrong value that a fault repeats.
 const EXCERPT: usize = 60;
 
-/// Finds all faults of structure in a document.
+/// Finds all faults of structure in a document, or one more than are listed.
 pub(super) fn faults(document: &Value) -> Vec<Fault> {
     match VALIDATOR.as_ref() {
         Some(validator) => validator
             .iter_errors(document)
             .flat_map(|error| translate(document, &error))
+            .take(limit::FAULTS + 1)
             .collect(),
         // A document that nothing has been held against must not pass.
         None => vec![Fault::new(
--- a/crates/configuration/src/limit.rs
+++ b/crates/configuration/src/limit.rs
@@ -38,3 +38,7 @@
 
 /// Most backend servers of a group.
 pub const REPLICAS: usize = 4_096;
+
+/// Most faults that are listed of one document. A broken file can have one for every other of its
+/// bytes; listed all, a daemon that reads it would take a gigabyte.
+pub const FAULTS: usize = 1_000;
--- a/crates/configuration/src/reference.rs
+++ b/crates/configuration/src/reference.rs
@@ -3,8 +3,8 @@
 //! The text in `docs/configuration.md` is the output of [`markdown`]; a test compares the two, so
 //! that a field, a bound or a default can't change without its page.
 
-use crate::schema;
-use serde_json::{Map, Value};
+use crate::schema::{self, bounds, description};
+use serde_json::Value;
 use std::collections::BTreeMap;
 
 const HEAD: &str = "\
@@ -111,14 +111,6 @@
     )
 }
 
-fn description(part: &'static Value) -> String {
-    let own = part.get("description");
-    let text = own.or_else(|| schema::resolve(part).get("description"));
-    text.and_then(Value::as_str)
-        .unwrap_or_default()
-        .replace('\n', " ")
-}
-
 fn kind(schema: &Value) -> String {
     if let Some(reference) = schema.get("$ref").and_then(Value::as_str) {
         let name = reference.rsplit('/').next().unwrap_or_default();
@@ -132,33 +124,6 @@
     }
 }
 
-fn bounds(schema: &Value) -> String {
-    let Some(fields) = schema.as_object() else {
-        return String::new();
-    };
-    let phrases = [
-        ("minimum", "at least "),
-        ("exclusiveMinimum", "more than "),
-        ("maximum", "at most "),
-        ("minItems", "at least "),
-        ("maxItems", "at most "),
-        ("pattern", "form "),
-    ];
-    let found: Vec<String> = phrases
-        .iter()
-        .filter_map(|(keyword, phrase)| Some(format!("{phrase}{}", bound(fields, keyword)?)))
-        .collect();
-    found.join(", ")
-}
-
-fn bound(fields: &Map<String, Value>, keyword: &str) -> Option<String> {
-    let text = match fields.get(keyword)? {
-        Value::String(pattern) => format!("`{pattern}`"),
-        number => schema::shown(number),
-    };
-    Some(text)
-}
-
 fn enumeration(name: &str, part: &'static Value) -> String {
     let mut text = format!(
         "\n## {name}\n\n{}\n\n| value | meaning |\n|---|---|\n",
--- a/crates/configuration/src/schema.rs
+++ b/crates/configuration/src/schema.rs
@@ -3,7 +3,7 @@
 //! It is built once: deriving it is cheap, compiling it into a validator is not.
 
 use crate::Document;
-use serde_json::Value;
+use serde_json::{Map, Value};
 use std::collections::BTreeMap;
 use std::sync::LazyLock;
 
@@ -17,7 +17,7 @@
 }
 
 /// Follows the `$ref` of a part of the schema, if it has one.
-pub(crate) fn resolve(part: &'static Value) -> &'static Value {
+pub fn resolve(part: &'static Value) -> &'static Value {
     part.get("$ref")
         .and_then(Value::as_str)
         .and_then(|reference| SCHEMA.pointer(reference.trim_start_matches('#')))
@@ -28,9 +28,7 @@
 ///
 /// A variant with a description stands as a `const` of its own in `oneOf`, the others together in
 /// an `enum`, either directly or in the `oneOf`.
-pub(crate) fn variants(
-    part: &'static Value,
-) -> impl Iterator<Item = (&'static Value, &'static str)> {
+pub fn variants(part: &'static Value) -> impl Iterator<Item = (&'static Value, &'static str)> {
     let alternatives = part.get("oneOf").and_then(Value::as_array);
     alternatives
         .into_iter()
@@ -49,7 +47,7 @@
 
 /// Renders a value alike in every build: the order of an object's fields depends on a feature of
 /// `serde_json` that any crate of the workspace can switch on.
-pub(crate) fn shown(value: &Value) -> String {
+pub fn shown(value: &Value) -> String {
     match value {
         Value::Object(fields) => {
             let sorted: BTreeMap<_, _> = fields.iter().collect();
@@ -63,3 +61,41 @@
         other => other.to_string(),
     }
 }
+
+/// Describes a part of the schema on one line; a reference without a text of its own as that which it
+/// refers to.
+pub fn description(part: &'static Value) -> String {
+    let own = part.get("description");
+    let text = own.or_else(|| resolve(part).get("description"));
+    text.and_then(Value::as_str)
+        .unwrap_or_default()
+        .replace('\n', " ")
+}
+
+/// Lists the bounds of a part of the schema in words; empty where it has none.
+pub fn bounds(part: &Value) -> String {
+    let Some(fields) = part.as_object() else {
+        return String::new();
+    };
+    let phrases = [
+        ("minimum", "at least "),
+        ("exclusiveMinimum", "more than "),
+        ("maximum", "at most "),
+        ("minItems", "at least "),
+        ("maxItems", "at most "),
+        ("pattern", "form "),
+    ];
+    let found: Vec<String> = phrases
+        .iter()
+        .filter_map(|(keyword, phrase)| Some(format!("{phrase}{}", bound(fields, keyword)?)))
+        .collect();
+    found.join(", ")
+}
+
+fn bound(fields: &Map<String, Value>, keyword: &str) -> Option<String> {
+    let text = match fields.get(keyword)? {
+        Value::String(pattern) => format!("`{pattern}`"),
+        number => shown(number),
+    };
+    Some(text)
+}
--- a/crates/configuration/tests/faults.rs
+++ b/crates/configuration/tests/faults.rs
@@ -211,3 +211,25 @@
     insta::assert_snapshot!(error);
     insta::assert_json_snapshot!("very_bad_json", error.faults);
 }
+
+// Symptom: every daemon is killed for its use of memory at the same moment.
+// Events: an operator publishes a broken file of the largest size; each daemon checks it.
+// Cause: a list with a fault for every other byte of the file.
+#[test_case("0", "routes"; "wrong_types")]
+#[test_case("{\"name\":\"a\",\"class\":\"normal\"}", "callers"; "names_that_stand_twice")]
+fn parse_many_faults_lists_the_first(item: &str, list: &str) {
+    let items = vec![item; 900_000 / (item.len() + 1)].join(",");
+    let other = if list == "routes" {
+        "callers"
+    } else {
+        "routes"
+    };
+    let text = format!("{{\"{list}\":[{items}],\"{other}\":[]}}");
+    let error = check::parse(text.as_bytes()).expect_err("it has faults");
+    assert_eq!(error.faults.len(), 1_001);
+    let first = error.faults[0].to_string();
+    assert!(
+        first.contains("more faults than the 1000 listed"),
+        "{first}"
+    );
+}
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -1,16 +1,19 @@
 //! The port of the operators.
 
+mod console;
 mod query;
 
 use crate::metrics::Metrics;
 use crate::server::{Handler, Standing};
 use crate::service::Service;
 use bytes::Bytes;
+use console::Console;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use std::sync::Arc;
+use std::time::Duration;
 
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 const JSON_TYPE: &str = "application/json";
@@ -18,14 +21,17 @@
 
 /// The operators' side of the daemon.
 pub(crate) struct Front {
-    /// What knows the state.
-    pub(crate) service: Arc<dyn Service>,
-    /// What the daemon counts.
-    pub(crate) metrics: Arc<Metrics>,
+    service: Arc<dyn Service>,
+    metrics: Arc<Metrics>,
+    console: Console,
 }
 
 impl Handler for Front {
     async fn handle(&self, request: Request<Incoming>, _: Standing) -> Response<Full<Bytes>> {
+        let is_console = [console::PATH, console::DOCUMENT_PATH].contains(&request.uri().path());
+        if is_console && [Method::GET, Method::POST].contains(request.method()) {
+            return self.console.handle(request).await;
+        }
         if request.method() != Method::GET {
             let mut response = text(StatusCode::METHOD_NOT_ALLOWED, "the path takes GET");
             let headers = response.headers_mut();
@@ -46,6 +52,19 @@
 }
 
 impl Front {
+    /// Makes the operators' side. A form's body may take `body_timeout`.
+    pub(crate) fn new(
+        service: Arc<dyn Service>,
+        metrics: Arc<Metrics>,
+        body_timeout: Duration,
+    ) -> Self {
+        Self {
+            console: Console::new(service.clone(), body_timeout),
+            service,
+            metrics,
+        }
+    }
+
     fn metrics(&self) -> Response<Full<Bytes>> {
         match self.metrics.text() {
             Ok(output) => respond(StatusCode::OK, METRICS_TYPE, output),
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -278,7 +278,7 @@
     let metrics = telemetry.metrics.clone();
     let gauge = gauge(&metrics, Side::Operator);
     Server {
-        handler: operator::Front { service, metrics },
+        handler: operator::Front::new(service, metrics, settings.limits.body_timeout()),
         limits: Limits {
             max_connections: OPERATOR_CONNECTIONS,
             ..settings.limits.clone()
--- /dev/null
+++ b/crates/daemon/tests/console.rs
@@ -0,0 +1,420 @@
+//! The console of forms, as a browser meets it.
+
+mod support;
+
+use monsoonring_configuration::{check, schema};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use support::Daemon;
+use support::form::{Form, unescape};
+use support::http::{Response, ask, get, post};
+use support::service::Fake;
+use test_case::test_case;
+
+const FORM_TYPE: &str = "content-type: application/x-www-form-urlencoded";
+const CASES: u32 = 256;
+
+async fn daemon() -> Daemon {
+    Daemon::start(Fake::default(), &[]).await
+}
+
+async fn first_page(operators: SocketAddr) -> Form {
+    Form::of(&ask(operators, &get("/console")).await.body)
+}
+
+/// The draft that a page carries.
+fn draft(page: &Response) -> Value {
+    let form = Form::of(&page.body);
+    let text = form.value("draft").expect("the page has a draft");
+    serde_json::from_str(text).expect("the draft is JSON")
+}
+
+/// A page for a golden file: one tag a line, without the style and the draft.
+fn golden(page: &Response) -> String {
+    let style = page.body.split("<style>").nth(1).unwrap_or_default();
+    let style = style.split("</style>").next().unwrap_or_default();
+    let text = page.body.replace(style, "");
+    let lines = text.replace('<', "\n<");
+    let is_kept = |line: &&str| {
+        let closes = line.starts_with("</") && line.ends_with('>');
+        !line.is_empty() && !closes && !line.contains("name=\"draft\"")
+    };
+    let lines: Vec<&str> = lines.lines().filter(is_kept).collect();
+    lines.join("\n")
+}
+
+#[tokio::test]
+async fn console_session_ends_in_a_valid_document() {
+    let daemon = daemon().await;
+    let operators = daemon.operators;
+    let start = ask(operators, &get("/console")).await;
+    insta::assert_snapshot!("session_1_overview", golden(&start));
+    let route = Form::of(&start.body)
+        .press(operators, "open:/routes/0")
+        .await;
+    insta::assert_snapshot!("session_2_route", golden(&route));
+    let wrong = Form::of(&route.body)
+        .with("/routes/0/deadline_ms", "soon")
+        .with("/routes/0/groups/0/keys/end", "50")
+        .press(operators, "check")
+        .await;
+    insta::assert_snapshot!("session_3_faults", golden(&wrong));
+    let added = Form::of(&wrong.body)
+        .with("/routes/0/deadline_ms", "30000")
+        .press(operators, "add:/routes/0/groups")
+        .await;
+    let mended = Form::of(&added.body)
+        .with("/routes/0/groups/1/name", "b")
+        .with("/routes/0/groups/1/keys/end", "100")
+        .with(
+            "/routes/0/groups/1/backend_servers",
+            "127.0.0.1:7001\r\n127.0.0.1:7002",
+        )
+        .press(operators, "open:")
+        .await;
+    insta::assert_snapshot!("session_4_change", golden(&mended));
+    let file = Form::of(&mended.body)
+        .send(operators, "/console/document")
+        .await;
+    assert_eq!(file.header("content-type"), Some("application/json"));
+    assert!(
+        file.header("content-disposition")
+            .is_some_and(|value| value.starts_with("attachment"))
+    );
+    let document = check::parse(file.body.as_bytes()).expect("the document is valid");
+    assert_eq!(document.routes[0].deadline_ms, 30_000);
+    assert_eq!(document.routes[0].groups[1].backend_servers.len(), 2);
+}
+
+#[tokio::test]
+async fn console_every_field_of_the_schema_can_be_filled_in() {
+    let daemon = daemon().await;
+    let start = first_page(daemon.operators).await;
+    for place in ["/callers/0", "/routes/0"] {
+        let page = start
+            .clone()
+            .press(daemon.operators, &format!("open:{place}"))
+            .await;
+        let form = Form::of(&page.body);
+        let definition = if place.starts_with("/routes") {
+            "Route"
+        } else {
+            "Caller"
+        };
+        for field in leaves(&schema::value()["$defs"][definition], place) {
+            assert!(form.value(&field).is_some(), "no input for {field}");
+        }
+    }
+}
+
+/// The pointers of all fields below a place; of lists of objects, those of the first item.
+fn leaves(part: &'static Value, place: &str) -> Vec<String> {
+    let part = schema::resolve(part);
+    if let Some(fields) = part["properties"].as_object() {
+        let below = |(name, field)| leaves(field, &format!("{place}/{name}"));
+        return fields.iter().flat_map(below).collect();
+    }
+    match part.get("items").map(schema::resolve) {
+        Some(items) if items.get("properties").is_some() => leaves(items, &format!("{place}/0")),
+        _ => vec![place.to_owned()],
+    }
+}
+
+#[test_case("/routes/0/name", "a b", "has the wrong form"; "name")]
+#[test_case("/routes/0/name", "", "the field is missing"; "missing")]
+#[test_case("/routes/0/deadline_ms", "0", "is too low"; "too_low")]
+#[test_case("/routes/0/deadline_ms", "1.5", "has the wrong type"; "no_whole_number")]
+#[test_case("/routes/0/kind", "delete", "isn't one of the known values"; "unknown_choice")]
+#[test_case("/routes/0/capacity/slots", "", "the field is missing"; "missing_inside")]
+#[test_case("/routes/0/hedge/quantile", "2", "is too high"; "too_high")]
+#[test_case("/routes/0/soft_deadline/coverage", "0.9", "the field is missing"; "half_an_object")]
+#[test_case("/routes/0/callers", "nobody", "there is no caller `nobody`"; "unknown_caller")]
+#[test_case("/routes/0/groups/0/backend_servers", "host:1", "isn't an IP address with a port"; "address")]
+#[test_case("/routes/0/groups/0/keys/end", "99", "no group holds the keys 99..100"; "hole")]
+#[test_case("/routes/0/groups/0/weight", "-1", "is too low"; "weight")]
+#[tokio::test]
+async fn console_fault_is_shown_and_keeps_what_was_typed(field: &str, value: &str, wrong: &str) {
+    let daemon = daemon().await;
+    let start = first_page(daemon.operators).await;
+    let route = start.press(daemon.operators, "open:/routes/0").await;
+    let form = Form::of(&route.body).with(field, value);
+    let page = form.clone().press(daemon.operators, "check").await;
+    assert!(unescape(&page.body).contains(wrong), "{}", page.body);
+    let kept = Form::of(&page.body).0;
+    let kept = kept
+        .iter()
+        .any(|(name, text)| name == field && text == value);
+    assert!(kept, "{}", page.body);
+    let refused = form.send(daemon.operators, "/console/document").await;
+    let kind = refused.header("content-type").unwrap_or_default();
+    assert!(
+        kind.starts_with("text/html"),
+        "a faulty document is never handed out"
+    );
+}
+
+#[test_case("add:/callers", "/callers/3", json!({"class": "normal"}); "add_caller")]
+#[test_case("add:/routes", "/routes/2/groups/0", json!({"backend_servers": [], "keys": {}}); "add_route")]
+#[test_case("add:/routes/0/groups", "/routes/0/groups/1", json!({"backend_servers": [], "keys": {"start": 100}}); "add_group")]
+#[test_case("copy:/routes/1", "/routes/2/kind", json!("execute"); "copy")]
+#[test_case("copy:/routes/1", "/routes/2/name", Value::Null; "copy_has_no_name")]
+#[test_case("remove:/routes/0", "/routes/0/name", json!("tickets"); "remove_route")]
+#[test_case("remove:/routes/0/groups/0", "/routes/0/groups", json!([]); "remove_group")]
+#[test_case("remove:/callers/0", "/routes/0/callers", json!(["clerk"]); "remove_caller")]
+#[test_case("remove:/callers", "/callers", Value::Null; "remove_field")]
+#[test_case("remove:/callers/9", "/callers/0/name", json!("dispatch"); "remove_nothing")]
+#[test_case("copy:", "/callers/0/name", json!("dispatch"); "copy_document")]
+#[test_case("add:/elsewhere", "/elsewhere", Value::Null; "add_elsewhere")]
+#[test_case("add:/routes/7/groups", "/routes/7", Value::Null; "add_to_nothing")]
+#[test_case("open:/routes/7", "/routes/1/name", json!("tickets"); "open_nothing")]
+#[tokio::test]
+async fn console_button_edits_the_draft(button: &str, place: &str, expected: Value) {
+    let daemon = daemon().await;
+    let start = first_page(daemon.operators).await;
+    let page = start.press(daemon.operators, button).await;
+    let draft = draft(&page);
+    let found = draft.pointer(place).cloned().unwrap_or_default();
+    assert_eq!(found, expected, "{draft}");
+}
+
+#[tokio::test]
+async fn console_renamed_caller_keeps_its_routes() {
+    let daemon = daemon().await;
+    let start = first_page(daemon.operators).await;
+    let caller = start.press(daemon.operators, "open:/callers/0").await;
+    let form = Form::of(&caller.body).with("/callers/0/name", "dispatchers");
+    let page = form.press(daemon.operators, "open:").await;
+    assert_eq!(
+        draft(&page)["routes"][0]["callers"],
+        json!(["dispatchers", "clerk"])
+    );
+}
+
+#[tokio::test]
+async fn console_no_box_ticked_closes_the_route() {
+    let daemon = daemon().await;
+    let start = first_page(daemon.operators).await;
+    let route = start.press(daemon.operators, "open:/routes/0").await;
+    let form = Form::of(&route.body).with("/routes/0/callers", "");
+    let page = form.press(daemon.operators, "open:").await;
+    assert_eq!(draft(&page)["routes"][0]["callers"], json!([]));
+    assert!(
+        page.body.contains("caller dispatch loses hydrants"),
+        "{}",
+        page.body
+    );
+}
+
+#[tokio::test]
+async fn console_newer_revision_in_force_is_told() {
+    // Symptom: a change that another operator published is undone, and nobody meant it.
+    // Events: two operators start from one revision, and publish one after the other.
+    // Cause: the second draft still holds what the first has changed.
+    let daemon = daemon().await;
+    let start = first_page(daemon.operators).await.with("revision", "41");
+    let page = start.press(daemon.operators, "check").await;
+    let told = "Revision 42 has come into force since this draft was begun from revision 41";
+    assert!(page.body.contains(told), "{}", page.body);
+}
+
+#[tokio::test]
+async fn console_before_the_first_configuration_starts_empty() {
+    let fake = Fake {
+        configuration: None,
+        ..Fake::default()
+    };
+    let daemon = Daemon::start(fake, &[]).await;
+    let page = ask(daemon.operators, &get("/console")).await;
+    assert!(page.body.contains("nothing is in force here yet"));
+    assert!(page.body.contains("not ready (no configuration)"));
+    assert_eq!(draft(&page), json!({"callers": [], "routes": []}));
+}
+
+#[test_case("{\"callers\": [", "it isn't JSON", "{\"callers\": ["; "broken")]
+#[test_case("", "it isn't JSON", ""; "empty")]
+#[test_case("{\"callers\":[],\"callers\":[],\"routes\":[]}", "the same name it has kept the last", ""; "field_twice")]
+#[test_case("{\"callers\":[],\"routes\":[],\"colour\":1}", "there is no field of this name", ""; "unknown_field")]
+#[test_case("[]", "has the wrong type", ""; "no_object")]
+#[test_case("{\"callers\":{},\"routes\":[3]}", "has the wrong type", ""; "wrong_types")]
+#[tokio::test]
+async fn console_pasted_text_shows_its_faults(text: &str, told: &str, kept: &str) {
+    let daemon = daemon().await;
+    let form = Form::default().with("draft", text);
+    let page = form.press(daemon.operators, "load").await;
+    assert_eq!(page.status, 200);
+    let shown = unescape(&page.body);
+    assert!(shown.contains(told) && shown.contains(kept), "{shown}");
+}
+
+#[tokio::test]
+async fn console_text_of_a_draft_is_escaped() {
+    // Symptom: a document that somebody sent acts in the operator's browser.
+    // Events: an operator pastes it to look at it.
+    // Cause: names go into the page as they are.
+    let daemon = daemon().await;
+    let evil = "\"><script>alert(1)</script>";
+    let text = json!({
+        "callers": [{"name": evil, "class": evil}],
+        "routes": [{"name": evil, evil: evil, "callers": [evil], "groups": [{"name": evil}]}],
+        evil: evil,
+    });
+    let text = text.to_string();
+    for button in ["load", "open:/callers/0", "open:/routes/0"] {
+        let form = Form::default().with("draft", &text);
+        let page = form.press(daemon.operators, button).await;
+        assert_eq!(page.status, 200);
+        assert!(!page.body.contains("<script"), "{button}: {}", page.body);
+        let policy = page.header("content-security-policy").unwrap_or_default();
+        assert!(policy.contains("default-src 'none'"), "{policy}");
+    }
+}
+
+#[test_case("/console", &["content-type: application/json"], "{}", 415; "no_form")]
+#[test_case("/console", &[], "a=b", 415; "no_type")]
+#[test_case("/console", &[FORM_TYPE, "sec-fetch-site: cross-site"], "draft={}", 403; "other_site")]
+#[test_case("/console", &[FORM_TYPE, "sec-fetch-site: same-origin"], "draft={}", 200; "same_site")]
+#[test_case("/metrics", &[FORM_TYPE], "a=b", 405; "no_console")]
+#[tokio::test]
+async fn console_post(path: &str, headers: &[&str], body: &str, status: u16) {
+    let daemon = daemon().await;
+    let response = ask(daemon.operators, &post(path, headers, body)).await;
+    assert_eq!(response.status, status, "{}", response.body);
+}
+
+#[tokio::test]
+async fn console_document_is_only_sent_for_a_form() {
+    let daemon = daemon().await;
+    let response = ask(daemon.operators, &get("/console/document")).await;
+    assert_eq!(response.status, 405);
+}
+
+#[tokio::test]
+async fn console_form_too_large_is_refused() {
+    // Symptom: the daemon is killed for its use of memory while it serves few queries.
+    // Events: a script sends the console a form without end, or one of many small fields.
+    // Cause: a form is kept whole until it ends.
+    let daemon = daemon().await;
+    let large = post("/console", &[FORM_TYPE], &"a".repeat(4_000_001));
+    assert_eq!(ask(daemon.operators, &large).await.status, 413);
+    let many = post("/console", &[FORM_TYPE], &"a=&".repeat(50_001));
+    assert_eq!(ask(daemon.operators, &many).await.status, 413);
+    assert_eq!(ask(daemon.operators, &get("/console")).await.status, 200);
+}
+
+/// A piece of JSON that is somewhat like a document.
+fn odd_value() -> impl Strategy<Value = Value> {
+    let names = [
+        "callers", "routes", "groups", "name", "keys", "start", "end", "hedge", "capacity", "~/",
+        "",
+    ];
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "\\PC{0,8}".prop_map(Value::from),
+        Just(json!("127.0.0.1:7000")),
+    ];
+    leaf.prop_recursive(6, 48, 6, move |inner| {
+        let fields =
+            prop::collection::btree_map(prop::sample::select(names.to_vec()), inner.clone(), 0..6);
+        prop_oneof![
+            prop::collection::vec(inner, 0..6).prop_map(Value::from),
+            fields.prop_map(|fields| {
+                fields
+                    .into_iter()
+                    .map(|(name, value)| (name.to_owned(), value))
+                    .collect()
+            }),
+        ]
+    })
+}
+
+fn odd_pointer() -> impl Strategy<Value = String> {
+    let segments = [
+        "callers",
+        "routes",
+        "groups",
+        "name",
+        "keys",
+        "start",
+        "hedge",
+        "backend_servers",
+        "0",
+        "1",
+        "18446744073709551616",
+        "-1",
+        "~2",
+        "",
+    ];
+    let segments = prop::collection::vec(prop::sample::select(segments.to_vec()), 0..6);
+    let odd = segments.prop_map(|segments| {
+        segments
+            .iter()
+            .map(|segment| format!("/{segment}"))
+            .collect()
+    });
+    let likely = [
+        "/callers",
+        "/callers/0",
+        "/callers/1",
+        "/callers/0/name",
+        "/routes",
+        "/routes/0",
+        "/routes/1",
+        "/routes/0/groups",
+        "/routes/0/groups/0",
+        "/routes/0/groups/1",
+        "/routes/0/groups/0/keys",
+        "/routes/0/hedge/quantile",
+        "/routes/0/callers",
+    ];
+    let likely = prop::sample::select(likely.to_vec()).prop_map(str::to_owned);
+    prop_oneof![odd, likely]
+}
+
+fn odd_form() -> impl Strategy<Value = Form> {
+    let verb = prop::sample::select(vec![
+        "open:", "add:", "copy:", "remove:", "check", "load", ":",
+    ]);
+    let field = (odd_pointer(), "\\PC{0,12}");
+    let fields = prop::collection::vec(field, 0..8);
+    let known = prop::sample::select(vec![
+        Value::Null,
+        json!({"callers": [{}], "routes": [{"groups": [{}]}]}),
+    ]);
+    let draft = prop_oneof![odd_value(), known];
+    (draft, odd_pointer(), verb, odd_pointer(), fields).prop_map(
+        |(draft, part, verb, at, fields)| {
+            Form(fields)
+                .with("draft", &draft.to_string())
+                .with("part", &part)
+                .with("do", &format!("{verb}{at}"))
+        },
+    )
+}
+
+#[test]
+fn console_form_of_any_kind_is_answered() {
+    // Symptom: an operator sees "the page could not be made", or nothing at all.
+    // Events: a form whose draft, fields and buttons don't fit together.
+    // Cause: a panic on a place that isn't there, or that holds something else than expected.
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let daemon = runtime.block_on(daemon());
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let seeded = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(config, seeded);
+    let result = runner.run(&odd_form(), |form| {
+        let page = runtime.block_on(form.send(daemon.operators, "/console"));
+        prop_assert_eq!(page.status, 200, "{}", page.body);
+        prop_assert!(page.body.ends_with("</html>"));
+        Ok(())
+    });
+    assert_eq!(result, Ok(()));
+}
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub(crate) mod form;
 pub(crate) mod http;
 pub(crate) mod service;
 
--- a/crates/daemon/tests/support/service.rs
+++ b/crates/daemon/tests/support/service.rs
@@ -200,5 +200,6 @@
         ],
         "routes": [route("hydrants", "search"), route("tickets", "execute")],
     });
-    serde_json::from_value(document).expect("the document is right")
+    let text = document.to_string();
+    monsoonring_configuration::check::parse(text.as_bytes()).expect("the document is right")
 }
