Report attempts put on a connection that is just ending as not sent

Cause: after its last reply a connection's task ended without looking into its queue. The home puts the next attempt there as soon as it sees the reply; the attempt was then reported by Closed only, which reads as lost: a request that never left ended as unknown, with crash evidence against a healthy server. Weighed: refusing in the controller, which cannot know; dropping the queue first and reporting after, which leaves the same gap. Change: each end of the task closes its queue and waits until all that got in is reported as not sent (recv after close, since try_recv may miss one that is being put in). The select of exchange and driver looks at the exchange first.

--- a/crates/daemon/src/backend/connection.rs
+++ b/crates/daemon/src/backend/connection.rs
@@ -1,5 +1,8 @@
 //! One connection to a backend server.
 
+#[cfg(test)]
+mod tests;
+
 use super::codec::{self, Answer};
 use crate::clock::Clock;
 use bytes::Bytes;
@@ -11,6 +14,7 @@
 use monsoonring_decision::home::Event;
 use monsoonring_decision::home::action::Send;
 use snafu::{ResultExt, Snafu};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -46,7 +50,7 @@
 pub(crate) type Report = mpsc::UnboundedSender<Event>;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
-type Driver = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+type Driver<T> = http1::Connection<TokioIo<T>, Full<Bytes>>;
 
 /// Handle of a connection's task. Dropping it closes the connection at once.
 #[derive(Debug)]
@@ -91,7 +95,7 @@
     }
 }
 
-async fn open(backend_server: BackendServerId) -> Result<(Sender, Driver)> {
+async fn open(backend_server: BackendServerId) -> Result<(Sender, Driver<TcpStream>)> {
     let stream = TcpStream::connect(backend_server).await;
     let stream = stream.context(ConnectSnafu { backend_server })?;
     stream
@@ -101,10 +105,11 @@
     opened.context(HandshakeSnafu { backend_server })
 }
 
-/// Carries out one attempt after the other until the connection ends.
-async fn serve(
+/// Carries out one attempt after the other until the connection ends. An attempt that was put on it
+/// after that is reported as not sent.
+async fn serve<T: AsyncRead + AsyncWrite + Unpin>(
     mut sender: Sender,
-    driver: Driver,
+    driver: Driver<T>,
     mut queue: mpsc::Receiver<Job>,
     clock: Clock,
     report: &Report,
@@ -113,7 +118,7 @@
     loop {
         let job = tokio::select! {
             biased;
-            _ = &mut driver => return refuse(&mut queue, report),
+            _ = &mut driver => break,
             job = queue.recv() => job,
         };
         let Some(job) = job else { return };
@@ -121,6 +126,7 @@
         let exchange = exchange(&mut sender, &job, clock);
         tokio::pin!(exchange);
         let (answer, open) = tokio::select! {
+            biased;
             answer = &mut exchange => (answer, true),
             // The driver ends with the connection; the exchange then ends by itself, and knows
             // better how far the request got.
@@ -129,15 +135,20 @@
         let reusable = open && is_reusable(&answer);
         let _ = report.send(event(attempt, answer));
         if !reusable {
-            return;
+            break;
         }
     }
+    refuse(&mut queue, report).await;
 }
 
 /// Reports attempts that were put on a connection which had ended: none of their bytes left.
-fn refuse(queue: &mut mpsc::Receiver<Job>, report: &Report) {
+///
+/// The home puts the next attempt on a connection as soon as it sees the reply, which may be before
+/// the connection has come to its end here. Without this, such an attempt would only be seen as
+/// lost: a repair ticket that never left would end as unknown, and the server be taken for crashed.
+async fn refuse(queue: &mut mpsc::Receiver<Job>, report: &Report) {
     queue.close();
-    while let Ok(job) = queue.try_recv() {
+    while let Some(job) = queue.recv().await {
         let _ = report.send(Event::Failed(job.attempt, Failure::NotSent));
     }
 }
--- /dev/null
+++ b/crates/daemon/src/backend/connection/tests.rs
@@ -0,0 +1,125 @@
+//! What is reported of an attempt on a connection that ends.
+
+use super::{Event, Failure, Job, QUEUED_JOBS, serve};
+use crate::clock::Clock;
+use bytes::Bytes;
+use futures::FutureExt;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use std::io::Result;
+use std::pin::{Pin, pin};
+use std::task::{Context, Poll, Waker};
+use std::time::Duration;
+use test_case::test_case;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::mpsc;
+
+const ATTEMPT: u64 = 7;
+
+/// More polls than a connection needs to end.
+const POLLS: usize = 100;
+
+/// A reply after which the server closes the connection.
+const LAST_REPLY: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// A stream that takes all that is written; at the given read `last` arrives, and then the end.
+struct Closing {
+    reads_left: usize,
+    last: &'static [u8],
+}
+
+impl AsyncRead for Closing {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        self.reads_left = self.reads_left.saturating_sub(1);
+        if self.reads_left > 0 {
+            return Poll::Pending;
+        }
+        buffer.put_slice(std::mem::take(&mut self.last));
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Closing {
+    fn poll_write(self: Pin<&mut Self>, _: &mut Context<'_>, bytes: &[u8]) -> Poll<Result<usize>> {
+        Poll::Ready(Ok(bytes.len()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+}
+
+fn job(attempt: u64) -> Job {
+    Job {
+        attempt,
+        connection: 1,
+        backend_server: ([127, 0, 0, 1], 9000).into(),
+        request: 1,
+        ranges: Vec::new(),
+        index_version: None,
+        deadline: Duration::from_secs(3600),
+        body: "{}".into(),
+        execute_key: None,
+    }
+}
+
+/// Serves a connection until it ends, and returns what was reported.
+fn ended(stream: Closing, after: Option<Job>) -> Vec<Event> {
+    let opening = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream));
+    let (sender, driver) = opening.now_or_never().expect("no wait").expect("opened");
+    let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
+    let (report, mut reports) = mpsc::unbounded_channel();
+    jobs.try_send(job(ATTEMPT)).expect("an empty queue");
+    let mut serving = pin!(serve(sender, driver, queue, Clock::start(), &report));
+    let mut context = Context::from_waker(Waker::noop());
+    let mut is_over = serving.as_mut().poll(&mut context).is_ready();
+    if let Some(job) = after {
+        jobs.try_send(job).expect("the first attempt was taken");
+    }
+    for _ in 0..POLLS {
+        is_over = is_over || serving.as_mut().poll(&mut context).is_ready();
+    }
+    assert!(is_over, "the connection is still held");
+    std::iter::from_fn(|| reports.try_recv().ok()).collect()
+}
+
+// Symptom: a request is told to be lost or unknown although it never left, or "not run" although it
+// may have run.
+// Events: a backend server ends a connection just as an attempt is put on it.
+// Cause: the end of the connection is seen before, while, or after the attempt is written.
+#[test_case(1, &Failure::NotSent; "before the attempt is taken")]
+#[test_case(2, &Failure::NotSent; "while the attempt is handed over")]
+#[test_case(3, &Failure::Lost; "after the attempt has left")]
+fn serve_connection_ends_reports_attempt(reads: usize, expected: &Failure) {
+    let stream = Closing {
+        reads_left: reads,
+        last: &[],
+    };
+    let failed = Event::Failed(ATTEMPT, expected.clone());
+    assert_eq!(ended(stream, None), [failed]);
+}
+
+// Symptom: a repair ticket ends as unknown, and its server counts as crashed, although the server
+// is well and never saw the ticket.
+// Events: a reply arrives that is the last of its connection; the home sees it and puts the next
+// attempt on the connection, whose task is just ending.
+// Cause: the task ended without looking into its queue again.
+#[test]
+fn serve_attempt_after_last_reply_is_not_sent() {
+    let stream = Closing {
+        reads_left: 3,
+        last: LAST_REPLY,
+    };
+    let reports = ended(stream, Some(job(ATTEMPT + 1)));
+    let not_sent = Event::Failed(ATTEMPT + 1, Failure::NotSent);
+    assert_eq!(reports.last(), Some(&not_sent), "{reports:?}");
+}
