Start a daemon of an experiment again where its port was taken

Cause: a process can't tell its ports, so free ones are found and let go before it listens. The daemon ended at once, and the deployment waited READY_BOUND (20 s) for it: it was no query that hung. Weighed: ports outside the range of outgoing connections (still races with other test processes); descriptors handed over (the daemon takes addresses). Change: a process is waited for until it serves operators under its own peer address; one that ended is started again on other ports, 5 times at most. Noticed: two daemons that start at the same time now and then both find nobody to copy members from for 10 s ('alone'); left to the members' code.

--- a/crates/experiment/src/deployment/mod.rs
+++ b/crates/experiment/src/deployment/mod.rs
@@ -22,6 +22,8 @@
 /// Time in which a daemon has to be ready.
 const READY_BOUND: Duration = Duration::from_secs(20);
 const READY_POLL: Duration = Duration::from_millis(20);
+/// Starts of a daemon, each on other ports, before it is given up.
+const STARTS: usize = 5;
 /// Secret that the daemons of an experiment share; it protects nothing.
 const KEY: &str = "5f1d0c7a93b24e6880aa41c3e97f2b6d5f1d0c7a93b24e6880aa41c3e97f2b6d";
 /// Data centres, given to the daemons in turn.
@@ -178,14 +180,7 @@
     }
 
     async fn add(&mut self, setup: &Setup, data_centre: &str) -> Result<()> {
-        let addresses = match setup.launch {
-            Launch::Threads => Addresses::any(),
-            Launch::Processes(_) => Addresses::reserve().context(PortSnafu)?,
-        };
-        let arguments = self.arguments(&addresses, data_centre, &setup.policy);
-        let daemon = addresses.caller;
-        let started = start(&setup.launch, addresses, arguments).await;
-        let (addresses, life) = started.context(StartSnafu { daemon })?;
+        let (addresses, life) = self.begin(setup, data_centre).await?;
         self.hosts.set(addresses.peer, host_list::State::Live);
         self.daemons.push(Daemon {
             caller: addresses.caller,
@@ -200,6 +195,24 @@
         Ok(())
     }
 
+    /// Starts a daemon, on other ports where one of its ports was taken meanwhile.
+    async fn begin(&self, setup: &Setup, data_centre: &str) -> Result<(Addresses, Life)> {
+        let mut left = STARTS;
+        loop {
+            left -= 1;
+            let addresses = match setup.launch {
+                Launch::Threads => Addresses::any(),
+                Launch::Processes(_) => Addresses::reserve().context(PortSnafu)?,
+            };
+            let arguments = self.arguments(&addresses, data_centre, &setup.policy);
+            let daemon = addresses.caller;
+            match start(&setup.launch, addresses, arguments).await {
+                Err(source) if left > 0 && source.is::<process::Ended>() => {}
+                started => return started.context(StartSnafu { daemon }),
+            }
+        }
+    }
+
     fn arguments(&self, daemon: &Addresses, data_centre: &str, policy: &Policy) -> Vec<String> {
         let flags = [
             ("--listen", daemon.caller.to_string()),
@@ -249,7 +262,8 @@
             Ok((addresses, Life::Thread(thread)))
         }
         Launch::Processes(path) => {
-            let process = Process::spawn(path, arguments)?;
+            let mut process = Process::spawn(path, arguments)?;
+            process.serves(&addresses).await?;
             Ok((addresses, Life::Process(process)))
         }
     }
@@ -267,7 +281,7 @@
     }
 
     /// Free ports for a process, which can't tell them. They are let go before it listens; if another
-    /// program takes one meanwhile, the daemon ends at once and is reported as not ready.
+    /// program takes one meanwhile, the daemon ends at once.
     fn reserve() -> std::io::Result<Self> {
         let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
         let held = [bind()?, bind()?, bind()?];
--- a/crates/experiment/src/deployment/process.rs
+++ b/crates/experiment/src/deployment/process.rs
@@ -1,10 +1,12 @@
 //! A daemon as a process of its own.
 
-use super::KEY;
+use super::{Addresses, KEY, READY_BOUND, READY_POLL};
+use crate::caller::Caller;
 use snafu::{ResultExt, Snafu};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
 
 const KEY_VARIABLE: &str = "MONSOONRING_KEY";
 
@@ -18,6 +20,18 @@
     source: std::io::Error,
 }
 
+/// The process ended before it served.
+#[derive(Debug, Snafu)]
+#[snafu(display("the process ended at once: {status}"))]
+pub(super) struct Ended {
+    status: std::process::ExitStatus,
+}
+
+/// The process neither served nor ended.
+#[derive(Debug, Snafu)]
+#[snafu(display("the process does not serve"))]
+struct Hanging;
+
 /// A running process; killed when dropped.
 #[derive(Debug)]
 pub(super) struct Process {
@@ -38,6 +52,30 @@
         Ok(Self { child })
     }
 
+    /// Waits until the process serves operators, as the member that its addresses say.
+    ///
+    /// A port that was found free may be taken by another program before the process listens on it;
+    /// the process then ends, with [`Ended`]. That some program answers there proves nothing: it may
+    /// be the one that has taken the port.
+    pub(super) async fn serves(&mut self, addresses: &Addresses) -> Result<()> {
+        let caller = Caller::new("experiment".into());
+        let own = addresses.peer.to_string();
+        let serves = async {
+            loop {
+                if let Some(status) = self.child.try_wait()? {
+                    return EndedSnafu { status }.fail()?;
+                }
+                let state = caller.state(addresses.operator).await;
+                if state.is_some_and(|state| state["address"] == own) {
+                    return Ok(());
+                }
+                sleep(READY_POLL).await;
+            }
+        };
+        let served = timeout(READY_BOUND, serves).await;
+        served.unwrap_or_else(|_| Ok(HangingSnafu.fail()?))
+    }
+
     pub(super) fn id(&self) -> Option<u32> {
         self.child.id()
     }
--- a/crates/experiment/tests/deployment.rs
+++ b/crates/experiment/tests/deployment.rs
@@ -43,6 +43,49 @@
     deployment.stop().await;
 }
 
+// Symptom: now and then a test of processes fails after twenty seconds with a daemon that is not
+// ready, although the machine is idle.
+// Events: a port is found free and let go; another program takes it; the daemon cannot listen on
+// it and ends.
+// Cause: nobody looked whether the process still ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn start_after_a_daemon_ended_starts_it_again() {
+    let directory = std::env::temp_dir().join(format!("monsoonring-start-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("a directory");
+    let (script, mark) = (directory.join("daemon"), directory.join("mark"));
+    let daemon = beside_tests("monsoonringd");
+    let text = format!(
+        "#!/bin/sh\n[ -e {0} ] || {{ touch {0}; exit 1; }}\nexec {1} \"$@\"\n",
+        mark.display(),
+        daemon.display()
+    );
+    std::fs::write(&script, text).expect("a script");
+    let may_run = std::os::unix::fs::PermissionsExt::from_mode(0o700);
+    std::fs::set_permissions(&script, may_run).expect("its permissions");
+    let launch = Launch::Processes(script);
+    let deployment = Deployment::start(setup(fleet::gate_desk(), launch)).await;
+    let deployment = deployment.expect("a deployment");
+    assert!(mark.exists());
+    assert_eq!(deployment.daemons.len(), 2);
+    deployment.stop().await;
+    std::fs::remove_dir_all(&directory).expect("the directory goes");
+}
+
+/// Returns the path of a binary of this workspace, built beside this test.
+fn beside_tests(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("a test has a path");
+    let profile = test
+        .ancestors()
+        .nth(2)
+        .expect("a test lies two levels deep");
+    let path = profile.join(name);
+    assert!(
+        path.exists(),
+        "{name} is not built: run `cargo test --workspace`"
+    );
+    path
+}
+
 // Symptom: a run that can never begin takes the whole bound to fail, and doesn't say why.
 // Events: the binary of the daemon isn't there.
 // Cause: a wrong path.
