Pass a search to another home while the first is silent, and never call a lost one unrun

Cause: a search that was passed on and lost (the home died after taking it) ended as not_run, although the home may have run it; and a search to a home that hangs waited for its deadline, as members need seconds to notice. Weighed: a hedge by time alone, which would double 160 sub-queries for every slow search just when there is overload. Change: the daemon that took the search counts 'lost' apart from 'declined', and starts a second home only if the first has answered nothing at all for a quarter of the remaining time. Homes are kept with their data centres, so that a search looks through its homes and not through all members.

--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -49,6 +49,21 @@
         self.view.borrow().clone()
     }
 
+    /// Returns why no new work may be taken, if that is so.
+    pub(crate) fn ready(&self) -> Result<(), &'static str> {
+        self.view.borrow().ready()
+    }
+
+    /// Tells whether a member is suspected of being dead.
+    pub(crate) fn is_suspect(&self, member: MemberId) -> bool {
+        self.view.borrow().suspects.contains(&member)
+    }
+
+    /// Returns the version of the configuration in force.
+    pub(crate) fn version(&self) -> Option<Version> {
+        self.view.borrow().version
+    }
+
     /// Returns the channel on which each change of the view shows.
     pub(crate) fn changes(&self) -> watch::Receiver<View> {
         self.view.clone()
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Returns a member that serves.
+    pub(crate) fn member(&self, id: MemberId) -> Option<Member> {
+        self.members.iter().find(|member| member.id == id).cloned()
+    }
+
     /// Tells whether the two say the same. Compares what identifies the large parts, not the parts.
     pub(super) fn is_same(&self, other: &Self) -> bool {
         self.version == other.version
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -71,7 +71,7 @@
 
 impl Node {
     pub(super) async fn mint_call(&self, call: Call) -> Result<String, Outcome> {
-        if self.control.view().ready().is_err() {
+        if self.control.ready().is_err() {
             return Err(unavailable());
         }
         let entry = self.routes.get(&call.route.name).ok_or_else(unavailable)?;
@@ -199,7 +199,7 @@
     async fn run(self: &Arc<Self>, permit: Permit<Unsent>, call: Call, key: &Key) -> Outcome {
         // A process that was paused, or has just started, may hold old facts: whom to send to, which
         // servers are leaving. The key is recorded as not run, so that this stays true.
-        if self.control.view().ready().is_err() {
+        if self.control.ready().is_err() {
             return self.conclude(Run::Unsent(permit), unavailable());
         }
         let (run, may) = Run::Unsent(permit).sent(self.clock.now());
@@ -359,7 +359,9 @@
     /// Members to be asked: homes of the route first, since they are who issues keys.
     fn asked(&self, call: &Call) -> Vec<MemberId> {
         let entry = self.routes.get(&call.route.name);
-        let mut asked: Vec<MemberId> = entry.map(|entry| entry.homes.to_vec()).unwrap_or_default();
+        let mut asked: Vec<MemberId> = entry
+            .map(|entry| entry.homes.iter().map(|home| home.id).collect())
+            .unwrap_or_default();
         let view = self.control.view();
         let others: Vec<_> = view.members.iter().map(|member| member.id).collect();
         asked.extend(
--- a/crates/daemon/src/node/hop.rs
+++ b/crates/daemon/src/node/hop.rs
@@ -19,6 +19,8 @@
 struct Seen {
     outstanding: u32,
     silent_since: Option<Instant>,
+    /// When it last answered anything.
+    heard: Option<Instant>,
 }
 
 /// What this daemon has seen of all members.
@@ -52,6 +54,12 @@
         }
     }
 
+    /// Tells whether a member has answered nothing since a point in time.
+    pub(super) fn is_silent(&self, member: MemberId, since: Instant) -> bool {
+        let heard = self.lock().get(&member).and_then(|seen| seen.heard);
+        heard.is_none_or(|heard| heard < since)
+    }
+
     /// Forgets members that are gone.
     pub(super) fn retain(&self, keep: impl Fn(&MemberId) -> bool) {
         self.lock()
@@ -85,7 +93,10 @@
         };
         seen.outstanding = seen.outstanding.saturating_sub(1);
         match self.answered {
-            Some(true) => seen.silent_since = None,
+            Some(true) => {
+                seen.silent_since = None;
+                seen.heard = Some(Instant::now());
+            }
             Some(false) => seen.silent_since = Some(Instant::now()),
             // The caller went away first; that says nothing of the member.
             None => {}
--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -6,7 +6,7 @@
 use monsoonring_configuration::id::RouteId;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::member::MemberId;
-use monsoonring_decision::placement;
+use monsoonring_decision::placement::{self, Member};
 use slog::{Logger, info};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,7 +17,7 @@
     /// Its configuration.
     pub(super) route: Arc<Route>,
     /// Its homes, best first.
-    pub(super) homes: Arc<[MemberId]>,
+    pub(super) homes: Arc<[Member]>,
     /// Its task, if this daemon is a home.
     pub(super) handle: Option<Handle>,
 }
@@ -86,8 +86,12 @@
 
     fn follow(&self, route: &Arc<Route>, old: Option<Entry>, view: &View) -> Entry {
         let count = placement::homes(&route.capacity, route.groups.len(), view.members.len());
-        let homes: Arc<[MemberId]> = placement::select(&route.name, &view.members, count).into();
+        let homes = placement::select(&route.name, &view.members, count);
         let is_home = homes.contains(&self.own);
+        let homes: Arc<[Member]> = homes
+            .into_iter()
+            .filter_map(|home| view.member(home))
+            .collect();
         let handle = match old {
             Some(Entry {
                 handle: Some(handle),
--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -4,19 +4,28 @@
 use super::hop::context;
 use super::routes::Entry;
 use crate::service::Call;
+use futures::stream::{FuturesUnordered, StreamExt};
+use monsoonring_decision::RequestId;
 use monsoonring_decision::home::event;
 use monsoonring_decision::member::MemberId;
 use monsoonring_decision::outcome::{Outcome, Reason};
 use monsoonring_decision::placement;
 use monsoonring_wire::message::{Declined, Request};
 use slog::info;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::time::sleep;
 
 /// Homes that a search is brought to at most. It is idempotent, so that a home that failed may be
 /// followed by another; more than this would make a storm of an outage.
 const MAX_HOPS: usize = 3;
 
+/// The part of the remaining time after which a home that has said nothing at all counts as silent: a
+/// frozen process or a cut that the members have not noticed yet. A home that answers others in the
+/// meantime is only busy, and a second one would double its work for nothing.
+const PATIENCE_DIVISOR: f64 = 4.0;
+
 /// When to come back where no home could be reached: about the time that members need to find out.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -28,58 +37,155 @@
     }
 }
 
+/// How far a search got at one home.
+enum Reached {
+    /// The home told how it ended.
+    Ended(Outcome),
+    /// The home did not take it.
+    Declined,
+    /// The home may have run it; its answer did not arrive.
+    Lost,
+}
+
+/// A search on its way to one or more homes.
+struct Search<'a> {
+    node: &'a Node,
+    entry: &'a Entry,
+    call: &'a Call,
+    tried: Vec<MemberId>,
+    /// Whether a home may have run it.
+    reached: bool,
+}
+
+impl Search<'_> {
+    /// Brings the search to one home after the other until one of them tells how it ended.
+    async fn run(mut self) -> Outcome {
+        let mut running = FuturesUnordered::new();
+        while let Some(home) = self.next() {
+            running.push(self.node.search_at(home, self.entry, self.call));
+            if let Some(outcome) = self.wait(home, &mut running).await {
+                return outcome;
+            }
+        }
+        while let Some(reached) = running.next().await {
+            if let Some(outcome) = self.note(reached) {
+                return outcome;
+            }
+        }
+        self.given_up()
+    }
+
+    fn next(&mut self) -> Option<MemberId> {
+        let in_time = Instant::now() < self.call.deadline;
+        if self.tried.len() == MAX_HOPS || !in_time {
+            return None;
+        }
+        let home = self
+            .node
+            .choose(self.entry, self.call.request, &self.tried)?;
+        self.tried.push(home);
+        Some(home)
+    }
+
+    /// Waits for an outcome; returns without one where another home should be tried.
+    async fn wait<F: Future<Output = Reached>>(
+        &mut self,
+        home: MemberId,
+        running: &mut FuturesUnordered<F>,
+    ) -> Option<Outcome> {
+        let since = Instant::now();
+        let remaining = self.call.deadline.saturating_duration_since(since);
+        let mut patience = pin!(sleep(remaining.div_f64(PATIENCE_DIVISOR)));
+        let mut patient = home != self.node.own.id;
+        loop {
+            tokio::select! {
+                reached = running.next() => {
+                    let reached = reached?;
+                    let outcome = self.note(reached);
+                    if outcome.is_some() || running.is_empty() {
+                        return outcome;
+                    }
+                }
+                () = &mut patience, if patient => {
+                    patient = false;
+                    if self.node.hops.is_silent(home, since) {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn note(&mut self, reached: Reached) -> Option<Outcome> {
+        match reached {
+            Reached::Ended(outcome) => return Some(outcome),
+            Reached::Declined => {}
+            Reached::Lost => self.reached = true,
+        }
+        None
+    }
+
+    /// "Not run" only where no home can have run it.
+    fn given_up(&self) -> Outcome {
+        let reason = match Instant::now() < self.call.deadline {
+            true => Reason::Unavailable,
+            false => Reason::Deadline,
+        };
+        let retry_after = Some(RETRY_AFTER);
+        match self.reached {
+            true => Outcome::Failed {
+                reason,
+                retry_after,
+            },
+            false => Outcome::NotRun {
+                reason,
+                retry_after,
+            },
+        }
+    }
+}
+
 impl Node {
     pub(super) async fn search_call(&self, call: Call) -> Outcome {
-        if self.control.view().ready().is_err() {
+        if self.control.ready().is_err() {
             return unavailable();
         }
         let Some(entry) = self.routes.get(&call.route.name) else {
             return unavailable();
         };
-        let mut tried = Vec::new();
-        while tried.len() < MAX_HOPS && Instant::now() < call.deadline {
-            let Some(home) = self.choose(&entry, call.request, &tried) else {
-                break;
-            };
-            if let Some(outcome) = self.search_at(home, &entry, &call).await {
-                return outcome;
-            }
-            tried.push(home);
-        }
-        match Instant::now() < call.deadline {
-            true => unavailable(),
-            false => Outcome::Failed {
-                reason: Reason::Deadline,
-                retry_after: Some(RETRY_AFTER),
-            },
-        }
+        let search = Search {
+            node: self,
+            entry: &entry,
+            call: &call,
+            tried: Vec::new(),
+            reached: false,
+        };
+        search.run().await
     }
 
     /// Chooses a home among those that were not tried.
     pub(super) fn choose(
         &self,
         entry: &Entry,
-        request: monsoonring_decision::RequestId,
+        request: RequestId,
         tried: &[MemberId],
     ) -> Option<MemberId> {
-        let view = self.control.view();
-        let data_centre = |home: &MemberId| {
-            let member = view.members.iter().find(|member| member.id == *home);
-            member.is_some_and(|member| member.data_centre == self.own.data_centre)
-        };
-        let homes = entry.homes.iter().filter(|home| !tried.contains(home));
+        let homes = entry.homes.iter().filter(|home| !tried.contains(&home.id));
         let standings = homes.map(|home| {
+            let near = home.data_centre == self.own.data_centre;
             self.hops
-                .standing(*home, data_centre(home), view.suspects.contains(home))
+                .standing(home.id, near, self.control.is_suspect(home.id))
         });
         let standings: Vec<_> = standings.collect();
         placement::choose(self.own.id, request, &standings)
     }
 
-    async fn search_at(&self, home: MemberId, entry: &Entry, call: &Call) -> Option<Outcome> {
+    async fn search_at(&self, home: MemberId, entry: &Entry, call: &Call) -> Reached {
         if home == self.own.id {
-            let handle = entry.handle.as_ref()?;
-            return Some(handle.run(self.local(call, None)).await);
+            return match &entry.handle {
+                Some(handle) => Reached::Ended(handle.run(self.local(call, None)).await),
+                None => Reached::Declined,
+            };
         }
         info!(self.log, "decision"; "decision" => "pass on", "route" => &*call.route.name,
             "request" => format!("{:032x}", call.request), "home" => %home,
@@ -87,18 +193,18 @@
         let guard = self.hops.begin(home);
         let Ok(client) = self.peers.client(home).await else {
             guard.answered(false);
-            return None;
+            return Reached::Declined;
         };
         let answer = client
             .search(context(call.deadline), self.passed(call))
             .await;
         guard.answered(answer.is_ok());
         match answer {
-            Ok(Ok(outcome)) => Some(outcome),
-            Ok(Err(Declined::NotHome | Declined::Ledger(_))) => None,
+            Ok(Ok(outcome)) => Reached::Ended(outcome),
+            Ok(Err(Declined::NotHome | Declined::Ledger(_))) => Reached::Declined,
             Err(_) => {
                 self.peers.forget(home);
-                None
+                Reached::Lost
             }
         }
     }
@@ -118,7 +224,7 @@
 
     /// Makes the request as another daemon takes it.
     pub(super) fn passed(&self, call: &Call) -> Request {
-        let version = self.control.view().version;
+        let version = self.control.version();
         Request {
             id: call.request,
             route: call.route.name.clone(),
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -65,8 +65,8 @@
                 Some(handle) => handle.state().await,
                 None => None,
             };
-            routes
-                .push(json!({ "name": &*entry.route.name, "homes": &*entry.homes, "home": home }));
+            let homes: Vec<_> = entry.homes.iter().map(|home| home.id).collect();
+            routes.push(json!({ "name": &*entry.route.name, "homes": homes, "home": home }));
         }
         let ready = self.stopping.ready().and_then(|()| view.ready());
         json!({
--- a/crates/experiment/tests/processes/cluster.rs
+++ b/crates/experiment/tests/processes/cluster.rs
@@ -200,7 +200,7 @@
             .cloned()
             .unwrap_or_default();
         let place_of = |home: &Value| {
-            let is_home = |daemon: &Daemon| *home == Value::from(daemon.id().to_string());
+            let is_home = |daemon: &Daemon| home.as_str() == Some(daemon.id().to_string().as_str());
             self.daemons.iter().position(is_home)
         };
         homes.iter().filter_map(place_of).collect()
