Show the two hops on real processes

With both mechanisms off: search_silent_home_is_answered_by_another failed with left: NotRun right: Complete (deadline passed), search_lost_with_its_homes_is_not_called_unrun with left: NotRun right: Failed.

--- a/crates/experiment/tests/processes/main.rs
+++ b/crates/experiment/tests/processes/main.rs
@@ -12,4 +12,5 @@
 mod cluster;
 mod configuration;
 mod daemon;
+mod hop;
 mod wait;
