Divide the connection limit as placement does, and count the one for control

Cause: two rules stood for the same thing. placement::share halves the limit, so that two sides of a partition fit together, and has the property test; but homes used backend::share, which left a tenth free: two disjoint views could hold 1.8 times the limit. Besides, cancellations and reports opened connections of their own without a bound (40 cancellations at once: the test could not even read the report, as the server's connections were used up). Change: one rule, placement::share, less one connection for control, and calls to one server's endpoints take turns on that one. 'serving peers' is logged after the signals are listened for: process_signal_ends_with_code_0 read it as the first line and failed.

--- a/crates/daemon/src/backend/endpoint.rs
+++ b/crates/daemon/src/backend/endpoint/mod.rs
@@ -1,7 +1,11 @@
 //! What goes to a backend server beside its requests: cancellations, health and load.
 //!
 //! These go over one further connection for each backend server, so that they neither wait behind an
-//! attempt nor take a connection from one.
+//! attempt nor take a connection from one. It is one at most, as placement counts on: calls to a server
+//! wait for each other.
+
+#[cfg(test)]
+mod tests;
 
 use super::codec;
 use bytes::Bytes;
@@ -15,7 +19,10 @@
 use monsoonring_decision::reply::{Load, Report};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
+use tokio::sync::Mutex;
 use tokio::time::timeout;
 
 /// Idle connections kept to one backend server.
@@ -42,10 +49,14 @@
     start: Option<Incarnation>,
 }
 
+/// The turn to call one backend server.
+type Turn = Arc<Mutex<()>>;
+
 /// Client for the endpoints of all backend servers of a route.
 #[derive(Clone, Debug)]
 pub(crate) struct Endpoint {
     client: Client<HttpConnector, Empty<Bytes>>,
+    turns: Arc<std::sync::Mutex<HashMap<BackendServerId, Turn>>>,
 }
 
 impl Endpoint {
@@ -54,7 +65,19 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(IDLE_CONNECTIONS)
             .build_http();
-        Self { client }
+        let turns = Arc::default();
+        Self { client, turns }
+    }
+
+    fn turn(&self, server: BackendServerId) -> Turn {
+        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
+        turns.entry(server).or_default().clone()
+    }
+
+    /// Forgets the servers that are not among these.
+    pub(crate) fn retain(&self, servers: &BTreeSet<BackendServerId>) {
+        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
+        turns.retain(|server, _| servers.contains(server));
     }
 
     /// Asks a backend server to cancel an attempt. Nothing rests on whether that succeeds: the
@@ -92,20 +115,28 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Makes one call, or none if its turn does not come in time: behind a server that hangs, calls
+    /// would otherwise pile up and be made long after they are of use.
     async fn call(&self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
+        let turn = self.turn(server);
+        let exchange = async {
+            let _turn = turn.lock().await;
+            self.exchange(method, server, path).await
+        };
+        timeout(ENDPOINT_TIMEOUT, exchange).await.ok()?
+    }
+
+    async fn exchange(&self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{server}{path}"))
             .body(Empty::new())
             .ok()?;
-        let exchange = async {
-            let response = self.client.request(request).await.ok()?;
-            let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-                .collect()
-                .await
-                .ok()?;
-            Some(body.to_bytes())
-        };
-        timeout(ENDPOINT_TIMEOUT, exchange).await.ok()?
+        let response = self.client.request(request).await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
+            .collect()
+            .await
+            .ok()?;
+        Some(body.to_bytes())
     }
 }
--- a/crates/daemon/src/launch.rs
+++ b/crates/daemon/src/launch.rs
@@ -25,9 +25,15 @@
     let (peers, peer_address) = run::listen(Side::Peer, settings.peer_listen).await?;
     let advertised = settings.advertise.unwrap_or(peer_address);
     let (log, metrics) = (telemetry.log.clone(), telemetry.metrics.clone());
-    info!(log, "serving peers"; "peers" => %peer_address, "advertised" => %advertised);
-    let service = Arc::new(node::start(settings, peers, advertised, log, metrics));
+    let service = Arc::new(node::start(
+        settings,
+        peers,
+        advertised,
+        log.clone(),
+        metrics,
+    ));
     let running = Running::start(settings, service, telemetry).await?;
+    info!(log, "serving peers"; "peers" => %peer_address, "advertised" => %advertised);
     Ok(Launched {
         running,
         peer_address,
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -57,8 +57,9 @@
     let now = settings.clock.now();
     let (home, actions) = Home::new(settings.route.clone(), settings.homes, settings.seed, now);
     let servers = poll::Servers::of(&settings.route);
-    let poller = poll::spawn(servers.clone(), report.clone());
-    let mut controller = Controller::new(settings, home, report, servers);
+    let endpoint = Endpoint::new();
+    let poller = poll::spawn(servers.clone(), endpoint.clone(), report.clone());
+    let mut controller = Controller::new(settings, home, (report, endpoint), servers);
     controller.perform(actions);
     let mut open = true;
     while open || controller.home.in_progress() > 0 {
@@ -103,7 +104,7 @@
     fn new(
         settings: Settings,
         home: Home,
-        report: backend::Report,
+        (report, endpoint): (backend::Report, Endpoint),
         servers: poll::Servers,
     ) -> Self {
         Self {
@@ -115,7 +116,7 @@
             recent: settings.recent,
             route: settings.route.name.clone(),
             report,
-            endpoint: Endpoint::new(),
+            endpoint,
             servers,
             connections: HashMap::new(),
             waiting: HashMap::new(),
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -5,9 +5,8 @@
 use super::leaving::Marks;
 use super::ramp::Ramp;
 use super::server::Server;
-use super::share;
-use crate::Time;
 use crate::attempt::AttemptId;
+use crate::{Time, placement};
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
@@ -160,7 +159,7 @@
     }
 
     pub(super) fn share(&self) -> usize {
-        share::of(self.capacity, self.homes)
+        placement::share(self.capacity.connections, self.homes) as usize
     }
 
     pub(super) fn slots(&self) -> f64 {
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -15,7 +15,6 @@
 mod ramp;
 mod room;
 mod server;
-pub mod share;
 mod snapshot;
 pub mod suspect;
 mod trust;
--- a/crates/decision/src/backend/pool/mod.rs
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -12,9 +12,8 @@
 mod line;
 mod silence;
 
-use super::share;
-use crate::Time;
 use crate::attempt::ConnectionId;
+use crate::{Time, placement};
 use connection::{Connection, State};
 use line::Line;
 use monsoonring_configuration::document::{Capacity, Route};
@@ -66,7 +65,7 @@
             lines: BTreeMap::new(),
             connections: BTreeMap::new(),
             next: first,
-            share: share::of(route.capacity, homes),
+            share: placement::share(route.capacity.connections, homes) as usize,
             capacity: route.capacity,
             homes,
             changed: BTreeSet::new(),
@@ -87,7 +86,7 @@
     /// Takes over the number of homes of the route.
     pub fn set_homes(&mut self, homes: usize, _now: Time) {
         self.homes = homes;
-        self.share = share::of(self.capacity, homes);
+        self.share = placement::share(self.capacity.connections, homes) as usize;
         self.changed.extend(self.lines.keys());
     }
 
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -17,6 +17,10 @@
 /// Views of the members that may be acted on at the same time without exceeding the limit.
 pub const VIEWS: u32 = 2;
 
+/// Connections of a home to each backend server beside those for attempts: the one that reports are
+/// read and attempts are cancelled over, which must not wait behind an attempt.
+pub const CONTROL: u32 = 1;
+
 /// Groups that one home is meant to drive before a route gets more homes.
 pub const GROUPS_PER_HOME: usize = 16;
 
@@ -52,25 +56,29 @@
 ///
 /// With room to spare each home can keep all slots of a backend server busy on its own, so that
 /// the slots are shared well whichever home the work lands on:
-/// `roomy = limit / VIEWS / slots`. A route with many groups gets more homes, down to one
-/// connection each: `wanted = groups / GROUPS_PER_HOME`, at most `limit / VIEWS`. Never more than
-/// [`MAX_HOMES`] or the members; all members when they are few.
+/// `roomy = limit / VIEWS / (slots + CONTROL)`. A route with many groups gets more homes, down to
+/// one connection for attempts each: `wanted = groups / GROUPS_PER_HOME`, at most
+/// `limit / VIEWS / (1 + CONTROL)`. Never more than [`MAX_HOMES`] or the members; all members when
+/// they are few.
 pub fn homes(capacity: &Capacity, groups: usize, members: usize) -> usize {
-    let usable = (capacity.connections / VIEWS).max(1) as usize;
-    let roomy = (usable / capacity.slots.max(1) as usize).max(1);
-    let wanted = groups.div_ceil(GROUPS_PER_HOME).min(usable);
+    let usable = capacity.connections / VIEWS;
+    let most = (usable / (1 + CONTROL)).max(1) as usize;
+    let roomy = (usable / (capacity.slots.max(1) + CONTROL)).max(1) as usize;
+    let wanted = groups.div_ceil(GROUPS_PER_HOME).min(most);
     roomy.max(wanted).min(MAX_HOMES).min(members)
 }
 
-/// Returns the connections that each of `homes` may hold to one backend server.
+/// Returns the connections for attempts that each of `homes` may hold to one backend server, beside
+/// [`CONTROL`] others.
 ///
 /// Bound: homes of one view hold at most `limit / VIEWS` together; hence the sum over any two
 /// views, whatever they differ by, is at most `limit`. With more views at once, any set of
 /// `2 * homes` distinct daemons fits, so views that moved at most `homes` homes in all do. Only a
-/// limit of 1 can't be halved: then the one home has one connection.
+/// limit below `VIEWS * (1 + CONTROL)` can't be shared so: then the one home has one connection for
+/// attempts all the same.
 pub fn share(limit: u32, homes: usize) -> u32 {
     let homes = u32::try_from(homes).unwrap_or(u32::MAX).max(1);
-    (limit / VIEWS / homes).max(1)
+    (limit / VIEWS / homes).saturating_sub(CONTROL).max(1)
 }
 
 /// Returns the homes of a route, best first: `count` members by rendezvous hashing, at most
