--- a/crates/daemon/src/backend/endpoint.rs
+++ b/crates/daemon/src/backend/endpoint.rs
@@ -6,24 +6,28 @@
 use super::codec;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
 use hyper::{Method, Request};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use monsoonring_decision::attempt::AttemptId;
 use monsoonring_decision::reply::{Load, Report};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
-
-/// Idle connections kept to one backend server.
-const IDLE_CONNECTIONS: usize = 1;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Time that an endpoint may take. It misleads or hangs now and then, and nothing waits for it.
 const ENDPOINT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that a call waits for those before it. A cancellation that comes later helps nobody.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Largest body of an endpoint, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -42,21 +46,23 @@
     start: Option<Incarnation>,
 }
 
-/// Client for the endpoints of all backend servers of a route.
-#[derive(Clone, Debug)]
+/// Client for the endpoints of all backend servers of a route; clones share its connections.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Endpoint {
-    client: Client<HttpConnector, Empty<Bytes>>,
+    lines: Arc<Mutex<HashMap<BackendServerId, Line>>>,
 }
 
-impl Endpoint {
-    /// Makes a client without connections.
-    pub(crate) fn new() -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .build_http();
-        Self { client }
-    }
+/// The one connection to a server, `None` where there is none now. Who holds the lock makes a call.
+type Line = Arc<tokio::sync::Mutex<Option<Connection>>>;
+
+/// An open connection; closed when dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    _driver: AbortOnDropHandle<()>,
+}
 
+impl Endpoint {
     /// Asks a backend server to cancel an attempt. Nothing rests on whether that succeeds: the
     /// attempt's own reply tells.
     pub(crate) async fn cancel(&self, backend_server: BackendServerId, attempt: AttemptId) {
@@ -92,20 +98,57 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Makes one call. Calls to one server wait for each other: with a connection for each of them,
+    /// a wave of cancellations would open as many as there are attempts, beyond the server's limit,
+    /// and the server would refuse those that requests need.
     async fn call(&self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
+        let line = self.lines().entry(server).or_default().clone();
+        let mut line = timeout(WAIT_TIMEOUT, line.lock()).await.ok()?;
+        // Taken out meanwhile: a call that fails or is given up closes the connection.
+        let connection = line.take().filter(|open| !open.sender.is_closed());
+        let exchange = async {
+            let mut connection = match connection {
+                Some(connection) => connection,
+                None => Connection::open(server).await?,
+            };
+            let body = connection.call(method, server, path).await?;
+            Some((connection, body))
+        };
+        let (connection, body) = timeout(ENDPOINT_TIMEOUT, exchange).await.ok()??;
+        *line = Some(connection);
+        Some(body)
+    }
+
+    fn lines(&self) -> MutexGuard<'_, HashMap<BackendServerId, Line>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Connection {
+    async fn open(server: BackendServerId) -> Option<Self> {
+        let stream = TcpStream::connect(server).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(async move {
+            // An error ends the connection, which the next call finds closed.
+            let _ = driver.await;
+        });
+        Some(Self {
+            sender,
+            _driver: AbortOnDropHandle::new(driver),
+        })
+    }
+
+    async fn call(&mut self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{server}{path}"))
+            .uri(path)
+            .header(HOST, server.to_string())
             .body(Empty::new())
             .ok()?;
-        let exchange = async {
-            let response = self.client.request(request).await.ok()?;
-            let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-                .collect()
-                .await
-                .ok()?;
-            Some(body.to_bytes())
-        };
-        timeout(ENDPOINT_TIMEOUT, exchange).await.ok()?
+        self.sender.ready().await.ok()?;
+        let response = self.sender.send_request(request).await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
+        Some(body.collect().await.ok()?.to_bytes())
     }
 }
--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -3,6 +3,7 @@
 use super::document::Read;
 use super::handle::{Handle, Input};
 use super::probe::{self, Driver};
+use super::pulse::Pulse;
 use super::view::View;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -61,8 +62,9 @@
 pub(crate) fn spawn(settings: Settings) -> Handle {
     let (inputs, queue) = mpsc::unbounded_channel();
     let (view, receiver) = watch::channel(View::default());
-    let handle = Handle::new(inputs, receiver);
-    let controller = Controller::new(settings, handle.clone(), view);
+    let pulse = Arc::new(Pulse::new(settings.clock, settings.members.pause));
+    let handle = Handle::new(inputs, receiver, pulse.clone());
+    let controller = Controller::new(settings, handle.clone(), view, pulse);
     tokio::spawn(controller.run(queue));
     handle
 }
@@ -80,6 +82,7 @@
     driver: Driver,
     list: platform::List,
     view: watch::Sender<View>,
+    pulse: Arc<Pulse>,
     /// Documents that the holder is deciding on.
     read: BTreeMap<Version, Read>,
     /// The document in force.
@@ -90,7 +93,12 @@
 }
 
 impl Controller {
-    fn new(settings: Settings, handle: Handle, view: watch::Sender<View>) -> Self {
+    fn new(
+        settings: Settings,
+        handle: Handle,
+        view: watch::Sender<View>,
+        pulse: Arc<Pulse>,
+    ) -> Self {
         let now = settings.clock.now();
         let mut rng = ChaCha8Rng::seed_from_u64(settings.seed);
         let holder = Holder::new(now, ChaCha8Rng::from_rng(&mut rng));
@@ -110,6 +118,7 @@
             driver,
             list: settings.list,
             view,
+            pulse,
             read: BTreeMap::new(),
             in_force: None,
             members: Arc::default(),
@@ -155,6 +164,7 @@
                 .list(&self.list, &self.view.borrow(), &self.seeds);
         }
         self.publish();
+        self.pulse.beat();
     }
 
     fn input(&mut self, input: Input) {
@@ -270,6 +280,7 @@
             member::Action::Changed(member, state) => self.changed(member, state),
             member::Action::Paused(gap) => {
                 warn!(self.log, "member"; "what" => "paused", "gap_ms" => gap.as_millis());
+                self.pulse.paused();
                 self.configuration(configuration::Event::Paused);
             }
             member::Action::Leaving => {
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -1,10 +1,12 @@
 //! The other end of the control task's queue.
 
+use super::pulse::Pulse;
 use super::view::View;
 use monsoonring_configuration::id::{BackendServerId, Incarnation};
 use monsoonring_decision::configuration::{Event as ConfigurationEvent, Version};
 use monsoonring_decision::fact;
 use monsoonring_decision::member::{Event as MemberEvent, MemberId, Message, Page, Span};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -37,11 +39,26 @@
 pub(crate) struct Handle {
     inputs: mpsc::UnboundedSender<Input>,
     view: watch::Receiver<View>,
+    pulse: Arc<Pulse>,
 }
 
 impl Handle {
-    pub(crate) fn new(inputs: mpsc::UnboundedSender<Input>, view: watch::Receiver<View>) -> Self {
-        Self { inputs, view }
+    pub(crate) fn new(
+        inputs: mpsc::UnboundedSender<Input>,
+        view: watch::Receiver<View>,
+        pulse: Arc<Pulse>,
+    ) -> Self {
+        Self {
+            inputs,
+            view,
+            pulse,
+        }
+    }
+
+    /// Returns why no new work may be taken, if that is so.
+    pub(crate) fn ready(&self) -> Result<(), &'static str> {
+        self.pulse.ready()?;
+        self.view.borrow().ready()
     }
 
     /// Returns what is known now.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod document;
 mod handle;
 mod probe;
+mod pulse;
 mod view;
 
 pub(crate) use controller::{LEAVING_LIFE, Settings, spawn};
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -70,7 +70,7 @@
 
 impl Node {
     pub(super) async fn mint_call(&self, call: Call) -> Result<String, Outcome> {
-        if self.control.view().ready().is_err() {
+        if self.control.ready().is_err() {
             return Err(unavailable());
         }
         let entry = self.routes.get(&call.route.name).ok_or_else(unavailable)?;
@@ -112,7 +112,7 @@
             }
             .into();
         };
-        if self.control.view().ready().is_err() {
+        if self.control.ready().is_err() {
             return unavailable().into();
         }
         match self.send(call.clone(), key, send, false).await {
@@ -192,6 +192,10 @@
 
     /// Runs a request that the ledger has recorded.
     async fn run(self: &Arc<Self>, permit: Permit<Unsent>, call: Call, key: &Key) -> Outcome {
+        if self.control.ready().is_err() {
+            // A peer passed it on to a daemon that slept; what the ledger knows it may still tell.
+            return self.conclude(Run::Unsent(permit), unavailable());
+        }
         let (run, may) = Run::Unsent(permit).sent(self.clock.now());
         if !may {
             let outcome = Outcome::NotRun {
@@ -262,6 +266,7 @@
 
     /// Runs a request at this home, for the incarnation that holds its permit.
     pub(crate) async fn run_passed(&self, call: Call, key: String) -> Result<Outcome, Declined> {
+        self.rested()?;
         let entry = self.routes.get(&call.route.name).ok_or(Declined::NotHome)?;
         let handle = entry.handle.ok_or(Declined::NotHome)?;
         Ok(handle.run(self.local(&call, Some(key.into()))).await)
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -82,7 +82,7 @@
 
     fn ready(&self) -> Result<(), &'static str> {
         self.0.stopping.ready()?;
-        self.0.control.view().ready()
+        self.0.control.ready()
     }
 
     fn search(&self, call: Call) -> BoxFuture<'_, Outcome> {
--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -30,7 +30,7 @@
 
 impl Node {
     pub(super) async fn search_call(&self, call: Call) -> Outcome {
-        if self.control.view().ready().is_err() {
+        if self.control.ready().is_err() {
             return unavailable();
         }
         let Some(entry) = self.routes.get(&call.route.name) else {
@@ -130,8 +130,14 @@
         }
     }
 
+    /// Declines what a peer passed on, if this daemon may not take new work; another home may.
+    pub(super) fn rested(&self) -> Result<(), Declined> {
+        self.control.ready().map_err(|_| Declined::NotHome)
+    }
+
     /// Runs a search that a peer passed on.
     pub(crate) async fn search_passed(&self, call: Call) -> Result<Outcome, Declined> {
+        self.rested()?;
         let entry = self.routes.get(&call.route.name).ok_or(Declined::NotHome)?;
         let handle = entry.handle.ok_or(Declined::NotHome)?;
         Ok(handle.run(self.local(&call, None)).await)
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -68,7 +68,7 @@
             routes
                 .push(json!({ "name": &*entry.route.name, "homes": &*entry.homes, "home": home }));
         }
-        let ready = self.stopping.ready().and_then(|()| view.ready());
+        let ready = self.stopping.ready().and_then(|()| self.control.ready());
         json!({
             "address": self.own.id,
             "data_centre": &*self.own.data_centre,
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -57,8 +57,9 @@
     let now = settings.clock.now();
     let (home, actions) = Home::new(settings.route.clone(), settings.homes, settings.seed, now);
     let servers = poll::Servers::of(&settings.route);
-    let poller = poll::spawn(servers.clone(), report.clone());
-    let mut controller = Controller::new(settings, home, report, servers);
+    let endpoint = Endpoint::default();
+    let poller = poll::spawn(servers.clone(), endpoint.clone(), report.clone());
+    let mut controller = Controller::new(settings, home, report, endpoint, servers);
     controller.perform(actions);
     let mut open = true;
     while open || controller.home.in_progress() > 0 {
@@ -101,6 +102,7 @@
         settings: Settings,
         home: Home,
         report: backend::Report,
+        endpoint: Endpoint,
         servers: poll::Servers,
     ) -> Self {
         Self {
@@ -112,7 +114,7 @@
             recent: settings.recent,
             route: settings.route.name.clone(),
             report,
-            endpoint: Endpoint::new(),
+            endpoint,
             servers,
             connections: HashMap::new(),
             waiting: HashMap::new(),
--- a/crates/daemon/src/route/poll.rs
+++ b/crates/daemon/src/route/poll.rs
@@ -44,9 +44,8 @@
 }
 
 /// Starts the task that reads the endpoints of all servers once in a [`PERIOD`].
-pub(crate) fn spawn(servers: Servers, report: Report) -> AbortHandle {
+pub(crate) fn spawn(servers: Servers, endpoint: Endpoint, report: Report) -> AbortHandle {
     let task = tokio::spawn(async move {
-        let endpoint = Endpoint::new();
         let mut ticks = interval(PERIOD);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
--- a/crates/decision/src/backend/share.rs
+++ b/crates/decision/src/backend/share.rs
@@ -1,19 +1,17 @@
 //! A home's share of a backend server's connection limit.
 
+use crate::placement::{self, ENDPOINT};
 use monsoonring_configuration::document::Capacity;
 
-/// Connections of a server's limit that no home takes, one in this many.
-const RESERVE_DIVISOR: u32 = 10;
-
-/// Returns how many connections one of `homes` homes may hold to one backend server.
+/// Returns how many connections for requests one of `homes` homes may hold to one backend server.
 ///
-/// A tenth of the limit stays free. Homes disagree for a moment about how many they are, when one
-/// joins or is taken over: without the reserve the server would refuse connections in just that
-/// moment, seen as `connections` refusals after each change of members.
+/// Homes of one view together take half of the limit and no more ([`placement::share`]), what they
+/// read health and load on included. Homes disagree about how many they are while a partition
+/// lasts, and after one of them hangs: its connections stay open at the servers although another
+/// home has taken its place. If the homes of one view took nearly all, the servers would refuse
+/// connections in just that moment, seen as partial answers of the home that took over.
 pub fn of(capacity: Capacity, homes: usize) -> usize {
-    let homes = homes.max(1);
-    let limit = capacity.connections as usize;
-    let reserve = capacity.connections.div_ceil(RESERVE_DIVISOR) as usize;
-    let share = limit.saturating_sub(reserve) / homes;
-    share.max(usize::from(limit >= homes))
+    let share = placement::share(capacity.connections, homes);
+    let requests = share.saturating_sub(ENDPOINT).max(1);
+    usize::try_from(requests).unwrap_or(usize::MAX)
 }
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -23,6 +23,10 @@
 /// Most homes of a route, whatever its backend servers would take.
 pub const MAX_HOMES: usize = 32;
 
+/// Connections of a home to one backend server that carry no requests: the one for health, load and
+/// cancellations. It counts against the server's limit like any other.
+pub const ENDPOINT: u32 = 1;
+
 /// Outstanding queries by which a home in another data centre counts as busier than it is.
 pub const DISTANCE: u32 = 4;
 
@@ -52,22 +56,26 @@
 ///
 /// With room to spare each home can keep all slots of a backend server busy on its own, so that
 /// the slots are shared well whichever home the work lands on:
-/// `roomy = limit / VIEWS / slots`. A route with many groups gets more homes, down to one
-/// connection each: `wanted = groups / GROUPS_PER_HOME`, at most `limit / VIEWS`. Never more than
-/// [`MAX_HOMES`] or the members; all members when they are few.
+/// `roomy = limit / VIEWS / (slots + ENDPOINT)`. A route with many groups gets more homes, down to
+/// one connection for requests each: `wanted = groups / GROUPS_PER_HOME`, at most
+/// `limit / VIEWS / (1 + ENDPOINT)`. Never more than [`MAX_HOMES`] or the members; all members when
+/// they are few.
 pub fn homes(capacity: &Capacity, groups: usize, members: usize) -> usize {
-    let usable = (capacity.connections / VIEWS).max(1) as usize;
-    let roomy = (usable / capacity.slots.max(1) as usize).max(1);
-    let wanted = groups.div_ceil(GROUPS_PER_HOME).min(usable);
+    let usable = capacity.connections / VIEWS;
+    let roomy = (usable / (capacity.slots.max(1) + ENDPOINT)).max(1) as usize;
+    let wanted = groups.div_ceil(GROUPS_PER_HOME);
+    let wanted = wanted.min((usable / (1 + ENDPOINT)) as usize);
     roomy.max(wanted).min(MAX_HOMES).min(members)
 }
 
-/// Returns the connections that each of `homes` may hold to one backend server.
+/// Returns the connections that each of `homes` may hold to one backend server, [`ENDPOINT`]
+/// included.
 ///
 /// Bound: homes of one view hold at most `limit / VIEWS` together; hence the sum over any two
 /// views, whatever they differ by, is at most `limit`. With more views at once, any set of
 /// `2 * homes` distinct daemons fits, so views that moved at most `homes` homes in all do. Only a
-/// limit of 1 can't be halved: then the one home has one connection.
+/// limit of 1 can't be halved: then the one home has one connection. A limit below
+/// `VIEWS * (1 + ENDPOINT)` can be exceeded, as a home needs one for requests beside its endpoint's.
 pub fn share(limit: u32, homes: usize) -> u32 {
     let homes = u32::try_from(homes).unwrap_or(u32::MAX).max(1);
     (limit / VIEWS / homes).max(1)
--- a/crates/experiment/tests/processes/main.rs
+++ b/crates/experiment/tests/processes/main.rs
@@ -7,4 +7,5 @@
 mod cluster;
 mod configuration;
 mod daemon;
+mod home;
 mod wait;
