--- a/crates/daemon/src/backend/endpoint/mod.rs
+++ b/crates/daemon/src/backend/endpoint/mod.rs
@@ -1,8 +1,7 @@
 //! What goes to a backend server beside its requests: cancellations, health and load.
 //!
 //! These go over one further connection for each backend server, so that they neither wait behind an
-//! attempt nor take a connection from one. It is one at most, as placement counts on: calls to a server
-//! wait for each other.
+//! attempt nor take a connection from one.
 
 #[cfg(test)]
 mod tests;
@@ -10,27 +9,28 @@
 use super::codec;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::client::conn::http1;
+use hyper::header::HOST;
 use hyper::{Method, Request};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioIo;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use monsoonring_decision::attempt::AttemptId;
 use monsoonring_decision::reply::{Load, Report};
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use std::collections::{BTreeSet, HashMap};
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::Mutex;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
-
-/// Idle connections kept to one backend server.
-const IDLE_CONNECTIONS: usize = 1;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Time that an endpoint may take. It misleads or hangs now and then, and nothing waits for it.
 const ENDPOINT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time that a call waits for those before it. A cancellation that comes later helps nobody.
+const WAIT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Largest body of an endpoint, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
@@ -49,37 +49,23 @@
     start: Option<Incarnation>,
 }
 
-/// The turn to call one backend server.
-type Turn = Arc<Mutex<()>>;
-
-/// Client for the endpoints of all backend servers of a route.
-#[derive(Clone, Debug)]
+/// Client for the endpoints of all backend servers of a route; clones share its connections.
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Endpoint {
-    client: Client<HttpConnector, Empty<Bytes>>,
-    turns: Arc<std::sync::Mutex<HashMap<BackendServerId, Turn>>>,
+    lines: Arc<Mutex<HashMap<BackendServerId, Line>>>,
 }
 
-impl Endpoint {
-    /// Makes a client without connections.
-    pub(crate) fn new() -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(IDLE_CONNECTIONS)
-            .build_http();
-        let turns = Arc::default();
-        Self { client, turns }
-    }
+/// The one connection to a server, `None` where there is none now. Who holds the lock makes a call.
+type Line = Arc<tokio::sync::Mutex<Option<Connection>>>;
 
-    fn turn(&self, server: BackendServerId) -> Turn {
-        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
-        turns.entry(server).or_default().clone()
-    }
-
-    /// Forgets the servers that are not among these.
-    pub(crate) fn retain(&self, servers: &BTreeSet<BackendServerId>) {
-        let mut turns = self.turns.lock().unwrap_or_else(PoisonError::into_inner);
-        turns.retain(|server, _| servers.contains(server));
-    }
+/// An open connection; closed when dropped.
+#[derive(Debug)]
+struct Connection {
+    sender: http1::SendRequest<Empty<Bytes>>,
+    _driver: AbortOnDropHandle<()>,
+}
 
+impl Endpoint {
     /// Asks a backend server to cancel an attempt. Nothing rests on whether that succeeds: the
     /// attempt's own reply tells.
     pub(crate) async fn cancel(&self, backend_server: BackendServerId, attempt: AttemptId) {
@@ -115,28 +101,62 @@
         serde_json::from_slice(&body).ok()
     }
 
-    /// Makes one call, or none if its turn does not come in time: behind a server that hangs, calls
-    /// would otherwise pile up and be made long after they are of use.
+    /// Makes one call. Calls to one server wait for each other: with a connection for each of them,
+    /// a wave of cancellations would open as many as there are attempts, beyond the server's limit,
+    /// and the server would refuse those that requests need.
     async fn call(&self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
-        let turn = self.turn(server);
+        let line = self.lines().entry(server).or_default().clone();
+        let mut line = timeout(WAIT_TIMEOUT, line.lock()).await.ok()?;
+        // Taken out meanwhile: a call that fails or is given up closes the connection.
+        let connection = line.take().filter(|open| !open.sender.is_closed());
         let exchange = async {
-            let _turn = turn.lock().await;
-            self.exchange(method, server, path).await
+            let mut connection = match connection {
+                Some(connection) => connection,
+                None => Connection::open(server).await?,
+            };
+            let body = connection.call(method, server, path).await?;
+            Some((connection, body))
         };
-        timeout(ENDPOINT_TIMEOUT, exchange).await.ok()?
+        let (connection, body) = timeout(ENDPOINT_TIMEOUT, exchange).await.ok()??;
+        *line = Some(connection);
+        Some(body)
     }
 
-    async fn exchange(&self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
+    /// Closes the connections to all servers but these.
+    pub(crate) fn retain(&self, servers: &BTreeSet<BackendServerId>) {
+        self.lines().retain(|server, _| servers.contains(server));
+    }
+
+    fn lines(&self) -> MutexGuard<'_, HashMap<BackendServerId, Line>> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Connection {
+    async fn open(server: BackendServerId) -> Option<Self> {
+        let stream = TcpStream::connect(server).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(async move {
+            // An error ends the connection, which the next call finds closed.
+            let _ = driver.await;
+        });
+        Some(Self {
+            sender,
+            _driver: AbortOnDropHandle::new(driver),
+        })
+    }
+
+    async fn call(&mut self, method: Method, server: BackendServerId, path: &str) -> Option<Bytes> {
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{server}{path}"))
+            .uri(path)
+            .header(HOST, server.to_string())
             .body(Empty::new())
             .ok()?;
-        let response = self.client.request(request).await.ok()?;
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
-            .collect()
-            .await
-            .ok()?;
-        Some(body.to_bytes())
+        self.sender.ready().await.ok()?;
+        let response = self.sender.send_request(request).await.ok()?;
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES);
+        Some(body.collect().await.ok()?.to_bytes())
     }
 }
--- a/crates/daemon/src/backend/endpoint/tests.rs
+++ b/crates/daemon/src/backend/endpoint/tests.rs
@@ -13,7 +13,7 @@
 #[tokio::test]
 async fn cancel_many_at_once_takes_one_connection() {
     let server = Server::start(Settings::default());
-    let endpoint = Endpoint::new();
+    let endpoint = Endpoint::default();
     let cancelling = (0..CANCELLATIONS).map(|attempt| endpoint.cancel(server.address(), attempt));
     let (_, report) = tokio::join!(join_all(cancelling), endpoint.poll(server.address()));
     assert!(report.is_some(), "the report was read");
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -171,6 +171,13 @@
             Decision::Replay(outcome) => Sent::Ended(outcome.into()),
             Decision::Refuse(Refusal::Mismatch) => Sent::Conflict,
             Decision::Refuse(refusal) => Sent::Refused(refusal),
+            // A send that waited in the socket of a paused process may be far beyond its deadline, which
+            // another daemon could not know. Its caller finds out by sending again.
+            Decision::PassTo(_) | Decision::Ask if self.control.ready().is_err() => {
+                Sent::Ended(Outcome::Unknown {
+                    reason: Reason::Unavailable,
+                })
+            }
             Decision::PassTo(fence) => self.pass_to(fence, call, key, send).await,
             Decision::Ask => {
                 let question = Question::Own {
@@ -272,6 +279,7 @@
 
     /// Runs a request at this home, for the incarnation that holds its permit.
     pub(crate) async fn run_passed(&self, call: Call, key: String) -> Result<Outcome, Declined> {
+        self.rested()?;
         let entry = self.routes.get(&call.route.name).ok_or(Declined::NotHome)?;
         let handle = entry.handle.ok_or(Declined::NotHome)?;
         Ok(handle.run(self.local(&call, Some(key.into()))).await)
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -68,7 +68,7 @@
             let homes: Vec<_> = entry.homes.iter().map(|home| home.id).collect();
             routes.push(json!({ "name": &*entry.route.name, "homes": homes, "home": home }));
         }
-        let ready = self.stopping.ready().and_then(|()| view.ready());
+        let ready = self.stopping.ready().and_then(|()| self.control.ready());
         json!({
             "address": self.own.id,
             "data_centre": &*self.own.data_centre,
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -57,9 +57,9 @@
     let now = settings.clock.now();
     let (home, actions) = Home::new(settings.route.clone(), settings.homes, settings.seed, now);
     let servers = poll::Servers::of(&settings.route);
-    let endpoint = Endpoint::new();
+    let endpoint = Endpoint::default();
     let poller = poll::spawn(servers.clone(), endpoint.clone(), report.clone());
-    let mut controller = Controller::new(settings, home, (report, endpoint), servers);
+    let mut controller = Controller::new(settings, home, report, endpoint, servers);
     controller.perform(actions);
     let mut open = true;
     while open || controller.home.in_progress() > 0 {
@@ -104,7 +104,8 @@
     fn new(
         settings: Settings,
         home: Home,
-        (report, endpoint): (backend::Report, Endpoint),
+        report: backend::Report,
+        endpoint: Endpoint,
         servers: poll::Servers,
     ) -> Self {
         Self {
--- a/crates/experiment/tests/processes/main.rs
+++ b/crates/experiment/tests/processes/main.rs
@@ -12,5 +12,6 @@
 mod cluster;
 mod configuration;
 mod daemon;
+mod home;
 mod hop;
 mod wait;
