--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -30,15 +30,18 @@
     own: MemberId,
     log: Logger,
     spawn: Spawn,
+    /// Number of homes of each route in place of placement's own.
+    homes: Option<usize>,
     entries: Mutex<HashMap<RouteId, Entry>>,
 }
 
 impl Routes {
-    pub(super) fn new(own: MemberId, log: Logger, spawn: Spawn) -> Self {
+    pub(super) fn new(own: MemberId, log: Logger, spawn: Spawn, homes: Option<usize>) -> Self {
         Self {
             own,
             log,
             spawn,
+            homes,
             entries: Mutex::default(),
         }
     }
@@ -85,7 +88,9 @@
     }
 
     fn follow(&self, route: &Arc<Route>, old: Option<Entry>, view: &View) -> Entry {
-        let count = placement::homes(&route.capacity, route.groups.len(), view.members.len());
+        let members = view.members.len();
+        let count = placement::homes(&route.capacity, route.groups.len(), members);
+        let count = self.homes.map_or(count, |homes| homes.min(members));
         let homes: Arc<[MemberId]> = placement::select(&route.name, &view.members, count).into();
         let is_home = homes.contains(&self.own);
         let handle = match old {
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -9,7 +9,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{self, Pool};
 use crate::route::{self, Fact};
-use crate::settings::Settings;
+use crate::settings::{Baseline, Settings};
 use crate::{control, platform};
 use monsoonring_configuration::id::Incarnation;
 use monsoonring_decision::home::Event;
@@ -71,6 +71,7 @@
     let (facts, found) = mpsc::unbounded_channel();
     let recent = Recent::default();
     let routes = routes(
+        &settings.baseline,
         &own,
         &log,
         &metrics,
@@ -126,6 +127,7 @@
 }
 
 fn routes(
+    baseline: &Baseline,
     own: &Member,
     log: &Logger,
     metrics: &Arc<Metrics>,
@@ -135,9 +137,11 @@
     seed: u64,
 ) -> Routes {
     let (route_log, metrics) = (log.clone(), metrics.clone());
+    let policy = baseline.policy();
     let spawn = spawner(move |route, homes| route::Settings {
         route,
         homes,
+        policy,
         seed,
         clock,
         log: route_log.clone(),
@@ -145,7 +149,7 @@
         facts: facts.clone(),
         recent: recent.clone(),
     });
-    Routes::new(own.id, log.clone(), spawn)
+    Routes::new(own.id, log.clone(), spawn, baseline.homes())
 }
 
 /// Keeps the routes in step with the view.
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -13,6 +13,7 @@
 use monsoonring_decision::home::action::{Decision, Send};
 use monsoonring_decision::home::{Action, Alarm, Event, Home};
 use monsoonring_decision::outcome::Outcome;
+use monsoonring_decision::policy::Policy;
 use monsoonring_decision::{Fingerprint, RequestId};
 use slog::Logger;
 use std::collections::HashMap;
@@ -37,6 +38,7 @@
 pub(crate) struct Settings {
     pub(crate) route: Arc<Route>,
     pub(crate) homes: usize,
+    pub(crate) policy: Policy,
     pub(crate) seed: u64,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
@@ -55,7 +57,13 @@
 async fn run(settings: Settings, mut queue: mpsc::UnboundedReceiver<Input>) {
     let (report, mut reports) = mpsc::unbounded_channel();
     let now = settings.clock.now();
-    let (home, actions) = Home::new(settings.route.clone(), settings.homes, settings.seed, now);
+    let (home, actions) = Home::with_policy(
+        settings.route.clone(),
+        settings.homes,
+        settings.seed,
+        settings.policy,
+        now,
+    );
     let servers = poll::Servers::of(&settings.route);
     let poller = poll::spawn(servers.clone(), report.clone());
     let mut controller = Controller::new(settings, home, report, servers);
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -6,10 +6,12 @@
 //! wins. Settings are checked as a whole before anything starts, so that a wrong one ends the
 //! process at once and not in the middle of the first stop.
 
+mod baseline;
 mod check;
 mod error;
 mod limits;
 
+pub use baseline::Baseline;
 pub use error::{Error, Problem, Result};
 pub use limits::Limits;
 pub use monsoonring_wire::key::Key;
@@ -109,6 +111,10 @@
     #[command(flatten)]
     pub limits: Limits,
 
+    /// Decisions that are replaced for a measurement.
+    #[command(flatten)]
+    pub baseline: Baseline,
+
     /// Form of the log lines.
     #[arg(
         long,
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -250,7 +250,7 @@
             state.ramp = Some(Ramp::cold());
             state.back_off = None;
         }
-        if let Some(load) = report.load {
+        if let Some(load) = report.load.filter(|_| !self.policy.ignore_load) {
             state.take_load(load, now);
         }
         state.take_versions(report);
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -8,6 +8,7 @@
 use super::share;
 use crate::Time;
 use crate::attempt::AttemptId;
+use crate::policy::Policy;
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
@@ -45,6 +46,7 @@
     pub(super) capacity: Capacity,
     pub(super) homes: usize,
     pub(super) deadline: Duration,
+    pub(super) policy: Policy,
 }
 
 /// Replicas of the same part of the data.
@@ -79,6 +81,7 @@
             capacity: route.capacity,
             homes: homes.max(1),
             deadline: Duration::from_millis(route.deadline_ms),
+            policy: Policy::default(),
         };
         // It is this home that is new and not the servers: no ramp.
         fleet.adopt(route, None, now);
@@ -93,6 +96,11 @@
         self.adopt(route, Some(Ramp::cold()), now);
     }
 
+    /// Replaces decisions by simpler ones.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Takes over the number of homes of the route.
     pub fn set_homes(&mut self, homes: usize, _now: Time) {
         self.homes = homes.max(1);
@@ -120,7 +128,10 @@
         rng: &mut impl Rng,
     ) -> Option<Choice> {
         let open = self.open(candidates, tried, version, now);
-        let scores = self.scores(&open, now);
+        let scores = match self.policy.random_replica {
+            true => vec![0.0; open.len()],
+            false => self.scores(&open, now),
+        };
         let index = choice::least(&scores, rng)?;
         let server = open[index];
         Some(Choice {
@@ -131,6 +142,9 @@
 
     /// Returns the time after which an attempt at `server` is slower than the given quantile.
     pub fn hedge_delay(&self, server: BackendServerId, quantile: f64, _now: Time) -> Duration {
+        if let Some(fixed) = self.policy.hedge_after {
+            return fixed;
+        }
         let at_most = self.deadline.mul_f64(HEDGE_AT_MOST).max(HEDGE_AT_LEAST);
         self.quantile(server, quantile)
             .clamp(HEDGE_AT_LEAST, at_most)
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -12,6 +12,7 @@
 use crate::backend::{Fleet, Room};
 use crate::budget::Budget;
 use crate::outcome::{Outcome, Reason};
+use crate::policy::Policy;
 use crate::query::attempt::Unrun;
 use crate::query::execution::Execution;
 use crate::query::pin::Pin;
@@ -34,6 +35,7 @@
 /// One route at one of its homes.
 pub struct Home {
     pub(super) route: Arc<Route>,
+    pub(super) policy: Policy,
     pub(super) rng: ChaCha8Rng,
     pub(super) fleet: Fleet,
     pub(super) pool: Pool,
@@ -74,7 +76,19 @@
     /// Makes the home of a route that has `homes` homes, and returns what is to be done at once.
     /// `seed` decides every random choice.
     pub fn new(route: Arc<Route>, homes: usize, seed: u64, now: Time) -> (Self, Vec<Action>) {
+        Self::with_policy(route, homes, seed, Policy::default(), now)
+    }
+
+    /// Makes the home of a route, as [`Self::new`] does, with some decisions replaced.
+    pub fn with_policy(
+        route: Arc<Route>,
+        homes: usize,
+        seed: u64,
+        policy: Policy,
+        now: Time,
+    ) -> (Self, Vec<Action>) {
         let mut home = Self {
+            policy,
             rng: ChaCha8Rng::seed_from_u64(seed),
             fleet: Fleet::new(&route, homes, now),
             pool: Pool::new(&route, homes, FIRST_CONNECTION, now),
@@ -102,6 +116,7 @@
             actions: Vec::new(),
             route,
         };
+        home.fleet.set_policy(policy);
         let actions = home.conclude(now);
         (home, actions)
     }
@@ -195,6 +210,9 @@
         if let Standing::Refused(until) = self.suspects.standing(request.fingerprint, now) {
             return Some((Reason::Suspect, Some(until.saturating_sub(now))));
         }
+        if self.policy.admit_all {
+            return None;
+        }
         let room = self.fleet.room(now);
         match self.gate.admit(request.class, request.deadline, &room, now) {
             Admission::Admit => None,
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod member;
 pub mod outcome;
 pub mod placement;
+pub mod policy;
 pub mod query;
 pub mod reply;
 pub mod stop;
--- a/crates/decision/tests/home_execute.rs
+++ b/crates/decision/tests/home_execute.rs
@@ -289,7 +289,11 @@
         }
         session.pass(ms(600));
     }
-    assert_eq!(session.sends.len(), 2, "each is a death, of whichever server");
+    assert_eq!(
+        session.sends.len(),
+        2,
+        "each is a death, of whichever server"
+    );
     assert!(matches!(
         session.outcome(39),
         Outcome::NotRun {
--- a/crates/experiment/examples/policies.rs
+++ b/crates/experiment/examples/policies.rs
@@ -8,6 +8,7 @@
 use monsoonring_experiment::report::{Row, csv, markdown, plot};
 use monsoonring_experiment::scenario::{Fault, Policy, Scenario, Shape};
 use monsoonring_experiment::trial::Bench;
+use monsoonring_experiment::variant::Variant;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -23,6 +24,10 @@
         "nothing", "straggler", "replica-gone", "index-roll-out", "silent-connections",
         "crashing-request", "misleading-load"])]
     faults: Vec<Fault>,
+    /// Policies.
+    #[arg(long, value_enum, value_delimiter = ',', default_values = [
+        "document", "no-hedge", "random-replica", "fixed-hedge"])]
+    policies: Vec<Variant>,
     /// Rates, as shares of saturation.
     #[arg(long, value_delimiter = ',', default_values_t = [0.5])]
     loads: Vec<f64>,
@@ -59,11 +64,6 @@
         seed: options.seed,
         rounds: options.rounds,
     };
-    let policies = [
-        Policy::document(),
-        Policy::without_hedges(),
-        Policy::without_extra_attempts(),
-    ];
     let mut rows = Vec::new();
     for scenario in scenarios(&options) {
         eprintln!(
@@ -71,6 +71,8 @@
             scenario.name(),
             scenario.rate()
         );
+        let policies = options.policies.iter();
+        let policies: Vec<Policy> = policies.map(|variant| variant.policy(&scenario)).collect();
         let compared = bench.compare(&scenario, &policies).await?;
         draw(&compared, &options.out)?;
         rows.extend(compared);
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod scenario;
 pub mod tally;
 pub mod trial;
+pub mod variant;
 pub mod verify;
