--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -9,7 +9,8 @@
 use crate::metrics::Metrics;
 use crate::peer::{self, Pool};
 use crate::route::{self, Fact};
-use crate::settings::Settings;
+use crate::run::Telemetry;
+use crate::settings::{Baseline, Settings};
 use crate::{control, platform};
 use monsoonring_configuration::id::Incarnation;
 use monsoonring_decision::home::Event;
@@ -71,9 +72,12 @@
     let (facts, found) = mpsc::unbounded_channel();
     let recent = Recent::default();
     let routes = routes(
+        &settings.baseline,
         &own,
-        &log,
-        &metrics,
+        Telemetry {
+            log: log.clone(),
+            metrics: metrics.clone(),
+        },
         clock,
         facts,
         recent.clone(),
@@ -126,18 +130,21 @@
 }
 
 fn routes(
+    baseline: &Baseline,
     own: &Member,
-    log: &Logger,
-    metrics: &Arc<Metrics>,
+    telemetry: Telemetry,
     clock: Clock,
     facts: route::Facts,
     recent: Recent,
     seed: u64,
 ) -> Routes {
-    let (route_log, metrics) = (log.clone(), metrics.clone());
+    let Telemetry { log, metrics } = telemetry;
+    let route_log = log.clone();
+    let policy = baseline.policy();
     let spawn = spawner(move |route, homes| route::Settings {
         route,
         homes,
+        policy,
         seed,
         clock,
         log: route_log.clone(),
@@ -145,7 +152,7 @@
         facts: facts.clone(),
         recent: recent.clone(),
     });
-    Routes::new(own.id, log.clone(), spawn)
+    Routes::new(own.id, log, spawn, baseline.homes())
 }
 
 /// Keeps the routes in step with the view.
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -6,6 +6,7 @@
 use super::ramp::Ramp;
 use super::server::Server;
 use crate::attempt::AttemptId;
+use crate::policy::Policy;
 use crate::{Time, placement};
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
@@ -27,8 +28,12 @@
 
 /// Silence that is out of the ordinary: a multiple of a high quantile.
 const PATIENCE_QUANTILE: f64 = 0.99;
-const PATIENCE_FACTOR: f64 = 4.0;
-const PATIENCE_AT_LEAST: Duration = Duration::from_millis(50);
+const PATIENCE_FACTOR: f64 = 2.0;
+const PATIENCE_AT_LEAST: Duration = Duration::from_millis(10);
+
+/// Multiple of a server's recent mean latency that is waited in any case: one that has just become
+/// slow is not silent.
+const PATIENCE_IN_MEANS: f64 = 6.0;
 
 /// All backend servers of one route at one home.
 pub struct Fleet {
@@ -40,6 +45,7 @@
     pub(super) capacity: Capacity,
     pub(super) homes: usize,
     pub(super) deadline: Duration,
+    pub(super) policy: Policy,
 }
 
 /// Replicas of the same part of the data.
@@ -54,6 +60,8 @@
     pub(super) sent: Time,
     /// Time from which on it is being cancelled.
     pub(super) cancelled: Option<Time>,
+    /// Whether it takes far longer than its server usually does.
+    pub(super) overdue: bool,
     /// What was reported of the others' load when it left.
     pub(super) reported: Option<f64>,
     /// Load of all homes to be expected at the server when it left.
@@ -72,6 +80,7 @@
             capacity: route.capacity,
             homes: homes.max(1),
             deadline: Duration::from_millis(route.deadline_ms),
+            policy: Policy::default(),
         };
         // It is this home that is new and not the servers: no ramp.
         fleet.adopt(route, None, now);
@@ -86,6 +95,11 @@
         self.adopt(route, Some(Ramp::cold()), now);
     }
 
+    /// Replaces decisions by simpler ones.
+    pub fn set_policy(&mut self, policy: Policy) {
+        self.policy = policy;
+    }
+
     /// Takes over the number of homes of the route.
     pub fn set_homes(&mut self, homes: usize, _now: Time) {
         self.homes = homes.max(1);
@@ -113,7 +127,10 @@
         rng: &mut impl Rng,
     ) -> Option<Choice> {
         let open = self.open(candidates, tried, version, now);
-        let scores = self.scores(&open, now);
+        let scores = match self.policy.random_replica {
+            true => vec![0.0; open.len()],
+            false => self.scores(&open, now),
+        };
         let index = choice::least(&scores, rng)?;
         let server = open[index];
         Some(Choice {
@@ -124,6 +141,9 @@
 
     /// Returns the time after which an attempt at `server` is slower than the given quantile.
     pub fn hedge_delay(&self, server: BackendServerId, quantile: f64, _now: Time) -> Duration {
+        if let Some(fixed) = self.policy.hedge_after {
+            return fixed;
+        }
         let at_most = self.deadline.mul_f64(HEDGE_AT_MOST).max(HEDGE_AT_LEAST);
         self.quantile(server, quantile)
             .clamp(HEDGE_AT_LEAST, at_most)
@@ -131,8 +151,12 @@
 
     /// Returns the time after which an attempt at `server` is suspiciously silent.
     pub fn patience(&self, server: BackendServerId, _now: Time) -> Duration {
-        self.quantile(server, PATIENCE_QUANTILE)
+        let usual = self.quantile(server, PATIENCE_QUANTILE);
+        let recent = self.servers.get(&server).and_then(|state| state.recent);
+        let recent = recent.map_or(0.0, |(mean, _)| mean * PATIENCE_IN_MEANS);
+        usual
             .mul_f64(PATIENCE_FACTOR)
+            .max(Duration::from_secs_f64(recent))
             .max(PATIENCE_AT_LEAST)
     }
 
