Look servers and attempts up by hash

Cause: callgrind found 40 % of the home's instructions in B-tree searches that compare socket addresses byte by byte. Weighed: a small index for each server instead of its address, which would change every interface of fleet, pool and placement; a hash look-up gains most of that in place. Change: maps that are only looked up become rustc_hash maps. Its hash has no random seed, so a replay stays the same, and the keys come from the configuration or are counted here, so that nobody outside can choose them. Where the order of a walk shows (state for operators, silent connections, servers of a placement), it is sorted. All tests of the crate pass, no golden changed.

--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -11,7 +11,7 @@
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
-use std::collections::BTreeMap;
+use rustc_hash::FxHashMap;
 use std::time::Duration;
 
 /// Bounds of the time after which an attempt is hedged.
@@ -33,10 +33,10 @@
 
 /// All backend servers of one route at one home.
 pub struct Fleet {
-    pub(super) servers: BTreeMap<BackendServerId, Server>,
+    pub(super) servers: FxHashMap<BackendServerId, Server>,
     pub(super) groups: Vec<Group>,
     pub(super) latency: Latency,
-    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) attempts: FxHashMap<AttemptId, Attempt>,
     pub(super) marks: Marks,
     pub(super) capacity: Capacity,
     pub(super) homes: usize,
@@ -65,10 +65,10 @@
     /// Makes the fleet of a route that has `homes` homes.
     pub fn new(route: &Route, homes: usize, now: Time) -> Self {
         let mut fleet = Self {
-            servers: BTreeMap::new(),
+            servers: FxHashMap::default(),
             groups: Vec::new(),
             latency: Latency::new(),
-            attempts: BTreeMap::new(),
+            attempts: FxHashMap::default(),
             marks: Marks::default(),
             capacity: route.capacity,
             homes: homes.max(1),
--- a/crates/decision/src/backend/leaving.rs
+++ b/crates/decision/src/backend/leaving.rs
@@ -8,7 +8,7 @@
 
 use crate::Time;
 use monsoonring_configuration::id::{BackendServerId, Incarnation};
-use std::collections::BTreeMap;
+use rustc_hash::FxHashMap;
 use std::time::Duration;
 
 /// Time for which the mark of a server that isn't configured is kept.
@@ -24,7 +24,7 @@
 /// Marks of the servers that are leaving.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Marks {
-    marks: BTreeMap<BackendServerId, Mark>,
+    marks: FxHashMap<BackendServerId, Mark>,
 }
 
 impl Marks {
--- a/crates/decision/src/backend/pool/mod.rs
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -19,7 +19,8 @@
 use line::Line;
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::BackendServerId;
-use std::collections::{BTreeMap, BTreeSet};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Age up to which an idle connection counts as verified by its last use.
@@ -46,8 +47,8 @@
 
 /// Connections to the backend servers of one route.
 pub struct Pool {
-    lines: BTreeMap<BackendServerId, Line>,
-    connections: BTreeMap<ConnectionId, Connection>,
+    lines: FxHashMap<BackendServerId, Line>,
+    connections: FxHashMap<ConnectionId, Connection>,
     next: ConnectionId,
     share: usize,
     capacity: Capacity,
@@ -63,8 +64,8 @@
     /// Makes the empty pool of a route that has `homes` homes; connection ids count from `first`.
     pub fn new(route: &Route, homes: usize, first: ConnectionId, now: Time) -> Self {
         let mut pool = Self {
-            lines: BTreeMap::new(),
-            connections: BTreeMap::new(),
+            lines: FxHashMap::default(),
+            connections: FxHashMap::default(),
             next: first,
             share: share::of(route.capacity, homes),
             capacity: route.capacity,
--- a/crates/decision/src/backend/pool/silence.rs
+++ b/crates/decision/src/backend/pool/silence.rs
@@ -24,11 +24,13 @@
         now: Time,
         patience: impl Fn(BackendServerId) -> Duration,
     ) -> Vec<ConnectionId> {
-        self.connections
-            .iter()
+        let connections = self.connections.iter();
+        let mut silent: Vec<ConnectionId> = connections
             .filter(|(_, connection)| self.is_silent(connection, now, &patience))
             .map(|(id, _)| *id)
-            .collect()
+            .collect();
+        silent.sort_unstable();
+        silent
     }
 
     /// Gives up a silent connection, and with it the idle ones to the same server that were not
@@ -45,12 +47,12 @@
         let unproven = |other: &Connection| {
             other.server == connection.server && other.state == State::Idle && other.proven < since
         };
-        let gone: Vec<ConnectionId> = self
-            .connections
-            .iter()
+        let connections = self.connections.iter();
+        let mut gone: Vec<ConnectionId> = connections
             .filter(|(_, other)| unproven(other))
             .map(|(other, _)| *other)
             .collect();
+        gone.sort_unstable();
         self.discard(id, now);
         for other in gone {
             self.discard(other, now);
--- a/crates/decision/src/backend/snapshot.rs
+++ b/crates/decision/src/backend/snapshot.rs
@@ -37,10 +37,12 @@
 impl Fleet {
     /// Returns the state of every server, for operators.
     pub fn snapshot(&self, now: Time) -> Vec<Snapshot> {
-        self.servers
-            .iter()
+        let servers = self.servers.iter();
+        let mut snapshots: Vec<Snapshot> = servers
             .map(|(id, server)| self.snapshot_of(*id, server, now))
-            .collect()
+            .collect();
+        snapshots.sort_unstable_by_key(|snapshot| snapshot.server);
+        snapshots
     }
 
     fn snapshot_of(&self, id: BackendServerId, server: &Server, now: Time) -> Snapshot {
--- a/crates/decision/src/backend/suspect.rs
+++ b/crates/decision/src/backend/suspect.rs
@@ -16,6 +16,7 @@
 use crate::attempt::AttemptId;
 use crate::{Fingerprint, Time};
 use monsoonring_configuration::id::BackendServerId;
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -52,7 +53,7 @@
 /// Evidence against fingerprints.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    running: BTreeMap<AttemptId, Running>,
+    running: FxHashMap<AttemptId, Running>,
     deaths: BTreeMap<BackendServerId, Death>,
     evidence: BTreeMap<Fingerprint, Vec<Evidence>>,
     refused: BTreeMap<Fingerprint, Time>,
--- a/crates/decision/src/home/flight.rs
+++ b/crates/decision/src/home/flight.rs
@@ -6,7 +6,8 @@
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::document::Class;
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
-use std::collections::{BTreeMap, BTreeSet};
+use rustc_hash::FxHashMap;
+use std::collections::BTreeSet;
 
 /// What an attempt is made for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,9 +53,9 @@
 /// The attempts in progress.
 #[derive(Debug, Default)]
 pub(super) struct Table {
-    flights: BTreeMap<AttemptId, Flight>,
-    by_connection: BTreeMap<ConnectionId, AttemptId>,
-    queues: BTreeMap<BackendServerId, BTreeSet<(Class, AttemptId)>>,
+    flights: FxHashMap<AttemptId, Flight>,
+    by_connection: FxHashMap<ConnectionId, AttemptId>,
+    queues: FxHashMap<BackendServerId, BTreeSet<(Class, AttemptId)>>,
 }
 
 impl Table {
@@ -123,7 +124,7 @@
     }
 }
 
-type Queues = BTreeMap<BackendServerId, BTreeSet<(Class, AttemptId)>>;
+type Queues = FxHashMap<BackendServerId, BTreeSet<(Class, AttemptId)>>;
 
 fn unqueue(queues: &mut Queues, flight: &Flight) {
     let Some(queue) = queues.get_mut(&flight.server) else {
--- a/crates/decision/src/home/placement.rs
+++ b/crates/decision/src/home/placement.rs
@@ -2,16 +2,16 @@
 
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
-use std::collections::BTreeMap;
+use rustc_hash::FxHashMap;
 
 /// Which groups a backend server is in.
 #[derive(Debug, Default)]
 pub(super) struct Placement {
-    groups: BTreeMap<BackendServerId, Vec<usize>>,
-    replicas: BTreeMap<BackendServerId, Vec<BackendServerId>>,
+    groups: FxHashMap<BackendServerId, Vec<usize>>,
+    replicas: FxHashMap<BackendServerId, Vec<BackendServerId>>,
     servers: Vec<BackendServerId>,
     /// What each server was last known to be able to serve; empty while it is not usable.
-    serving: BTreeMap<BackendServerId, Serving>,
+    serving: FxHashMap<BackendServerId, Serving>,
 }
 
 /// What a backend server was last known to be able to serve.
@@ -32,6 +32,7 @@
             }
         }
         placement.servers = placement.groups.keys().copied().collect();
+        placement.servers.sort_unstable();
         placement
     }
 
