Keep what is usual in a group until an attempt in it is measured

Cause: the mean work time and the median of a group were computed more than ten times for each attempt (for the choice, its reason, the load to expect, and for each group at each admission), each time over a new list and 160 buckets. Change: a group keeps the figures until an attempt in it is measured. Groups of which little is known, and those that share a server with another, are computed each time as before: what they rest on is measured elsewhere. Quantiles look only at the buckets in use.

--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -188,7 +188,9 @@
         let slots = self.slots();
         if let Some(state) = self.servers.get_mut(&server) {
             state.measured(took, load, slots, now);
-            self.groups[state.group].latency.record(took);
+            let group = &mut self.groups[state.group];
+            group.latency.record(took);
+            group.usual.set(None);
             self.latency.record(took);
         }
     }
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -12,6 +12,7 @@
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
 use rustc_hash::FxHashMap;
+use std::cell::Cell;
 use std::time::Duration;
 
 /// Bounds of the time after which an attempt is hedged.
@@ -47,6 +48,11 @@
 pub(super) struct Group {
     pub(super) servers: Vec<BackendServerId>,
     pub(super) latency: Latency,
+    /// What is usual, until an attempt in the group is measured. It is asked for more than ten
+    /// times for each attempt.
+    pub(super) usual: Cell<Option<Usual>>,
+    /// Whether a server counts as one of another group.
+    pub(super) is_shared: bool,
 }
 
 /// An attempt that is outstanding.
@@ -177,6 +183,20 @@
 
     /// Returns what is usual in a group.
     pub(super) fn usual(&self, group: usize) -> Usual {
+        let known = &self.groups[group];
+        if let Some(usual) = known.usual.get() {
+            return usual;
+        }
+        let usual = self.find_usual(group);
+        // Otherwise it would miss what is measured elsewhere: all groups stand in for one of which
+        // little is known, and a shared server is measured in the last of its groups.
+        if known.latency.is_known() && !known.is_shared {
+            known.usual.set(Some(usual));
+        }
+        usual
+    }
+
+    fn find_usual(&self, group: usize) -> Usual {
         let members = self.groups[group].servers.iter();
         let works: Vec<Duration> = members
             .filter_map(|server| self.servers.get(server)?.work())
@@ -273,8 +293,14 @@
             groups.push(Group {
                 servers: group.backend_servers.clone(),
                 latency: self.latency_of(&group.backend_servers),
+                usual: Cell::new(None),
+                is_shared: false,
             });
         }
+        for (index, group) in groups.iter_mut().enumerate() {
+            let elsewhere = |id: &BackendServerId| self.servers[id].group != index;
+            group.is_shared = group.servers.iter().any(elsewhere);
+        }
         self.groups = groups;
         self.drop_removed();
         let servers = &self.servers;
--- a/crates/decision/src/backend/latency.rs
+++ b/crates/decision/src/backend/latency.rs
@@ -5,6 +5,7 @@
 //! counts are halved when they reach a limit: old latencies fade by use and not by time, and a
 //! server that is rarely asked keeps what is known of it.
 
+use std::ops::Range;
 use std::time::Duration;
 
 const BUCKETS_PER_DOUBLING: f64 = 8.0;
@@ -22,6 +23,9 @@
 pub(crate) struct Latency {
     counts: Box<[f32; BUCKETS]>,
     weight: f32,
+    /// The first bucket with a count, and the one after the last: quantiles are asked for several
+    /// times an attempt, and look only at these.
+    used: Range<usize>,
 }
 
 impl Latency {
@@ -29,27 +33,39 @@
         Self {
             counts: Box::new([0.0; BUCKETS]),
             weight: 0.0,
+            used: Range {
+                start: BUCKETS,
+                end: 0,
+            },
         }
     }
 
     pub(crate) fn record(&mut self, latency: Duration) {
         if self.weight >= HALVED_AT {
-            self.counts.iter_mut().for_each(|count| *count /= 2.0);
+            let used = &mut self.counts[self.used.clone()];
+            used.iter_mut().for_each(|count| *count /= 2.0);
             self.weight /= 2.0;
         }
-        self.counts[bucket(latency)] += 1.0;
+        let bucket = bucket(latency);
+        self.counts[bucket] += 1.0;
+        self.used = self.used.start.min(bucket)..self.used.end.max(bucket + 1);
         self.weight += 1.0;
     }
 
+    /// Tells whether enough was seen for quantiles.
+    pub(crate) fn is_known(&self) -> bool {
+        self.weight >= ENOUGH
+    }
+
     /// Returns the latency that a share `quantile` of the attempts stays within, or `None` where
     /// too few were seen.
     pub(crate) fn quantile(&self, quantile: f64) -> Option<Duration> {
-        if self.weight < ENOUGH {
+        if !self.is_known() {
             return None;
         }
         let rank = self.weight * quantile as f32;
         let mut seen = 0.0;
-        for (index, count) in self.counts.iter().enumerate() {
+        for (index, count) in self.used.clone().zip(&self.counts[self.used.clone()]) {
             seen += count;
             if seen >= rank && *count > 0.0 {
                 return Some(upper_bound(index));
