--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -11,7 +11,8 @@
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
-use std::collections::BTreeMap;
+use rustc_hash::FxHashMap;
+use std::cell::Cell;
 use std::time::Duration;
 
 /// Bounds of the time after which an attempt is hedged.
@@ -37,10 +38,10 @@
 
 /// All backend servers of one route at one home.
 pub struct Fleet {
-    pub(super) servers: BTreeMap<BackendServerId, Server>,
+    pub(super) servers: FxHashMap<BackendServerId, Server>,
     pub(super) groups: Vec<Group>,
     pub(super) latency: Latency,
-    pub(super) attempts: BTreeMap<AttemptId, Attempt>,
+    pub(super) attempts: FxHashMap<AttemptId, Attempt>,
     pub(super) marks: Marks,
     pub(super) capacity: Capacity,
     pub(super) homes: usize,
@@ -52,6 +53,11 @@
 pub(super) struct Group {
     pub(super) servers: Vec<BackendServerId>,
     pub(super) latency: Latency,
+    /// What is usual, until an attempt in the group is measured. It is asked for more than ten
+    /// times for each attempt.
+    pub(super) usual: Cell<Option<Usual>>,
+    /// Whether a server counts as one of another group.
+    pub(super) is_shared: bool,
 }
 
 /// An attempt that is outstanding.
@@ -72,10 +78,10 @@
     /// Makes the fleet of a route that has `homes` homes.
     pub fn new(route: &Route, homes: usize, now: Time) -> Self {
         let mut fleet = Self {
-            servers: BTreeMap::new(),
+            servers: FxHashMap::default(),
             groups: Vec::new(),
             latency: Latency::new(),
-            attempts: BTreeMap::new(),
+            attempts: FxHashMap::default(),
             marks: Marks::default(),
             capacity: route.capacity,
             homes: homes.max(1),
@@ -200,6 +206,20 @@
 
     /// Returns what is usual in a group.
     pub(super) fn usual(&self, group: usize) -> Usual {
+        let known = &self.groups[group];
+        if let Some(usual) = known.usual.get() {
+            return usual;
+        }
+        let usual = self.find_usual(group);
+        // Otherwise it would miss what is measured elsewhere: all groups stand in for one of which
+        // little is known, and a shared server is measured in the last of its groups.
+        if known.latency.is_known() && !known.is_shared {
+            known.usual.set(Some(usual));
+        }
+        usual
+    }
+
+    fn find_usual(&self, group: usize) -> Usual {
         let members = self.groups[group].servers.iter();
         let works: Vec<Duration> = members
             .filter_map(|server| self.servers.get(server)?.work())
@@ -296,8 +316,14 @@
             groups.push(Group {
                 servers: group.backend_servers.clone(),
                 latency: self.latency_of(&group.backend_servers),
+                usual: Cell::new(None),
+                is_shared: false,
             });
         }
+        for (index, group) in groups.iter_mut().enumerate() {
+            let elsewhere = |id: &BackendServerId| self.servers[id].group != index;
+            group.is_shared = group.servers.iter().any(elsewhere);
+        }
         self.groups = groups;
         self.drop_removed();
         let servers = &self.servers;
--- a/crates/decision/src/backend/pool/silence.rs
+++ b/crates/decision/src/backend/pool/silence.rs
@@ -77,7 +77,8 @@
         };
         let others = self.connections.iter();
         let gone = others.filter(|(_, other)| unproven(other));
-        let gone: Vec<ConnectionId> = gone.map(|(other, _)| *other).collect();
+        let mut gone: Vec<ConnectionId> = gone.map(|(other, _)| *other).collect();
+        gone.sort_unstable();
         for other in gone {
             self.discard(other, now);
         }
