--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -4,14 +4,14 @@
 //! at the next call; whoever called decides whether the call may be made again.
 
 use monsoonring_wire::channel::{self, Endpoint};
-use monsoonring_wire::peer::{self, PeerClient};
+use monsoonring_wire::peer::{self, Connection, PeerClient};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::OnceCell;
 
 /// A client, or the place where the first caller is opening one.
-type Slot = Arc<OnceCell<PeerClient>>;
+type Slot = Arc<OnceCell<Connection>>;
 
 /// Clients by peer.
 #[derive(Clone, Debug)]
@@ -37,10 +37,10 @@
         let slot = self.slot(peer);
         // Callers that come at the same time wait for the one who opens, so that a restart of a peer
         // does not meet as many connections as there are queries.
-        let client = slot
+        let connection = slot
             .get_or_try_init(|| peer::connect(peer, &self.endpoint))
             .await?;
-        Ok(client.clone())
+        Ok(connection.client.clone())
     }
 
     /// Throws a failed client away.
@@ -53,8 +53,16 @@
         self.lock().retain(|peer, _| keep(peer));
     }
 
+    /// A peer that has ended, as in each planned stop, leaves a closed connection here. A call on it
+    /// fails just like one that the peer took and never answered: a non-idempotent request that was
+    /// not even sent would be `unknown`. So a closed one is replaced before the call.
     fn slot(&self, peer: SocketAddr) -> Slot {
-        self.lock().entry(peer).or_default().clone()
+        let mut slots = self.lock();
+        let slot = slots.entry(peer).or_default();
+        if slot.get().is_some_and(Connection::is_closed) {
+            *slot = Slot::default();
+        }
+        slot.clone()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Slot>> {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -13,6 +13,7 @@
 use tarpc::serde_transport::Transport;
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::task::JoinHandle;
 
 /// Largest call or answer between daemons, in bytes. An answer over 160 backend servers has to fit.
 const MAX_FRAME: usize = 64 * 1024 * 1024;
@@ -60,15 +61,36 @@
 pub type Calls<Item, SinkItem> =
     Transport<Box<dyn Stream>, Item, SinkItem, Bincode<Item, SinkItem>>;
 
-/// Opens a client to a peer.
+/// A client, and the task that carries its calls for as long as its stream is open.
+#[derive(Debug)]
+pub struct Connection {
+    /// Makes the calls.
+    pub client: PeerClient,
+    dispatch: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Tells whether the stream has ended, so that every call would fail.
+    pub fn is_closed(&self) -> bool {
+        self.dispatch.is_finished()
+    }
+}
+
+/// Opens a connection to a peer.
 ///
 /// # Errors
 ///
 /// Fails where no stream to the peer can be opened.
-pub async fn connect(peer: SocketAddr, endpoint: &Endpoint) -> Opened<PeerClient> {
+pub async fn connect(peer: SocketAddr, endpoint: &Endpoint) -> Opened<Connection> {
     let stream = endpoint.connect(peer).await?;
     let calls = transport(stream);
-    Ok(PeerClient::new(tarpc::client::Config::default(), calls).spawn())
+    let opened = PeerClient::new(tarpc::client::Config::default(), calls);
+    let dispatch = tokio::spawn(async move {
+        // An error ends the connection as its end does; each call on it hears of it.
+        let _ = opened.dispatch.await;
+    });
+    let client = opened.client;
+    Ok(Connection { client, dispatch })
 }
 
 /// Makes the transport for one stream.
