--- a/crates/daemon/tests/fetch.rs
+++ b/crates/daemon/tests/fetch.rs
@@ -163,7 +163,7 @@
         revision: least,
         ..in_force
     };
-    let fetching = client.expect("it listens");
+    let fetching = client.expect("it listens").client;
     let fetching = fetching.sections(tarpc::context::current(), least, Base::default());
     let sections = within(fetching).await.expect("an answer");
     assert_eq!(sections.map(|sections| sections.version.revision), given);
