--- a/crates/experiment/tests/processes/configuration.rs
+++ b/crates/experiment/tests/processes/configuration.rs
@@ -9,6 +9,8 @@
 
 const NORTH: [&str; 4] = ["north"; 4];
 const TWO: [&str; 4] = ["north", "north", "south", "south"];
+/// The last one is the only reader of its data centre.
+const APART: [&str; 4] = ["north", "north", "north", "south"];
 const ALL: [usize; 4] = [0, 1, 2, 3];
 /// Time in which readers that have just become known make their first calls.
 const A_WHILE: Duration = Duration::from_secs(3);
@@ -53,25 +55,23 @@
 // Cause: the latest read wins, whatever its revision.
 #[tokio::test(flavor = "multi_thread")]
 async fn publish_older_copy_reverts_nothing() {
-    // As many daemons as a data centre has readers, so that the replaced one reads the service.
-    const THREE: [usize; 3] = [0, 1, 2];
-    let mut cluster = Cluster::start(vec![search(2)], &NORTH[..3]).await;
+    let mut cluster = Cluster::start(vec![search(2)], &APART).await;
     let old = serde_json::to_vec(&cluster.fleet.document()).expect("plain JSON");
     let revision = cluster.service.publish_document(&cluster.document(9_000));
-    let before = cluster.until_revision(&THREE, revision).await;
+    let before = cluster.until_revision(&ALL, revision).await;
     cluster.service.publish_at(DOCUMENT, revision - 1, old);
-    cluster.daemons[2].kill().await;
-    cluster.daemons[2].service.set_link(Link::Cut);
-    cluster.launch(2).await;
-    cluster.until_revision(&[2], revision).await;
-    cluster.daemons[2].service.set_link(Link::Open);
-    let log = cluster.daemons[2].log();
+    cluster.daemons[3].kill().await;
+    cluster.daemons[3].service.set_link(Link::Cut);
+    cluster.launch(3).await;
+    cluster.until_revision(&[3], revision).await;
+    cluster.daemons[3].service.set_link(Link::Open);
+    let log = cluster.daemons[3].log();
     until("the daemon is shown the older copy", async || {
         log.says("configuration", "why", "the service is behind")
     })
     .await;
     cluster.until_whole().await;
-    let after = cluster.until_revision(&THREE, revision).await;
+    let after = cluster.until_revision(&ALL, revision).await;
     assert_eq!(after, before);
 }
 
