Keep the numbers of a reason, and write it out where it is read

Change: a reason is a type (why::Why) with a Display. The log writes it out only if the level lets the line through (the filter comes before the serializer); explain writes out the few lines that are asked for. home_properties reads the text through to_string, the assertion is the same. No golden changed.

--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::counter::Counter;
 use slog::{Drain, Key, Level, LevelFilter, Logger, OwnedKVList, Record, Serializer};
 use slog_async::{AsyncCore, AsyncError, AsyncGuard};
+use std::fmt::Display;
 use std::io::Write;
 
 /// Lines that wait for the writing thread.
@@ -92,7 +93,7 @@
 
 /// A routing or placement decision, for one line of the log.
 #[derive(Clone, Copy, Debug)]
-pub struct Decision<'a> {
+pub struct Decision<'a, R: ?Sized> {
     /// The request decided on, if it is about one.
     pub request: Option<RequestId>,
     /// The route concerned.
@@ -103,18 +104,18 @@
     pub backend_server: Option<BackendServerId>,
     /// What was decided: `send`, `hedge`, `retry`, `refuse`, …
     pub what: &'a str,
-    /// Why, with the numbers that decided.
-    pub reason: &'a str,
+    /// Why, with the numbers that decided; written out only if the line is.
+    pub reason: &'a R,
 }
 
-impl Decision<'_> {
+impl<R: Display + ?Sized> Decision<'_, R> {
     /// Writes the decision to the log.
     pub fn log(&self, log: &Logger) {
         slog::info!(log, "decision"; self);
     }
 }
 
-impl slog::KV for Decision<'_> {
+impl<R: Display + ?Sized> slog::KV for Decision<'_, R> {
     fn serialize(&self, _record: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
         if let Some(request) = self.request {
             serializer.emit_arguments(Key::from("request"), &format_args!("{request:032x}"))?;
@@ -127,6 +128,6 @@
             serializer.emit_arguments(Key::from("backend_server"), &format_args!("{server}"))?;
         }
         serializer.emit_str(Key::from("decision"), self.what)?;
-        serializer.emit_str(Key::from("reason"), self.reason)
+        serializer.emit_arguments(Key::from("reason"), &format_args!("{}", self.reason))
     }
 }
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -2,7 +2,9 @@
 
 use super::Node;
 use crate::service::Explain;
-use monsoonring_decision::Time;
+use monsoonring_configuration::id::RouteId;
+use monsoonring_decision::home::action::Decision;
+use monsoonring_decision::{RequestId, Time};
 use serde_json::{Value, json};
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,39 +12,57 @@
 /// Decisions kept for `explain`.
 const KEPT: usize = 20_000;
 
-/// The latest decisions, for questions about one request.
+/// The latest decisions, for questions about one request. They are kept as they come, and written
+/// out for the few that somebody asks about.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Recent(Arc<Mutex<VecDeque<(monsoonring_decision::RequestId, Value)>>>);
+pub(crate) struct Recent(Arc<Mutex<VecDeque<Kept>>>);
+
+/// A decision on a request.
+#[derive(Clone, Debug)]
+struct Kept {
+    at: Time,
+    route: RouteId,
+    decision: Decision,
+}
+
+impl Kept {
+    fn is_on(&self, request: RequestId) -> bool {
+        self.decision.request == Some(request)
+    }
+
+    fn line(&self) -> Value {
+        json!({
+            "at_ms": self.at.as_millis(),
+            "route": &*self.route,
+            "decision": self.decision.what,
+            "backend_server": self.decision.backend_server,
+            "reason": self.decision.why.to_string(),
+        })
+    }
+}
 
 impl Recent {
     /// Keeps a decision on a request.
-    pub(crate) fn keep(
-        &self,
-        at: Time,
-        route: &str,
-        decision: &monsoonring_decision::home::action::Decision,
-    ) {
-        let Some(request) = decision.request else {
+    pub(crate) fn keep(&self, at: Time, route: &RouteId, decision: Decision) {
+        if decision.request.is_none() {
             return;
+        }
+        let kept = Kept {
+            at,
+            route: route.clone(),
+            decision,
         };
-        let line = json!({
-            "at_ms": at.as_millis(),
-            "route": route,
-            "decision": decision.what,
-            "backend_server": decision.backend_server,
-            "reason": decision.why,
-        });
         let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         if lines.len() == KEPT {
             lines.pop_front();
         }
-        lines.push_back((request, line));
+        lines.push_back(kept);
     }
 
-    fn of(&self, request: monsoonring_decision::RequestId) -> Vec<Value> {
+    fn of(&self, request: RequestId) -> Vec<Value> {
         let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let lines = lines.iter().filter(|(of, _)| *of == request);
-        lines.map(|(_, line)| line.clone()).collect()
+        let lines = lines.iter().filter(|kept| kept.is_on(request));
+        lines.map(Kept::line).collect()
     }
 }
 
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -188,14 +188,13 @@
             }
             Action::Wake(at) => self.alarm.ask(at),
             Action::Log(decision) => {
-                self.log(&decision);
+                self.log(decision);
             }
         }
     }
 
-    fn log(&self, decision: &Decision) {
+    fn log(&self, decision: Decision) {
         self.metrics.count_decision(&self.route, decision.what);
-        self.recent.keep(self.clock.now(), &self.route, decision);
         log::Decision {
             request: decision.request,
             route: &self.route,
@@ -205,6 +204,7 @@
             reason: &decision.why,
         }
         .log(&self.log);
+        self.recent.keep(self.clock.now(), &self.route, decision);
     }
 
     fn state(&self) -> serde_json::Value {
--- a/crates/decision/src/backend/choice.rs
+++ b/crates/decision/src/backend/choice.rs
@@ -9,6 +9,7 @@
 
 use super::server::Server;
 use crate::Time;
+use crate::why::Least;
 use monsoonring_configuration::id::BackendServerId;
 use rand::Rng;
 use std::time::Duration;
@@ -26,12 +27,12 @@
 const TIE: f64 = 1e-9;
 
 /// The backend server chosen for an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
     /// The server.
     pub server: BackendServerId,
     /// Why it was chosen, with the numbers that decided.
-    pub why: String,
+    pub why: Least,
 }
 
 /// What is known of the group when its servers are compared.
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -8,6 +8,7 @@
 use crate::attempt::AttemptId;
 use crate::policy::Policy;
 use crate::{Time, placement};
+use crate::why::Least;
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
@@ -289,15 +290,15 @@
             .collect()
     }
 
-    fn why(&self, server: BackendServerId, scores: &[f64], index: usize, now: Time) -> String {
+    fn why(&self, server: BackendServerId, scores: &[f64], index: usize, now: Time) -> Least {
         let state = &self.servers[&server];
         let others = choice::others(state, self.usual(state.group), now);
-        format!(
-            "score {:.2} of {} open; own {}, others {others:+.2}",
-            scores[index],
-            scores.len(),
-            state.outstanding,
-        )
+        Least {
+            score: scores[index],
+            open: scores.len(),
+            own: state.outstanding,
+            others,
+        }
     }
 
     /// Takes over the groups; servers that are new start with `ramp`.
--- a/crates/decision/src/home/action.rs
+++ b/crates/decision/src/home/action.rs
@@ -2,6 +2,7 @@
 
 use crate::attempt::{AttemptId, ConnectionId};
 use crate::outcome::Outcome;
+use crate::why::Why;
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::Range;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
@@ -66,6 +67,6 @@
     pub what: &'static str,
     /// The backend server concerned, if there is one.
     pub backend_server: Option<BackendServerId>,
-    /// Why, in a few words with the numbers that decided.
-    pub why: String,
+    /// Why it was decided.
+    pub why: Why,
 }
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -13,6 +13,7 @@
 use crate::query::coverage::Set;
 use crate::query::execution::{Execution, State};
 use crate::query::run::{self, Cause};
+use crate::why::Least;
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::id::BackendServerId;
 
@@ -52,7 +53,7 @@
         &mut self,
         execution: &Execution,
         now: Time,
-    ) -> Option<(BackendServerId, String)> {
+    ) -> Option<(BackendServerId, Least)> {
         let candidates = self.placement.servers();
         let rng = &mut self.rng;
         let fresh = self
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -9,6 +9,7 @@
 use crate::backend::suspect::Standing;
 use crate::outcome::{Outcome, Reason};
 use crate::query::run::{Cause, Part, PartId, Run};
+use crate::why::Least;
 use crate::{RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 use std::time::Duration;
@@ -147,7 +148,7 @@
     }
 
     /// Chooses a server that was not tried for the part; if there is none, one that was.
-    fn pick(&mut self, run: &Run, id: PartId, now: Time) -> Option<(BackendServerId, String)> {
+    fn pick(&mut self, run: &Run, id: PartId, now: Time) -> Option<(BackendServerId, Least)> {
         let part = run.parts.get(&id)?;
         let candidates = self.candidates(part);
         let version = run.pin;
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -114,7 +114,7 @@
     /// Gives a leaving server no new work, what waits for a connection to it included. What it
     /// works on already, it may finish.
     fn leave(&mut self, server: BackendServerId, now: Time) {
-        self.log(None, "leave", Some(server), "no new work".to_owned());
+        self.log(None, "leave", Some(server), "no new work");
         self.pool.set_leaving(server, true, now);
         self.evacuate(server, now);
         self.learn(server);
@@ -180,7 +180,7 @@
             None,
             "unreachable",
             Some(server),
-            "connection refused or ended".to_owned(),
+            "connection refused or ended",
         );
         self.fleet.set_reachable(server, false, now);
         self.evacuate(server, now);
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -17,6 +17,7 @@
 use crate::query::execution::Execution;
 use crate::query::pin::Pin;
 use crate::query::run::{Run, Waiter};
+use crate::why::Why;
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::document::{Kind, Route};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
@@ -319,13 +320,13 @@
         request: Option<RequestId>,
         what: &'static str,
         backend_server: Option<BackendServerId>,
-        why: String,
+        why: impl Into<Why>,
     ) {
         self.actions.push(Action::Log(Decision {
             request,
             what,
             backend_server,
-            why,
+            why: why.into(),
         }));
     }
 }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod query;
 pub mod reply;
 pub mod stop;
+pub mod why;
 
 /// Monotonic time since the start of the process that decides.
 pub type Time = std::time::Duration;
--- a/crates/decision/tests/home_properties.rs
+++ b/crates/decision/tests/home_properties.rs
@@ -304,7 +304,7 @@
         let allowed = 1.0 + PERCENT / 100.0 * trial.logged("send") as f64;
         let given_back = |what: &str| {
             let log = trial.session.log.iter();
-            log.filter(|decision| decision.why.contains(what)).count()
+            log.filter(|decision| decision.why.to_string().contains(what)).count()
         };
         let retries = trial.logged("retry") + trial.logged("overdue");
         let retries = retries - given_back("retry given back");
