Ask whether an answer is whole without making a list

Cause: after each reply the missing keys were listed to see that there are some, and all parts were searched for one whose version vanished: 19 % of the home's instructions at 160 groups. Change: as ranges of a set neither overlap nor touch, one of them has to hold all keys of the route: one binary search. Whether a newer version is pinned at all is asked before the parts are searched. A property test holds the answer against the list of missing keys.

--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -74,10 +74,10 @@
     /// time for a reply at a newer one.
     fn restart_version(&self, run: &Run, now: Time) -> Option<IndexVersion> {
         let pinned = run.pin?;
+        let newer = self.pin.version().filter(|version| *version > pinned)?;
         let is_low = pinned < self.route.minimum_index_version;
         let gone = |part: &&Part| part.vanished || is_low;
         let part = run.parts.values().find(gone)?;
-        let newer = self.pin.version().filter(|version| *version > pinned)?;
         let server = self.route.groups.get(part.group)?.backend_servers.first()?;
         let needed = self.fleet.hedge_delay(*server, RESTART_QUANTILE, now);
         let in_time = now + needed < run.request.deadline;
--- a/crates/decision/src/query/coverage.rs
+++ b/crates/decision/src/query/coverage.rs
@@ -139,7 +139,7 @@
 /// A set with all keys gives exactly 1, and one that lacks a key never does, whatever the rounding:
 /// a caller must be able to tell "complete" from "nearly".
 pub fn share(set: &Set, route: &Route) -> f64 {
-    if missing(set, route).is_empty() {
+    if is_whole(set, route) {
         return 1.0;
     }
     let total: f64 = route.groups.iter().map(|group| group.weight).sum();
@@ -149,6 +149,16 @@
     (set.weight(&route.groups) / total).clamp(0.0, 1.0 - f64::EPSILON)
 }
 
+/// Tells whether no key of the route is missing in `set`. Asked after each reply, it makes no list:
+/// as the ranges of a set neither overlap nor touch, one of them has to hold all keys.
+pub fn is_whole(set: &Set, route: &Route) -> bool {
+    let keys = route.keys;
+    let after = set
+        .ranges
+        .partition_point(|range| range.start <= keys.start);
+    keys.is_empty() || after > 0 && keys.end <= set.ranges[after - 1].end
+}
+
 /// Returns the keys of the route that are not in `set`.
 pub fn missing(set: &Set, route: &Route) -> Set {
     Set::from(route.keys).difference(set)
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -281,7 +281,7 @@
 
     /// Tells whether every key of the route has been merged.
     pub(crate) fn is_complete(&self, route: &Route) -> bool {
-        coverage::missing(self.merge.covered(), route).is_empty()
+        coverage::is_whole(self.merge.covered(), route)
     }
 
     /// Returns the keys that are neither merged nor in a part.
--- a/crates/decision/tests/coverage.rs
+++ b/crates/decision/tests/coverage.rs
@@ -3,7 +3,8 @@
 mod session;
 
 use monsoonring_configuration::Range;
-use monsoonring_decision::query::coverage::{Set, missing, share};
+use monsoonring_configuration::document::Route;
+use monsoonring_decision::query::coverage::{Set, is_whole, missing, share};
 use monsoonring_decision::query::merge::{Error, Merge, check};
 use proptest::prelude::*;
 use session::{VERSION, reply, route};
@@ -115,6 +116,15 @@
         prop_assert!(gaps, "ranges overlap or touch: {:?}", a);
     }
 
+    #[test]
+    fn is_whole_agrees_with_what_is_missing(ranges in some_ranges(), start in 0..KEY_SPACE, end in 0..KEY_SPACE) {
+        let covered = set(&ranges);
+        let route = Route { keys: Range::new(start, end), ..route(1, 1) };
+        prop_assert_eq!(is_whole(&covered, &route), missing(&covered, &route).is_empty());
+        let whole = set(&[ranges, vec![(start, end)]].concat());
+        prop_assert!(is_whole(&whole, &route));
+    }
+
     #[test]
     fn accept_any_replies_merge_each_key_once(replies in prop::collection::vec((some_ranges(), some_ranges()), 0..6)) {
         let mut merge = Merge::default();
