Keep short lists in place

Cause: 20 allocations for each sub-query, nearly all for lists of one or two: key ranges, servers tried, candidates and their scores.

--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -7,12 +7,13 @@
 use super::server::Server;
 use crate::attempt::AttemptId;
 use crate::policy::Policy;
-use crate::{Time, placement};
 use crate::why::Least;
+use crate::{Time, placement};
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
 use rustc_hash::FxHashMap;
+use smallvec::{SmallVec, smallvec};
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -37,6 +38,9 @@
 /// slow is not silent.
 const PATIENCE_IN_MEANS: f64 = 6.0;
 
+/// Replicas that a group usually has at most; more of them take an allocation.
+const FEW: usize = 4;
+
 /// All backend servers of one route at one home.
 pub struct Fleet {
     pub(super) servers: FxHashMap<BackendServerId, Server>,
@@ -135,7 +139,7 @@
     ) -> Option<Choice> {
         let open = self.open(candidates, tried, version, now);
         let scores = match self.policy.random_replica {
-            true => vec![0.0; open.len()],
+            true => smallvec![0.0; open.len()],
             false => self.scores(&open, now),
         };
         let index = choice::least(&scores, rng)?;
@@ -267,7 +271,7 @@
         tried: &[BackendServerId],
         version: Option<IndexVersion>,
         now: Time,
-    ) -> Vec<BackendServerId> {
+    ) -> SmallVec<[BackendServerId; FEW]> {
         let serves = |server| {
             let state = self.servers.get(server);
             state.is_some_and(|state| state.serves(version))
@@ -280,7 +284,7 @@
             .collect()
     }
 
-    fn scores(&self, servers: &[BackendServerId], now: Time) -> Vec<f64> {
+    fn scores(&self, servers: &[BackendServerId], now: Time) -> SmallVec<[f64; FEW]> {
         servers
             .iter()
             .map(|server| {
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -70,8 +70,8 @@
 
     fn answered(&mut self, flight: &Flight, report: &Report, now: Time) {
         let news = self.fleet.replied(flight.id, report, now);
-        let replicas = self.placement.replicas(flight.server).to_vec();
-        self.suspects.succeeded(flight.id, &replicas, now);
+        let replicas = self.placement.replicas(flight.server);
+        self.suspects.succeeded(flight.id, replicas, now);
         self.retries.succeeded(now);
         self.hedges.succeeded(now);
         if let Some(connection) = flight.connection {
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -12,6 +12,7 @@
 use crate::why::Least;
 use crate::{RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// Quantile of a server's latency that has to fit before the deadline for a search to begin again
@@ -162,7 +163,7 @@
         choice.map(|choice| (choice.server, choice.why))
     }
 
-    fn candidates(&self, part: &Part) -> Vec<BackendServerId> {
+    fn candidates(&self, part: &Part) -> SmallVec<[BackendServerId; 4]> {
         let group = self.route.groups.get(part.group);
         let servers = group.into_iter().flat_map(|group| &group.backend_servers);
         let able = servers.filter(|server| !part.unable.contains(server) && !self.is_old(**server));
--- a/crates/decision/src/query/coverage.rs
+++ b/crates/decision/src/query/coverage.rs
@@ -7,6 +7,7 @@
 use monsoonring_configuration::Range;
 use monsoonring_configuration::document::{Group, Route};
 use monsoonring_configuration::id::Key;
+use smallvec::SmallVec;
 
 /// A set of keys, as ranges.
 ///
@@ -14,9 +15,12 @@
 /// nor touch.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Set {
-    ranges: Vec<Range>,
+    ranges: Ranges,
 }
 
+/// Nearly all sets are one range: the keys of a group, or all up to those that are missing.
+type Ranges = SmallVec<[Range; 1]>;
+
 impl Set {
     /// Returns the ranges, disjoint and in order.
     pub fn ranges(&self) -> &[Range] {
@@ -46,7 +50,8 @@
             whole.start = whole.start.min(old.start);
             whole.end = whole.end.max(old.end);
         }
-        self.ranges.splice(first..after, [whole]);
+        self.ranges.drain(first..after);
+        self.ranges.insert(first, whole);
     }
 
     /// Adds the keys of another set.
@@ -58,7 +63,7 @@
 
     /// Returns the keys that are in both sets.
     pub fn intersection(&self, other: &Self) -> Self {
-        let mut common = Vec::new();
+        let mut common = Ranges::new();
         let (mut left, mut right) = (0, 0);
         while left < self.ranges.len() && right < other.ranges.len() {
             let (a, b) = (self.ranges[left], other.ranges[right]);
@@ -74,7 +79,7 @@
 
     /// Returns the keys of this set that are not in the other.
     pub fn difference(&self, other: &Self) -> Self {
-        let mut rest = Vec::new();
+        let mut rest = Ranges::new();
         for range in &self.ranges {
             let mut start = range.start;
             let first = other.ranges.partition_point(|gone| gone.end <= range.start);
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -15,6 +15,7 @@
 use crate::{RequestId, Time};
 use monsoonring_configuration::document::{Class, Route};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use smallvec::SmallVec;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -72,11 +73,11 @@
     /// The keys.
     pub(crate) wanted: Set,
     /// Attempts queued or sent for these keys.
-    pub(crate) live: Vec<AttemptId>,
+    pub(crate) live: SmallVec<[AttemptId; 2]>,
     /// Servers that had an attempt; another one is preferred.
-    pub(crate) tried: Vec<BackendServerId>,
+    pub(crate) tried: SmallVec<[BackendServerId; 1]>,
     /// Servers that can't serve these keys at the pinned version.
-    pub(crate) unable: Vec<BackendServerId>,
+    pub(crate) unable: SmallVec<[BackendServerId; 1]>,
     /// Attempts made, hedges included.
     pub(crate) attempts: u32,
     /// Why the next attempt is made.
@@ -237,7 +238,7 @@
         };
         part.wanted = part.wanted.difference(new);
         if part.wanted.is_empty() {
-            change.losers.append(&mut part.live);
+            change.losers.extend(part.live.drain(..));
             self.parts.remove(&id);
         }
     }
