--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -9,8 +9,10 @@
 use crate::backend::suspect::Standing;
 use crate::outcome::{Outcome, Reason};
 use crate::query::run::{Cause, Part, PartId, Run};
+use crate::why::Least;
 use crate::{RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 /// Quantile of a server's latency that has to fit before the deadline for a search to begin again
@@ -73,10 +75,10 @@
     /// time for a reply at a newer one.
     fn restart_version(&self, run: &Run, now: Time) -> Option<IndexVersion> {
         let pinned = run.pin?;
+        let newer = self.pin.version().filter(|version| *version > pinned)?;
         let is_low = pinned < self.route.minimum_index_version;
         let gone = |part: &&Part| part.vanished || is_low;
         let part = run.parts.values().find(gone)?;
-        let newer = self.pin.version().filter(|version| *version > pinned)?;
         let server = self.route.groups.get(part.group)?.backend_servers.first()?;
         let needed = self.fleet.hedge_delay(*server, RESTART_QUANTILE, now);
         let in_time = now + needed < run.request.deadline;
@@ -147,7 +149,7 @@
     }
 
     /// Chooses a server that was not tried for the part; if there is none, one that was.
-    fn pick(&mut self, run: &Run, id: PartId, now: Time) -> Option<(BackendServerId, String)> {
+    fn pick(&mut self, run: &Run, id: PartId, now: Time) -> Option<(BackendServerId, Least)> {
         let part = run.parts.get(&id)?;
         let candidates = self.candidates(part);
         let version = run.pin;
@@ -161,7 +163,7 @@
         choice.map(|choice| (choice.server, choice.why))
     }
 
-    fn candidates(&self, part: &Part) -> Vec<BackendServerId> {
+    fn candidates(&self, part: &Part) -> SmallVec<[BackendServerId; 4]> {
         let group = self.route.groups.get(part.group);
         let servers = group.into_iter().flat_map(|group| &group.backend_servers);
         let able = servers.filter(|server| !part.unable.contains(server) && !self.is_old(**server));
