Tell at a glance where daemons disagree, and explain across daemons

`explain` found nothing at the daemon that took a request and passed it on: only decisions of homes were kept. The hop, the ledger's decision on a key and a home that gave no answer are now decisions like the others, logged and kept, with the home and why it was chosen. The kept lines are typed, as 20,000 JSON values cost more than the facts in them.

`explain` asks several daemons at once and puts their decisions in order by their age, since the daemons' own times have nothing in common. `status` says how many members are in which state, which ones are not alive and to whom, what was refused by route and class, and in sentences where daemons differ: versions, members, homes, leaving backend servers. `/state` has the members that left or died, the facts that hold, and the kind of each route, in a fixed order.

Tried by hand on two daemons under load: status, and explain of a search and of executions at both daemons. No daemon there passes anything on, as both are homes; the hop's line is covered by the goldens of the command only.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -113,9 +113,9 @@
 
 #[derive(Debug, Args)]
 pub(crate) struct Explain {
-    /// The operator address of a daemon.
-    #[arg(long, value_name = "ADDR")]
-    pub(crate) daemon: SocketAddr,
+    /// The operator address of a daemon; may be given several times.
+    #[arg(long = "daemon", value_name = "ADDR", required = true)]
+    pub(crate) daemons: Vec<SocketAddr>,
     /// Id of the request, 32 hexadecimal digits.
     #[arg(
         long,
@@ -130,7 +130,7 @@
     /// Address of a backend server of the route.
     #[arg(long, value_name = "ADDR", requires = "route")]
     pub(crate) backend_server: Option<SocketAddr>,
-    /// Time to wait for the daemon, in milliseconds.
+    /// Time to wait for each daemon, in milliseconds.
     #[arg(long, value_name = "MS", default_value_t = 2_000)]
     pub(crate) timeout_ms: u64,
 }
--- a/crates/cli/src/command/mod.rs
+++ b/crates/cli/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The subcommands, one module each.
 
 pub(crate) mod check;
+mod disagreement;
 pub(crate) mod execute;
 pub(crate) mod explain;
 mod input;
--- a/crates/cli/src/command/state.rs
+++ b/crates/cli/src/command/state.rs
@@ -8,34 +8,70 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-const REFUSALS: &str = "monsoonring_refusals_total{reason=\"";
+const REFUSALS: &str = "monsoonring_refusals_total{";
+
+/// How a fact is called that keeps requests away.
+const CRASHING: &str = "crashing request";
 
 /// The facts that the command shows.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub(crate) struct State {
+    /// Address under which the other daemons know this one.
+    pub(crate) address: Option<SocketAddr>,
     /// Why the daemon should not be sent requests, if that is so.
     pub(crate) not_ready_because: Option<String>,
+    /// Whether so many others died at once that the daemon is more likely cut off itself.
+    pub(crate) isolated: bool,
     /// Revision of the configuration in force; none before the first.
     pub(crate) revision: Option<u64>,
     /// Digest of that configuration.
     pub(crate) digest: Option<String>,
+    /// Documents seen that share a revision with another.
+    pub(crate) conflicts: u64,
     /// The daemons that this one knows.
     pub(crate) members: Vec<Member>,
+    /// Homes of each route, as this daemon computes them.
+    pub(crate) homes: BTreeMap<String, Vec<SocketAddr>>,
+    /// Backend servers that this daemon sends work to, or would if they were not leaving.
+    #[serde(skip)]
+    served: BTreeSet<SocketAddr>,
     /// Backend servers that get no new work from this daemon.
     pub(crate) leaving: BTreeSet<SocketAddr>,
-    /// Requests refused or failed since the start, by reason; none where the metrics aren't to be
+    /// Fingerprints of requests that are refused because they crash backend servers.
+    pub(crate) crashing: BTreeSet<String>,
+    /// Requests refused or failed since the start, most first; none where the metrics aren't to be
     /// had.
-    pub(crate) refused: Option<BTreeMap<String, u64>>,
+    pub(crate) refused: Option<Vec<Refusal>>,
 }
 
 /// A daemon as another one sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Member {
-    address: SocketAddr,
+    pub(crate) address: SocketAddr,
     #[serde(default)]
-    data_centre: String,
+    pub(crate) data_centre: String,
     #[serde(default)]
-    state: String,
+    pub(crate) state: String,
+}
+
+/// A number of requests that were refused or failed for one reason.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct Refusal {
+    /// Why.
+    pub(crate) reason: String,
+    /// The route; empty where none was known yet.
+    pub(crate) route: String,
+    /// The caller's class; empty where the caller was not known yet.
+    pub(crate) class: String,
+    /// How many.
+    pub(crate) count: u64,
+}
+
+impl State {
+    /// Tells whether the daemon is a home that sends work to a backend server.
+    pub(crate) fn serves(&self, server: SocketAddr) -> bool {
+        self.served.contains(&server)
+    }
 }
 
 /// What one daemon said, or why it said nothing.
@@ -97,11 +133,17 @@
 struct Document {
     configuration: Configuration,
     #[serde(default)]
+    address: Option<SocketAddr>,
+    #[serde(default)]
     not_ready_because: Option<String>,
     #[serde(default)]
+    isolated: bool,
+    #[serde(default)]
     members: Vec<Member>,
     #[serde(default)]
     routes: Vec<Route>,
+    #[serde(default)]
+    facts: Vec<Fact>,
 }
 
 #[derive(Deserialize)]
@@ -110,10 +152,16 @@
     revision: Option<u64>,
     #[serde(default)]
     digest: Option<String>,
+    #[serde(default)]
+    conflicts: u64,
 }
 
 #[derive(Deserialize)]
 struct Route {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    homes: Vec<SocketAddr>,
     /// Nothing where the daemon is no home of the route.
     home: Option<Home>,
 }
@@ -131,31 +179,65 @@
     leaving: bool,
 }
 
+#[derive(Deserialize)]
+struct Fact {
+    #[serde(default)]
+    what: String,
+    #[serde(default)]
+    of: String,
+}
+
 impl Document {
-    fn state(self, refused: Option<BTreeMap<String, u64>>) -> State {
-        let homes = self.routes.into_iter().filter_map(|route| route.home);
-        let servers = homes.flat_map(|home| home.backend_servers);
-        let leaving = servers.filter(|server| server.leaving);
+    fn state(self, refused: Option<Vec<Refusal>>) -> State {
+        let homes = self.routes.iter();
+        let homes = homes.map(|route| (route.name.clone(), route.homes.clone()));
+        let homes = homes.collect();
+        let served = self.routes.into_iter().filter_map(|route| route.home);
+        let servers: Vec<_> = served.flat_map(|home| home.backend_servers).collect();
+        let leaving = servers.iter().filter(|server| server.leaving);
+        let crashing = self.facts.into_iter().filter(|fact| fact.what == CRASHING);
         State {
+            address: self.address,
             not_ready_because: self.not_ready_because,
+            isolated: self.isolated,
             revision: self.configuration.revision,
             digest: self.configuration.digest,
+            conflicts: self.configuration.conflicts,
             members: self.members,
+            homes,
+            served: servers.iter().map(|server| server.server).collect(),
             leaving: leaving.map(|server| server.server).collect(),
+            crashing: crashing.map(|fact| fact.of).collect(),
             refused,
         }
     }
 }
 
-async fn refused(peer: Peer) -> Option<BTreeMap<String, u64>> {
+async fn refused(peer: Peer) -> Option<Vec<Refusal>> {
     let answer = peer.get("/metrics").await.ok()?;
     let text = answer.status.is_success().then_some(answer.body)?;
     let text = String::from_utf8_lossy(&text);
-    Some(text.lines().filter_map(refusal).collect())
+    let mut refused: Vec<Refusal> = text.lines().filter_map(refusal).collect();
+    refused.sort_by(|left, right| {
+        let names = |refusal: &Refusal| (refusal.reason.clone(), refusal.route.clone());
+        (right.count, names(left)).cmp(&(left.count, names(right)))
+    });
+    Some(refused)
 }
 
-/// Reads a line such as `monsoonring_refusals_total{reason="overload"} 3`.
-fn refusal(line: &str) -> Option<(String, u64)> {
-    let (reason, count) = line.strip_prefix(REFUSALS)?.split_once("\"} ")?;
-    Some((reason.to_owned(), count.trim().parse().ok()?))
+/// Reads a line such as `monsoonring_refusals_total{route="map",class="urgent",reason="overload"} 3`.
+/// The values are names of the configuration and of the daemon, which need no escapes.
+fn refusal(line: &str) -> Option<Refusal> {
+    let (labels, count) = line.strip_prefix(REFUSALS)?.split_once("} ")?;
+    let label = |name: &str| {
+        let mut labels = labels.split(',').filter_map(|label| label.split_once('='));
+        let found = labels.find(|(found, _)| *found == name);
+        found.map(|(_, value)| value.trim_matches('"').to_owned())
+    };
+    Some(Refusal {
+        reason: label("reason")?,
+        route: label("route").unwrap_or_default(),
+        class: label("class").unwrap_or_default(),
+        count: count.trim().parse().ok()?,
+    })
 }
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -1,6 +1,7 @@
 //! `monsoonring status`: what the daemons hold to be true, side by side.
 
 use crate::arguments::Status;
+use crate::command::disagreement;
 use crate::command::state::{self, Answer, State};
 use crate::exit::Code;
 use crate::output::Output;
@@ -22,11 +23,15 @@
     "refused",
 ];
 
+/// Digits shown of a digest: enough to tell two apart.
+const DIGEST_DIGITS: usize = 8;
+
 /// What all the daemons said.
 #[derive(Debug, Serialize)]
 struct Report {
     agree: bool,
     revisions: BTreeSet<u64>,
+    disagreements: Vec<String>,
     daemons: BTreeMap<SocketAddr, Answer>,
 }
 
@@ -47,14 +52,20 @@
 impl Report {
     /// Daemons agree where they name the same revision and, for one revision, the same digest.
     fn new(daemons: BTreeMap<SocketAddr, Answer>) -> Self {
-        let states = daemons.values().filter_map(Answer::state);
+        let states: Vec<(SocketAddr, &State)> = daemons
+            .iter()
+            .filter_map(|(address, answer)| Some((*address, answer.state()?)))
+            .collect();
         let in_force: BTreeSet<_> = states
-            .map(|state| (state.revision, state.digest.clone()))
+            .iter()
+            .map(|(_, state)| (state.revision, state.digest.clone()))
             .collect();
         let revisions = in_force.iter().filter_map(|(revision, _)| *revision);
+        let disagreements = disagreement::among(&states);
         Self {
             agree: in_force.len() <= 1,
             revisions: revisions.collect(),
+            disagreements,
             daemons,
         }
     }
@@ -84,6 +95,11 @@
                 writeln!(f, "{address} {why}")?;
             }
         }
+        write_members(&self.daemons, f)?;
+        write_refused(&self.daemons, f)?;
+        for line in &self.disagreements {
+            writeln!(f, "{line}")?;
+        }
         if !self.agree {
             let revisions = list(self.revisions.iter());
             writeln!(
@@ -96,24 +112,98 @@
 }
 
 fn cells(address: SocketAddr, state: &State) -> Vec<String> {
-    let none = || "none".to_owned();
     let reason = state.not_ready_because.as_ref();
-    let refused = state.refused.as_ref().map(|refused| {
-        let counts = refused.iter();
-        list(counts.map(|(reason, count)| format!("{reason} {count}")))
-    });
     vec![
         address.to_string(),
         reason.map_or_else(|| "yes".to_owned(), |reason| format!("no: {reason}")),
-        state
-            .revision
-            .map_or_else(none, |revision| revision.to_string()),
-        state.members.len().to_string(),
+        version(state),
+        members(state),
         list(state.leaving.iter()),
-        refused.unwrap_or_else(|| "not known".to_owned()),
+        refused(state),
     ]
 }
 
+fn version(state: &State) -> String {
+    let Some(revision) = state.revision else {
+        return "none".to_owned();
+    };
+    let digest = state.digest.as_deref().unwrap_or_default();
+    let digest = digest.get(..DIGEST_DIGITS).unwrap_or(digest);
+    format!("{revision} ({digest})")
+}
+
+/// Says how many members are in which state.
+fn members(state: &State) -> String {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    for member in &state.members {
+        *counts.entry(&member.state).or_default() += 1;
+    }
+    list(
+        counts
+            .iter()
+            .map(|(state, count)| format!("{count} {state}")),
+    )
+}
+
+/// Says how many requests were refused for which reason, on all routes.
+fn refused(state: &State) -> String {
+    let Some(refused) = &state.refused else {
+        return "not known".to_owned();
+    };
+    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
+    for refusal in refused {
+        *counts.entry(&refusal.reason).or_default() += refusal.count;
+    }
+    list(
+        counts
+            .iter()
+            .map(|(reason, count)| format!("{reason} {count}")),
+    )
+}
+
+/// Writes a row for each member that some daemon doesn't take for alive: the others are no news.
+fn write_members(daemons: &BTreeMap<SocketAddr, Answer>, f: &mut Formatter<'_>) -> fmt::Result {
+    let mut table = Table::new(&["member", "data centre", "state", "as seen by"]);
+    let mut any = false;
+    for (address, answer) in daemons {
+        let members = answer.state().map_or(&[][..], |state| &state.members);
+        for member in members.iter().filter(|member| member.state != "alive") {
+            any = true;
+            table.row(vec![
+                member.address.to_string(),
+                member.data_centre.clone(),
+                member.state.clone(),
+                address.to_string(),
+            ]);
+        }
+    }
+    if any { write!(f, "\n{table}") } else { Ok(()) }
+}
+
+/// Writes what was refused, by route and class.
+fn write_refused(daemons: &BTreeMap<SocketAddr, Answer>, f: &mut Formatter<'_>) -> fmt::Result {
+    let mut table = Table::new(&["refused", "route", "class", "count", "by"]);
+    let mut any = false;
+    for (address, answer) in daemons {
+        let refused = answer.state().and_then(|state| state.refused.as_ref());
+        for refusal in refused.into_iter().flatten() {
+            any = true;
+            table.row(vec![
+                refusal.reason.clone(),
+                or_none(&refusal.route),
+                or_none(&refusal.class),
+                refusal.count.to_string(),
+                address.to_string(),
+            ]);
+        }
+    }
+    if any { write!(f, "\n{table}") } else { Ok(()) }
+}
+
+fn or_none(text: &str) -> String {
+    if text.is_empty() { "-" } else { text }.to_owned()
+}
+
 fn list<T: ToString>(parts: impl Iterator<Item = T>) -> String {
     let parts: Vec<String> = parts.map(|part| part.to_string()).collect();
     if parts.is_empty() {
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -130,16 +130,28 @@
 "configuration":{"revision":7,"digest":"aa","conflicts":0},"members":[
 {"address":"127.0.0.1:4001","data_centre":"tunis-1","state":"alive"},
 {"address":"127.0.0.1:4002","data_centre":"tunis-2","state":"suspect"}],
-"routes":[{"name":"dispatch","home":null},{"name":"tickets","home":{"in_progress":2,
+"routes":[{"name":"dispatch","homes":["127.0.0.1:4002"],"home":null},
+{"name":"tickets","homes":["127.0.0.1:4001"],"home":{"in_progress":2,
 "backend_servers":[{"server":"127.0.0.1:8003","leaving":true},{"server":"127.0.0.1:8004","leaving":false}]}}],
+"facts":[{"what":"crashing request","of":"00c0ffee00c0ffee","life_ms":60000},
+{"what":"leaving backend server","of":"127.0.0.1:8003","life_ms":60000}],
 "more":"than the command knows"}"#;
+/// Another daemon, which sees members, homes and a leaving server in another way.
+const SEVEN_BEHIND: &str = r#"{"address":"127.0.0.1:4002","isolated":true,
+"configuration":{"revision":7,"digest":"aa","conflicts":2},"members":[
+{"address":"127.0.0.1:4002","data_centre":"tunis-2","state":"alive"},
+{"address":"127.0.0.1:4003","data_centre":"tunis-2","state":"dead"}],
+"routes":[{"name":"dispatch","homes":["127.0.0.1:4002"],"home":{"backend_servers":[]}},
+{"name":"tickets","homes":["127.0.0.1:4002"],"home":{
+"backend_servers":[{"server":"127.0.0.1:8003","leaving":false}]}}]}"#;
 const SEVEN_OTHERWISE: &str = r#"{"configuration":{"revision":7,"digest":"bb"}}"#;
 const SIX: &str = r#"{"configuration":{"revision":6,"digest":"cc"}}"#;
 const STARTING: &str =
     r#"{"configuration":{"revision":null},"not_ready_because":"no configuration"}"#;
 const METRICS: &str = r#"# TYPE monsoonring_refusals counter
-monsoonring_refusals_total{reason="overload"} 3
-monsoonring_refusals_total{reason="suspect"} 1
+monsoonring_refusals_total{route="dispatch",class="urgent",reason="overload"} 1
+monsoonring_refusals_total{route="tickets",class="normal",reason="overload"} 2
+monsoonring_refusals_total{route="",class="",reason="caller"} 1
 monsoonring_requests_total{route="dispatch",outcome="complete"} 90
 "#;
 
@@ -189,9 +201,43 @@
     assert!(json.starts_with(&format!("exit {code}\n")), "{json}");
 }
 
+#[test]
+fn status_tells_where_daemons_disagree() {
+    let stubs = [SEVEN, SEVEN_BEHIND].map(|body| Stub::start(vec![("/state", answer(200, body))]));
+    let addresses = stubs.each_ref().map(|stub| stub.address.to_string());
+    let text = run(&[
+        "status",
+        "--daemon",
+        &addresses[0],
+        "--daemon",
+        &addresses[1],
+    ]);
+    let lines = [
+        "member 127.0.0.1:4001: alive at FIRST; not known at SECOND",
+        "member 127.0.0.1:4002: alive at SECOND; suspect at FIRST",
+        "member 127.0.0.1:4003: dead at SECOND; not known at FIRST",
+        "homes of tickets: 127.0.0.1:4001 at FIRST; 127.0.0.1:4002 at SECOND",
+        "backend server 127.0.0.1:8003: leaving at FIRST, not at SECOND",
+        "SECOND is probably cut off: too many members died at once",
+        "SECOND saw 2 documents under a revision that another one has: publish again",
+        "FIRST refuses requests that crash backend servers: 00c0ffee00c0ffee",
+    ];
+    for line in lines {
+        let line = line
+            .replace("FIRST", &addresses[0])
+            .replace("SECOND", &addresses[1]);
+        assert!(text.contains(&line), "{line}: {text}");
+    }
+    assert!(!text.contains("homes of dispatch"), "{text}");
+}
+
+/// What a daemon that took a request knows of it.
+const PASSED: &str = r#"{"request":"0a","decisions":[
+{"at_ms":7,"ago_ms":5020,"route":"dispatch","decision":"pass on","home":"127.0.0.1:4002",
+"reason":"near, 0 outstanding, one of 2 homes"}]}"#;
 const DECISIONS: &str = r#"{"request":"0a","decisions":[
-{"at_ms":120,"route":"dispatch","decision":"send","backend_server":"127.0.0.1:8001","reason":"outstanding 0 of 3"},
-{"at_ms":131,"route":"dispatch","decision":"hedge","backend_server":"127.0.0.1:8002","reason":"11 ms > p95 9 ms"}]}"#;
+{"at_ms":120,"ago_ms":5011,"route":"dispatch","decision":"send","backend_server":"127.0.0.1:8001","reason":"outstanding 0 of 3"},
+{"at_ms":131,"ago_ms":5000,"route":"dispatch","decision":"hedge","backend_server":"127.0.0.1:8002","reason":"11 ms > p95 9 ms"}]}"#;
 const SERVER: &str = r#"{"route":"dispatch","backend_server":{"server":"127.0.0.1:8001",
 "leaving":false,"outstanding":2,"versions":[6,7]}}"#;
 const REQUEST_PATH: &str = "/explain?request=0a";
@@ -204,11 +250,33 @@
     let stub = Stub::start(vec![(path, answer(200, body))]);
     let address = stub.address.to_string();
     let arguments = [&["explain", "--daemon", &address], which].concat();
-    insta::assert_snapshot!(format!("explain_{name}"), run(&arguments));
-    let json = run(&[&arguments[..], &["--json"]].concat());
+    let text = |arguments: &[&str]| run(arguments).replace(&address, "127.0.0.1:DAEMON");
+    insta::assert_snapshot!(format!("explain_{name}"), text(&arguments));
+    let json = text(&[&arguments[..], &["--json"]].concat());
     insta::assert_snapshot!(format!("explain_{name}_json"), json);
 }
 
+#[test]
+fn explain_decisions_of_several_daemons_are_in_order() {
+    let home = Stub::start(vec![(REQUEST_PATH, answer(200, DECISIONS))]);
+    let taker = Stub::start(vec![(REQUEST_PATH, answer(200, PASSED))]);
+    let other = Stub::start(Vec::new());
+    let addresses = [&home, &taker, &other].map(|stub| stub.address.to_string());
+    let mut arguments = vec!["explain", "--request", "0a"];
+    for address in &addresses {
+        arguments.extend(["--daemon", address]);
+    }
+    let text = run(&arguments);
+    let names = ["HOME", "TAKER", "OTHER"];
+    let text = addresses
+        .iter()
+        .zip(names)
+        .fold(text, |text, (address, name)| {
+            text.replace(&format!("{address:<15}"), &format!("{name:<15}"))
+        });
+    insta::assert_snapshot!("explain_several", text);
+}
+
 #[test]
 fn explain_unknown_request_is_said_so() {
     let stub = Stub::start(Vec::new());
--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -195,6 +195,7 @@
                 let change = self.table.get(member);
                 let _ = reply.send(change.map(|change| change.incarnation.start));
             }
+            Input::Members(reply) => drop(reply.send(self.table.iter().cloned().collect())),
             Input::Facts(reply) => {
                 let facts = self.facts.iter(self.clock.now()).collect();
                 let _ = reply.send(facts);
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -7,7 +7,7 @@
 use monsoonring_configuration::section::Section;
 use monsoonring_decision::configuration::{Event as ConfigurationEvent, Version};
 use monsoonring_decision::fact;
-use monsoonring_decision::member::{Event as MemberEvent, MemberId, Message, Page, Span};
+use monsoonring_decision::member::{Change, Event as MemberEvent, MemberId, Message, Page, Span};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
@@ -24,6 +24,8 @@
     Sections(Version, oneshot::Sender<Option<(Version, Arc<[Section]>)>>),
     /// The start number of a member is wanted.
     Start(MemberId, oneshot::Sender<Option<Incarnation>>),
+    /// All that is known of members is wanted, for operators.
+    Members(oneshot::Sender<Vec<Change>>),
     /// All facts that hold are wanted, for a home that starts.
     Facts(oneshot::Sender<Vec<fact::Entry>>),
     /// Something happened to members.
@@ -115,6 +117,11 @@
         self.ask(|sender| Input::Start(member, sender)).await?
     }
 
+    /// Returns all that is known of members, those included that left or died lately.
+    pub(crate) async fn members(&self) -> Vec<Change> {
+        self.ask(Input::Members).await.unwrap_or_default()
+    }
+
     /// Returns all facts that hold.
     pub(crate) async fn facts(&self) -> Vec<fact::Entry> {
         self.ask(Input::Facts).await.unwrap_or_default()
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -5,7 +5,7 @@
 
 use super::Node;
 use super::hop::context;
-use super::search::unavailable;
+use super::search::{Choice, unavailable};
 use crate::service::{Call, Execution};
 use futures::stream::{FuturesUnordered, StreamExt};
 use monsoonring_decision::attempt::Failure;
@@ -18,7 +18,6 @@
 use monsoonring_decision::outcome::{Outcome, Reason};
 use monsoonring_decision::{RequestId, Time};
 use monsoonring_wire::message::{Declined, Send, Sent};
-use slog::info;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -76,8 +75,9 @@
         }
         let entry = self.routes.get(&call.route.name).ok_or_else(unavailable)?;
         let home = self.choose(&entry, call.request, &[]);
-        if let Some(home) = home.filter(|home| *home != self.own.id) {
-            if let Some(key) = self.mint_at(home, &call).await {
+        if let Some(choice) = home.filter(|choice| choice.home != self.own.id) {
+            self.note(&call, "fetch key", Some(choice.home), &choice.why);
+            if let Some(key) = self.mint_at(choice.home, &call).await {
                 return Ok(key.to_string());
             }
         }
@@ -163,8 +163,8 @@
         if !matches!(decision, Decision::Join) {
             self.ledger.joined().remove(&call.request);
         }
-        info!(self.log, "decision"; "decision" => name(&decision), "route" => &*call.route.name,
-            "request" => format!("{:032x}", call.request), "reason" => "ledger");
+        let (what, home, why) = describe(&decision);
+        self.note(&call, what, home, &why);
         match decision {
             Decision::Run(permit) => Sent::Ended(self.run(permit, call, &key).await),
             Decision::Join => Sent::Ended(self.join(joined, &call).await),
@@ -250,7 +250,7 @@
         };
         let mut tried = Vec::new();
         while tried.len() < MAX_HOMES {
-            let Some(home) = self.choose(&entry, call.request, &tried) else {
+            let Some(Choice { home, why }) = self.choose(&entry, call.request, &tried) else {
                 break;
             };
             tried.push(home);
@@ -260,6 +260,7 @@
                 };
                 return handle.run(self.local(call, Some(key.clone()))).await;
             }
+            self.note(call, "pass on", Some(home), &why);
             let Ok(client) = self.peers.client(home).await else {
                 continue;
             };
@@ -425,13 +426,20 @@
     }
 }
 
-fn name(decision: &Decision) -> &'static str {
+/// Says what the ledger decided, whom it concerns, and why.
+fn describe(decision: &Decision) -> (&'static str, Option<MemberId>, String) {
     match decision {
-        Decision::Run(_) => "run",
-        Decision::Join => "join",
-        Decision::Replay(_) => "replay",
-        Decision::Refuse(_) => "refuse",
-        Decision::PassTo(_) => "pass to the key's incarnation",
-        Decision::Ask => "ask members",
+        Decision::Run(_) => ("run", None, "the key has not been run".to_owned()),
+        Decision::Join => ("join", None, "another send of the key runs".to_owned()),
+        Decision::Replay(_) => ("replay", None, "the key has its outcome".to_owned()),
+        Decision::Refuse(refusal) => ("refuse", None, format!("key: {refusal:?}")),
+        Decision::PassTo(fence) => {
+            let why = "the key names that incarnation".to_owned();
+            ("pass on", Some(fence.member), why)
+        }
+        Decision::Ask => {
+            let why = "a later send of a key that is not known here".to_owned();
+            ("ask members", None, why)
+        }
     }
 }
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -6,10 +6,11 @@
 
 mod execute;
 mod hop;
+pub(crate) mod recent;
 mod routes;
 mod search;
 mod start;
-pub(crate) mod state;
+mod state;
 mod stop;
 
 pub(crate) use start::start;
@@ -24,9 +25,9 @@
 use monsoonring_decision::member::{MemberId, Message};
 use monsoonring_decision::outcome::Outcome;
 use monsoonring_decision::placement::Member;
+use recent::{Line, Recent};
 use routes::Routes;
-use slog::Logger;
-use state::Recent;
+use slog::{Logger, info};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -54,6 +55,22 @@
         &self.control
     }
 
+    /// Writes a decision on a call to the log, and keeps it.
+    fn note(&self, call: &Call, what: &'static str, home: Option<MemberId>, why: &str) {
+        info!(self.log, "decision"; "request" => format!("{:032x}", call.request),
+            "route" => &*call.route.name, "decision" => what,
+            "home" => home.map(|home| home.to_string()), "reason" => why);
+        self.recent.keep(Line {
+            request: call.request,
+            at: self.clock.now(),
+            route: call.route.name.clone(),
+            what,
+            backend_server: None,
+            home,
+            why: why.into(),
+        });
+    }
+
     /// Probes a member for another one.
     pub(crate) async fn probe(
         &self,
--- /dev/null
+++ b/crates/daemon/src/node/recent.rs
@@ -0,0 +1,69 @@
+//! The latest decisions, for operators who ask about one request.
+//!
+//! The daemon that took a request decides which home it goes to, and the home which backend servers;
+//! each keeps its own decisions. They are typed and not text, and the oldest make room for new ones,
+//! so that the memory they take is bounded.
+
+use monsoonring_configuration::id::{BackendServerId, RouteId};
+use monsoonring_decision::member::MemberId;
+use monsoonring_decision::{RequestId, Time};
+use serde_json::{Value, json};
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Decisions kept.
+const KEPT: usize = 20_000;
+
+/// One decision on a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Line {
+    pub(crate) request: RequestId,
+    pub(crate) at: Time,
+    pub(crate) route: RouteId,
+    pub(crate) what: &'static str,
+    pub(crate) backend_server: Option<BackendServerId>,
+    pub(crate) home: Option<MemberId>,
+    pub(crate) why: Box<str>,
+}
+
+impl Line {
+    /// Returns the line for operators. The age tells the order of lines of several daemons, whose
+    /// own times have nothing in common.
+    fn shown(&self, now: Time) -> Value {
+        json!({
+            "at_ms": self.at.as_millis(),
+            "ago_ms": now.saturating_sub(self.at).as_millis(),
+            "route": &*self.route,
+            "decision": self.what,
+            "backend_server": self.backend_server,
+            "home": self.home,
+            "reason": self.why,
+        })
+    }
+}
+
+/// The latest decisions of this daemon.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Recent(Arc<Mutex<VecDeque<Line>>>);
+
+impl Recent {
+    /// Keeps a decision.
+    pub(crate) fn keep(&self, line: Line) {
+        let mut lines = self.lock();
+        if lines.len() == KEPT {
+            lines.pop_front();
+        }
+        lines.push_back(line);
+    }
+
+    /// Returns the decisions on a request, the oldest first.
+    pub(super) fn of(&self, request: RequestId, now: Time) -> Vec<Value> {
+        let lines = self.lock();
+        let lines = lines.iter().filter(|line| line.request == request);
+        lines.map(|line| line.shown(now)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, VecDeque<Line>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -9,9 +9,8 @@
 use monsoonring_decision::home::event;
 use monsoonring_decision::member::MemberId;
 use monsoonring_decision::outcome::{Outcome, Reason};
-use monsoonring_decision::placement;
+use monsoonring_decision::placement::{self, Standing};
 use monsoonring_wire::message::{Declined, Request};
-use slog::info;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,6 +28,20 @@
 /// When to come back where no home could be reached: about the time that members need to find out.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// A home, and why it was chosen.
+pub(super) struct Choice {
+    pub(super) home: MemberId,
+    pub(super) why: String,
+}
+
+/// Says what told for a home.
+fn why(standing: &Standing, homes: usize) -> String {
+    let place = if standing.near { "near" } else { "far" };
+    let doubt = if standing.suspect { ", suspect" } else { "" };
+    let outstanding = standing.outstanding;
+    format!("{place}{doubt}, {outstanding} outstanding, one of {homes} homes")
+}
+
 /// "Not run", for want of a home.
 pub(super) fn unavailable() -> Outcome {
     Outcome::NotRun {
@@ -61,11 +74,14 @@
     /// Brings the search to one home after the other until one of them tells how it ended.
     async fn run(mut self) -> Outcome {
         let mut running = FuturesUnordered::new();
-        while let Some(home) = self.next() {
-            running.push(self.node.search_at(home, self.entry, self.call));
+        while let Some(choice) = self.next() {
+            let home = choice.home;
+            running.push(self.node.search_at(choice, self.entry, self.call));
             if let Some(outcome) = self.wait(home, &mut running).await {
                 return outcome;
             }
+            let why = "the next home, if any";
+            self.node.note(self.call, "no answer", Some(home), why);
         }
         while let Some(reached) = running.next().await {
             if let Some(outcome) = self.note(reached) {
@@ -75,16 +91,16 @@
         self.given_up()
     }
 
-    fn next(&mut self) -> Option<MemberId> {
+    fn next(&mut self) -> Option<Choice> {
         let in_time = Instant::now() < self.call.deadline;
         if self.tried.len() == MAX_HOPS || !in_time {
             return None;
         }
-        let home = self
+        let choice = self
             .node
             .choose(self.entry, self.call.request, &self.tried)?;
-        self.tried.push(home);
-        Some(home)
+        self.tried.push(choice.home);
+        Some(choice)
     }
 
     /// Waits for an outcome; returns without one where another home should be tried.
@@ -169,7 +185,7 @@
         entry: &Entry,
         request: RequestId,
         tried: &[MemberId],
-    ) -> Option<MemberId> {
+    ) -> Option<Choice> {
         let homes = entry.homes.iter().filter(|home| !tried.contains(&home.id));
         let standings = homes.map(|home| {
             let near = home.data_centre == self.own.data_centre;
@@ -177,19 +193,23 @@
                 .standing(home.id, near, self.control.is_suspect(home.id))
         });
         let standings: Vec<_> = standings.collect();
-        placement::choose(self.own.id, request, &standings)
+        let home = placement::choose(self.own.id, request, &standings)?;
+        let standing = standings.iter().find(|standing| standing.id == home)?;
+        Some(Choice {
+            home,
+            why: why(standing, standings.len()),
+        })
     }
 
-    async fn search_at(&self, home: MemberId, entry: &Entry, call: &Call) -> Reached {
+    async fn search_at(&self, choice: Choice, entry: &Entry, call: &Call) -> Reached {
+        let Choice { home, why } = choice;
         if home == self.own.id {
             return match &entry.handle {
                 Some(handle) => Reached::Ended(handle.run(self.local(call, None)).await),
                 None => Reached::Declined,
             };
         }
-        info!(self.log, "decision"; "decision" => "pass on", "route" => &*call.route.name,
-            "request" => format!("{:032x}", call.request), "home" => %home,
-            "reason" => "this daemon is no home of the route");
+        self.note(call, "pass on", Some(home), &why);
         let guard = self.hops.begin(home);
         let Ok(client) = self.peers.client(home).await else {
             guard.answered(false);
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -2,8 +2,8 @@
 
 use super::execute::Book;
 use super::hop::Hops;
+use super::recent::Recent;
 use super::routes::{Routes, spawner};
-use super::state::Recent;
 use super::{Front, Node, stop};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -1,95 +1,75 @@
-//! What operators see.
+//! What operators see of the daemon.
 
 use super::Node;
+use super::routes::Entry;
+use crate::control::View;
 use crate::service::Explain;
-use monsoonring_decision::Time;
+use monsoonring_decision::fact;
+use monsoonring_decision::member::State;
 use serde_json::{Value, json};
-use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, PoisonError};
-
-/// Decisions kept for `explain`.
-const KEPT: usize = 20_000;
-
-/// The latest decisions, for questions about one request.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Recent(Arc<Mutex<VecDeque<(monsoonring_decision::RequestId, Value)>>>);
-
-impl Recent {
-    /// Keeps a decision on a request.
-    pub(crate) fn keep(
-        &self,
-        at: Time,
-        route: &str,
-        decision: &monsoonring_decision::home::action::Decision,
-    ) {
-        let Some(request) = decision.request else {
-            return;
-        };
-        let line = json!({
-            "at_ms": at.as_millis(),
-            "route": route,
-            "decision": decision.what,
-            "backend_server": decision.backend_server,
-            "reason": decision.why,
-        });
-        let mut lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if lines.len() == KEPT {
-            lines.pop_front();
-        }
-        lines.push_back((request, line));
-    }
-
-    fn of(&self, request: monsoonring_decision::RequestId) -> Vec<Value> {
-        let lines = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let lines = lines.iter().filter(|(of, _)| *of == request);
-        lines.map(|(_, line)| line.clone()).collect()
-    }
-}
 
 impl Node {
     /// Describes the daemon.
     pub(super) async fn describe(&self) -> Value {
         let view = self.control.view();
-        let members = view.members.iter().map(|member| {
-            let state = if view.suspects.contains(&member.id) {
-                "suspect"
-            } else {
-                "alive"
-            };
-            json!({ "address": member.id, "data_centre": &*member.data_centre, "state": state })
-        });
-        let members: Vec<_> = members.collect();
-        let mut routes = Vec::new();
-        for entry in self.routes.list() {
-            let home = match &entry.handle {
-                Some(handle) => handle.state().await,
-                None => None,
-            };
-            let homes: Vec<_> = entry.homes.iter().map(|home| home.id).collect();
-            routes.push(json!({ "name": &*entry.route.name, "homes": homes, "home": home }));
-        }
         let ready = self.stopping.ready().and_then(|()| self.control.ready());
         json!({
             "address": self.own.id,
             "data_centre": &*self.own.data_centre,
             "ready": ready.is_ok(),
             "not_ready_because": ready.err(),
-            "configuration": {
-                "revision": view.version.map(|version| version.revision),
-                "digest": view.version.map(|version| format!("{:032x}", version.digest)),
-                "conflicts": view.conflicts,
-            },
+            "configuration": configuration(&view),
             "isolated": view.isolated,
-            "members": members,
-            "routes": routes,
+            "members": self.members().await,
+            "routes": self.routes_shown().await,
+            "facts": self.facts().await,
+            "keys_running": self.ledger.ledger().running(),
         })
     }
 
+    async fn members(&self) -> Vec<Value> {
+        let mut members = self.control.members().await;
+        members.sort_by_key(|member| member.id);
+        let shown = members.iter().map(|member| {
+            let (state, successor) = match member.state {
+                State::Alive => ("alive", None),
+                State::Suspect => ("suspect", None),
+                State::Dead => ("dead", None),
+                State::Left { successor } => ("left", successor),
+            };
+            json!({
+                "address": member.id,
+                "data_centre": &*member.data_centre,
+                "state": state,
+                "start": member.incarnation.start,
+                "successor": successor,
+            })
+        });
+        shown.collect()
+    }
+
+    async fn routes_shown(&self) -> Vec<Value> {
+        let mut entries = self.routes.list();
+        entries.sort_by(|left, right| left.route.name.cmp(&right.route.name));
+        let mut shown = Vec::new();
+        for entry in entries {
+            shown.push(route(&entry).await);
+        }
+        shown
+    }
+
+    /// What members told each other and still holds: why requests or servers are avoided that did
+    /// nothing wrong here.
+    async fn facts(&self) -> Vec<Value> {
+        let facts = self.control.facts().await;
+        facts.iter().map(fact).collect()
+    }
+
     /// Explains a request or the standing of a backend server.
     pub(super) async fn explained(&self, query: Explain) -> Option<Value> {
         match query {
             Explain::Request(request) => {
-                let decisions = self.recent.of(request);
+                let decisions = self.recent.of(request, self.clock.now());
                 let known = !decisions.is_empty();
                 known.then(|| {
                     json!({
@@ -113,3 +93,38 @@
         }
     }
 }
+
+fn configuration(view: &View) -> Value {
+    json!({
+        "revision": view.version.map(|version| version.revision),
+        "digest": view.version.map(|version| format!("{:032x}", version.digest)),
+        "conflicts": view.conflicts,
+    })
+}
+
+async fn route(entry: &Entry) -> Value {
+    let home = match &entry.handle {
+        Some(handle) => handle.state().await,
+        None => None,
+    };
+    json!({
+        "name": &*entry.route.name,
+        "kind": entry.route.kind,
+        "homes": entry.homes.iter().map(|home| home.id).collect::<Vec<_>>(),
+        "home": home,
+    })
+}
+
+fn fact(entry: &fact::Entry) -> Value {
+    let (what, of) = match &entry.key {
+        fact::Key::Leaving(server) => ("leaving backend server", server.to_string()),
+        fact::Key::Suspect(fingerprint) => ("crashing request", format!("{fingerprint:016x}")),
+        fact::Key::IndexVersion(route) => ("index version", route.to_string()),
+    };
+    json!({
+        "what": what,
+        "of": of,
+        "version": entry.stamp.version,
+        "life_ms": entry.life.as_millis(),
+    })
+}
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -6,7 +6,7 @@
 use crate::clock::Clock;
 use crate::log;
 use crate::metrics::Metrics;
-use crate::node::state::Recent;
+use crate::node::recent::{Line, Recent};
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, RouteId};
 use monsoonring_decision::attempt::{ConnectionId, Failure};
@@ -195,7 +195,7 @@
 
     fn log(&self, decision: &Decision) {
         self.metrics.count_decision(&self.route, decision.what);
-        self.recent.keep(self.clock.now(), &self.route, decision);
+        self.keep(decision);
         log::Decision {
             request: decision.request,
             route: &self.route,
@@ -207,6 +207,21 @@
         .log(&self.log);
     }
 
+    fn keep(&self, decision: &Decision) {
+        let Some(request) = decision.request else {
+            return;
+        };
+        self.recent.keep(Line {
+            request,
+            at: self.clock.now(),
+            route: self.route.clone(),
+            what: decision.what,
+            backend_server: decision.backend_server,
+            home: None,
+            why: decision.why.as_str().into(),
+        });
+    }
+
     fn state(&self) -> serde_json::Value {
         serde_json::json!({
             "in_progress": self.home.in_progress(),
--- a/crates/decision/src/member/table.rs
+++ b/crates/decision/src/member/table.rs
@@ -148,6 +148,11 @@
         self.roster.get(id).map(|record| &record.change)
     }
 
+    /// Returns all that is known, members that left or died lately included.
+    pub fn iter(&self) -> impl Iterator<Item = &Change> {
+        self.roster.iter().map(|record| &record.change)
+    }
+
     /// Number of members that serve, this one included.
     pub fn serving(&self) -> usize {
         self.roster.serving()
