--- a/crates/cli/src/command/disagreement.rs
+++ b/crates/cli/src/command/disagreement.rs
@@ -35,7 +35,7 @@
             || "no configuration".to_owned(),
             |revision| format!("revision {revision}, digest {}", digest.unwrap_or_default()),
         );
-        format!("{revision}: in force at {}", list(at))
+        format!("{revision}: in force at {}", list(&at))
     };
     by.into_iter().map(line).collect()
 }
@@ -61,7 +61,7 @@
     let line = |(member, by): (SocketAddr, BTreeMap<&str, Vec<SocketAddr>>)| {
         let parts = by
             .into_iter()
-            .map(|(state, at)| format!("{state} at {}", list(at)));
+            .map(|(state, at)| format!("{state} at {}", list(&at)));
         let parts: Vec<String> = parts.collect();
         format!("member {member}: {}", parts.join("; "))
     };
@@ -81,7 +81,7 @@
     let differing = views.into_iter().filter(|(_, by)| by.len() > 1);
     let line = |(route, by): (&str, BTreeMap<&[SocketAddr], Vec<SocketAddr>>)| {
         let parts = by.into_iter();
-        let parts = parts.map(|(homes, at)| format!("{} at {}", list(homes.to_vec()), list(at)));
+        let parts = parts.map(|(homes, at)| format!("{} at {}", list(homes), list(&at)));
         let parts: Vec<String> = parts.collect();
         format!("homes of {route}: {}", parts.join("; "))
     };
@@ -101,7 +101,7 @@
             .filter(|(_, state)| serves(state))
             .partition(|(_, state)| state.leaving.contains(&server));
         let addresses = |states: Vec<&(SocketAddr, &State)>| {
-            list(states.into_iter().map(|(at, _)| *at).collect())
+            list(&states.into_iter().map(|(at, _)| *at).collect::<Vec<_>>())
         };
         (!untold.is_empty()).then(|| {
             let (told, untold) = (addresses(told), addresses(untold));
@@ -134,7 +134,7 @@
     lines
 }
 
-fn list(addresses: Vec<SocketAddr>) -> String {
+fn list(addresses: &[SocketAddr]) -> String {
     let addresses: Vec<String> = addresses.iter().map(ToString::to_string).collect();
     addresses.join(", ")
 }
--- a/crates/cli/src/command/state.rs
+++ b/crates/cli/src/command/state.rs
@@ -79,7 +79,7 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) enum Answer {
     /// It said this.
-    State(State),
+    State(Box<State>),
     /// It could not be reached.
     Unreachable(String),
     /// Its answer could not be read.
@@ -115,7 +115,7 @@
         return Answer::Unreadable(format!("status {}", answer.status.as_u16()));
     }
     match serde_json::from_slice::<Document>(&answer.body) {
-        Ok(document) => Answer::State(document.state(refused(peer).await)),
+        Ok(document) => Answer::State(Box::new(document.state(refused(peer).await))),
         Err(error) => Answer::Unreadable(error.to_string()),
     }
 }
--- a/crates/daemon/src/caller/ledger.rs
+++ b/crates/daemon/src/caller/ledger.rs
@@ -7,7 +7,7 @@
 use super::header::request_text;
 use super::problem::{Problem, Ran};
 use crate::metrics::Metrics;
-use crate::metrics::label::{ByRoute, ClassLabel, Ended, Request};
+use crate::metrics::label::{ClassLabel, Ended};
 use crate::server::stop::{Stage, Watch};
 use monsoonring_configuration::document::Class;
 use monsoonring_configuration::id::RouteId;
@@ -76,7 +76,7 @@
     /// Opens the entry of a request.
     pub(crate) fn open(&self, request: RequestId, trace: Option<u128>, arrived: Instant) -> Entry {
         self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        self.shared.metrics.in_flight.inc();
+        self.shared.metrics.front.in_flight.inc();
         Entry {
             ledger: self.clone(),
             request,
@@ -102,12 +102,9 @@
 
     /// Closes the entry of a request that was answered.
     pub(crate) fn answered(mut self, ended: Ended, coverage: Option<f64>) {
-        if let (Some(coverage), Some(route)) = (coverage, &self.route) {
-            let label = ByRoute {
-                route: route.clone(),
-            };
-            let metrics = &self.ledger.shared.metrics;
-            metrics.coverage.get_or_create(&label).observe(coverage);
+        if let Some(coverage) = coverage {
+            let front = &self.ledger.shared.metrics.front;
+            front.covered(self.route.as_ref(), self.class, coverage);
         }
         self.close(ended, "");
     }
@@ -119,7 +116,8 @@
             Ran::Failed => Ended::Failed,
             Ran::Unknown => Ended::Unknown,
         };
-        self.ledger.shared.metrics.count_refusal(problem.kind);
+        let front = &self.ledger.shared.metrics.front;
+        front.refused(self.route.as_ref(), self.class, problem.kind);
         self.close(ended, problem.kind);
     }
 
@@ -140,20 +138,9 @@
     }
 
     fn count(&self, outcome: Ended) {
-        let metrics = &self.ledger.shared.metrics;
-        let route = self.route.clone().unwrap_or_default();
-        let class = ClassLabel(self.class);
-        let label = Request {
-            route: route.clone(),
-            class,
-            outcome,
-        };
-        metrics.requests.get_or_create(&label).inc();
-        if self.route.is_some() {
-            let seconds = self.arrived.elapsed().as_secs_f64();
-            let latency = metrics.latency.get_or_create(&ByRoute { route });
-            latency.observe(seconds);
-        }
+        let front = &self.ledger.shared.metrics.front;
+        let took = self.arrived.elapsed();
+        front.ended(self.route.as_ref(), self.class, outcome, took);
     }
 
     /// Notes that the request was dropped before its answer was made.
@@ -185,7 +172,7 @@
         }
         let shared = &self.ledger.shared;
         shared.in_flight.fetch_sub(1, Ordering::Relaxed);
-        shared.metrics.in_flight.dec();
+        shared.metrics.front.in_flight.dec();
     }
 }
 
--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -34,6 +34,9 @@
 /// Time between two readings of the host list by a reader of the data centre.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time between two counts of the members.
+const COUNT_PERIOD: Duration = Duration::from_secs(1);
+
 /// Time between two readings by any other daemon. What the list says of backend servers reaches it
 /// as facts; the list itself only matters to find members after a long partition.
 const LIST_PERIOD_OTHERS: Duration = Duration::from_secs(300);
@@ -92,6 +95,7 @@
     /// Whether the holder knows of the members.
     announced: bool,
     next_list: monsoonring_decision::Time,
+    next_count: monsoonring_decision::Time,
 }
 
 impl Controller {
@@ -132,6 +136,7 @@
             reader: true,
             announced: false,
             next_list: now,
+            next_count: now,
         }
     }
 
@@ -165,6 +170,11 @@
         self.configuration(configuration::Event::Tick);
         let now = self.clock.now();
         self.facts.expire(now);
+        if now >= self.next_count {
+            self.next_count = now + COUNT_PERIOD;
+            let states = self.table.iter().map(|change| change.state);
+            self.metrics.control.set_members(states);
+        }
         if now >= self.next_list {
             let period = if self.reader {
                 LIST_PERIOD
@@ -233,6 +243,7 @@
         ));
         let now = self.clock.now();
         for entry in self.facts.receive(attachment.facts, now) {
+            self.metrics.control.fact(&entry.key, "heard");
             info!(self.log, "fact"; "what" => "heard", "fact" => format!("{:?}", entry.key),
                 "from" => %message.from, "life_ms" => entry.life.as_millis());
             let _ = self.news.send(entry);
@@ -251,6 +262,7 @@
         let Some(entry) = self.facts.learn(key, version, life, now) else {
             return;
         };
+        self.metrics.control.fact(&entry.key, "learned");
         info!(self.log, "fact"; "what" => "learned", "fact" => format!("{:?}", entry.key),
             "life_ms" => entry.life.as_millis());
         let _ = self.news.send(entry);
@@ -293,6 +305,7 @@
             member::Action::Pull(from, span) => self.driver.pull(from, span),
             member::Action::Changed(member, state) => self.changed(member, state),
             member::Action::Paused(gap) => {
+                self.metrics.control.pauses.inc();
                 warn!(self.log, "member"; "what" => "paused", "gap_ms" => gap.as_millis());
                 self.pulse.paused();
                 self.configuration(configuration::Event::Paused);
@@ -308,6 +321,7 @@
     }
 
     fn changed(&mut self, member: MemberId, state: State) {
+        self.metrics.control.changed(state);
         if !state.is_serving() {
             // A stream to a dead process would be used for the next call to its successor on the
             // same address, and fail that call.
@@ -345,6 +359,9 @@
     }
 
     fn configuration(&mut self, event: configuration::Event) {
+        if event == configuration::Event::ServiceFailed {
+            self.metrics.control.service_failures.inc();
+        }
         let actions = self.holder.handle(event, self.clock.now());
         for action in actions {
             match action {
@@ -355,6 +372,7 @@
                 }
                 configuration::Action::Adopt(version, _) => self.adopt(version),
                 configuration::Action::Log(line) => {
+                    self.metrics.control.decided(line.what);
                     info!(self.log, "configuration"; "what" => line.what, "why" => line.why,
                         "revision" => line.version.revision,
                         "digest" => format!("{:032x}", line.version.digest));
@@ -370,9 +388,7 @@
         let Some(configuration) = read.configuration() else {
             return;
         };
-        self.metrics
-            .revision
-            .set(i64::try_from(version.revision).unwrap_or(i64::MAX));
+        self.metrics.control.set_revision(version.revision);
         self.in_force = Some((read, configuration));
         self.member(member::Event::Hurry, None);
     }
@@ -392,6 +408,8 @@
     /// Publishes the view if it has changed.
     fn publish(&self) {
         let view = self.current();
+        let control = &self.metrics.control;
+        control.set_standing(view.ready().is_ok(), view.isolated, view.conflicts);
         self.view.send_if_modified(|published| {
             let changed = !published.is_same(&view);
             if changed {
--- /dev/null
+++ b/crates/daemon/src/metrics/control.rs
@@ -0,0 +1,153 @@
+//! Members, facts and configuration.
+
+use super::gauge_value;
+use super::label::{ConfigurationEvent, FactLabel, Member, Standing};
+use super::registrar::Registrar;
+use monsoonring_configuration::id::Revision;
+use monsoonring_decision::fact;
+use monsoonring_decision::member::State;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+
+/// Metrics of the control task.
+#[derive(Debug, Default)]
+pub struct Control {
+    revision: Gauge,
+    configuration: Family<ConfigurationEvent, Counter>,
+    conflicts: Gauge,
+    /// Failed reads and watches of the configuration service.
+    pub service_failures: Counter,
+    members: Family<Member, Gauge>,
+    changes: Family<Member, Counter>,
+    isolated: Gauge,
+    ready: Gauge,
+    /// Times that the process found out that it had been paused.
+    pub pauses: Counter,
+    facts: Family<FactLabel, Counter>,
+}
+
+impl Control {
+    pub(super) fn register(registrar: &mut Registrar) -> Self {
+        let control = Self::default();
+        control.register_configuration(registrar);
+        control.register_members(registrar);
+        control
+    }
+
+    fn register_configuration(&self, registrar: &mut Registrar) {
+        registrar.add(
+            "configuration_revision",
+            "Revision of the configuration in force",
+            self.revision.clone(),
+        );
+        registrar.add(
+            "configuration_events",
+            "Documents decided on, by what was decided",
+            self.configuration.clone(),
+        );
+        registrar.add(
+            "configuration_conflicts",
+            "Documents seen that share a revision with another one",
+            self.conflicts.clone(),
+        );
+        registrar.add(
+            "configuration_service_failures",
+            "Reads and watches of the configuration service that failed",
+            self.service_failures.clone(),
+        );
+    }
+
+    fn register_members(&self, registrar: &mut Registrar) {
+        registrar.add("members", "Known members, by state", self.members.clone());
+        registrar.add(
+            "member_changes",
+            "Changes of members, by the state they came to",
+            self.changes.clone(),
+        );
+        registrar.add(
+            "isolated",
+            "1 where so many members died at once that this daemon is probably cut off",
+            self.isolated.clone(),
+        );
+        registrar.add(
+            "ready",
+            "1 where the daemon takes new work, as far as members and configuration go",
+            self.ready.clone(),
+        );
+        registrar.add(
+            "pauses",
+            "Times that the process was paused",
+            self.pauses.clone(),
+        );
+        registrar.add(
+            "facts",
+            "Facts that were new here, by kind and where they came from",
+            self.facts.clone(),
+        );
+    }
+
+    /// Sets the revision in force.
+    pub fn set_revision(&self, revision: Revision) {
+        self.revision
+            .set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a decision on a document.
+    pub fn decided(&self, event: &'static str) {
+        let label = ConfigurationEvent { event };
+        self.configuration.get_or_create(&label).inc();
+    }
+
+    /// Counts a change of a member.
+    pub fn changed(&self, state: State) {
+        let state = standing(state);
+        self.changes.get_or_create(&Member { state }).inc();
+    }
+
+    /// Sets the number of members in each state.
+    pub fn set_members(&self, states: impl Iterator<Item = State>) {
+        let mut counts = [
+            (Standing::Alive, 0),
+            (Standing::Suspect, 0),
+            (Standing::Left, 0),
+            (Standing::Dead, 0),
+        ];
+        for state in states.map(standing) {
+            for (_, count) in counts.iter_mut().filter(|(of, _)| *of == state) {
+                *count += 1;
+            }
+        }
+        for (state, count) in counts {
+            let gauge = self.members.get_or_create(&Member { state });
+            gauge.set(gauge_value(count));
+        }
+    }
+
+    /// Sets what the daemon knows to be wrong with itself.
+    pub fn set_standing(&self, ready: bool, isolated: bool, conflicts: u64) {
+        self.ready.set(i64::from(ready));
+        self.isolated.set(i64::from(isolated));
+        self.conflicts
+            .set(i64::try_from(conflicts).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a fact that was new here: `learned` by this daemon or `heard` from another.
+    pub fn fact(&self, key: &fact::Key, source: &'static str) {
+        let kind = match key {
+            fact::Key::Leaving(_) => "leaving",
+            fact::Key::Suspect(_) => "crashing_request",
+            fact::Key::IndexVersion(_) => "index_version",
+        };
+        self.facts.get_or_create(&FactLabel { kind, source }).inc();
+    }
+}
+
+fn standing(state: State) -> Standing {
+    match state {
+        State::Alive => Standing::Alive,
+        State::Suspect => Standing::Suspect,
+        State::Dead => Standing::Dead,
+        State::Left { .. } => Standing::Left,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/metrics/home.rs
@@ -0,0 +1,259 @@
+//! Work at backend servers, by route: what the extra load consists of, and what each mechanism did.
+
+use super::gauge_value;
+use super::label::{Attempt, ByRoute, Discard, Failed, Hedge, Sending, ServerEvent};
+use super::registrar::Registrar;
+use super::routes::Routes;
+use monsoonring_configuration::id::RouteId;
+use monsoonring_decision::attempt::{Failure, Refusal};
+use monsoonring_decision::home::Counts;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use std::sync::Arc;
+
+type ByRouteCounter = Family<ByRoute, Counter>;
+
+/// Metrics of homes.
+#[derive(Debug, Default)]
+pub struct Home {
+    routes: Arc<Routes>,
+    attempts: Family<Attempt, Counter>,
+    denied: Family<Attempt, Counter>,
+    withdrawn: ByRouteCounter,
+    cancelled: ByRouteCounter,
+    failed: Family<Failed, Counter>,
+    hedges: Family<Hedge, Counter>,
+    discarded: Family<Discard, Counter>,
+    restarts: ByRouteCounter,
+    given_up: ByRouteCounter,
+    pins: ByRouteCounter,
+    opened: ByRouteCounter,
+    silent: ByRouteCounter,
+    crashing: ByRouteCounter,
+    server_events: Family<ServerEvent, Counter>,
+    leaving: Family<ByRoute, Gauge>,
+    in_progress: Family<ByRoute, Gauge>,
+}
+
+impl Home {
+    pub(super) fn register(registrar: &mut Registrar, routes: Arc<Routes>) -> Self {
+        let home = Self {
+            routes,
+            ..Self::default()
+        };
+        home.register_attempts(registrar);
+        home.register_snapshots(registrar);
+        home.register_servers(registrar);
+        home
+    }
+
+    fn register_attempts(&self, registrar: &mut Registrar) {
+        registrar.add(
+            "attempts",
+            "Attempts sent to backend servers, by route and kind",
+            self.attempts.clone(),
+        );
+        registrar.add(
+            "attempts_denied",
+            "Attempts that a budget did not allow, by route and kind",
+            self.denied.clone(),
+        );
+        registrar.add(
+            "attempts_withdrawn",
+            "Attempts taken back before a byte of them left, by route",
+            self.withdrawn.clone(),
+        );
+        registrar.add(
+            "attempts_cancelled",
+            "Attempts cancelled at backend servers, by route",
+            self.cancelled.clone(),
+        );
+        registrar.add(
+            "attempts_failed",
+            "Attempts that ended without a reply, by route and reason",
+            self.failed.clone(),
+        );
+        registrar.add(
+            "hedges",
+            "Hedges that ended, by route and whether their reply was taken",
+            self.hedges.clone(),
+        );
+        registrar.add(
+            "home_requests_in_progress",
+            "Requests in progress at this home, by route",
+            self.in_progress.clone(),
+        );
+    }
+
+    fn register_snapshots(&self, registrar: &mut Registrar) {
+        registrar.add(
+            "replies_discarded",
+            "Replies that were not merged, by route and reason",
+            self.discarded.clone(),
+        );
+        registrar.add(
+            "searches_restarted",
+            "Searches begun again at a newer index version, by route",
+            self.restarts.clone(),
+        );
+        registrar.add(
+            "ranges_given_up",
+            "Ranges of keys that no backend server could be asked for, by route",
+            self.given_up.clone(),
+        );
+        registrar.add(
+            "pin_changes",
+            "Changes of the index version that new searches pin, by route",
+            self.pins.clone(),
+        );
+    }
+
+    fn register_servers(&self, registrar: &mut Registrar) {
+        registrar.add(
+            "connections_opened",
+            "Connections opened to backend servers, by route",
+            self.opened.clone(),
+        );
+        registrar.add(
+            "connections_silent",
+            "Connections given up because nothing came on them any more, by route",
+            self.silent.clone(),
+        );
+        registrar.add(
+            "crashing_requests",
+            "Fingerprints of requests found here to crash backend servers, by route",
+            self.crashing.clone(),
+        );
+        registrar.add(
+            "backend_server_events",
+            "What was found of backend servers, by route and event",
+            self.server_events.clone(),
+        );
+        registrar.add(
+            "backend_servers_leaving",
+            "Backend servers that get no new work because they are leaving, by route",
+            self.leaving.clone(),
+        );
+    }
+
+    /// Counts a decision of a home by its name in the log.
+    pub fn decided(&self, route: &RouteId, what: &str) {
+        match what {
+            "send" | "execute" => self.attempted(route, Sending::First),
+            "hedge" | "late hedge" => self.attempted(route, Sending::Hedge),
+            "retry" | "overdue" => self.attempted(route, Sending::Retry),
+            "rest" => self.attempted(route, Sending::Rest),
+            "withdraw" => self.inc(&self.withdrawn, route),
+            "discard" => self.discarded(route, "index_version"),
+            "restart" => self.inc(&self.restarts, route),
+            "give_up" => self.inc(&self.given_up, route),
+            "pin" => self.inc(&self.pins, route),
+            "silent" => self.inc(&self.silent, route),
+            "suspect" => self.inc(&self.crashing, route),
+            "leave" => self.found(route, "leaving"),
+            "unreachable" => self.found(route, "unreachable"),
+            "back_off" => self.found(route, "back_off"),
+            _ => {}
+        }
+    }
+
+    /// Counts a failed attempt.
+    pub fn failed(&self, route: &RouteId, failure: &Failure) {
+        let label = Failed {
+            route: self.routes.label(route),
+            reason: reason(failure),
+        };
+        self.failed.get_or_create(&label).inc();
+        if matches!(failure, Failure::Mismatched) {
+            self.discarded(route, "mismatched");
+        }
+    }
+
+    /// Counts a cancelled attempt.
+    pub fn cancelled(&self, route: &RouteId) {
+        self.inc(&self.cancelled, route);
+    }
+
+    /// Counts a connection that was opened.
+    pub fn opened(&self, route: &RouteId) {
+        self.inc(&self.opened, route);
+    }
+
+    /// Counts what a home has counted since `before`.
+    pub fn counted(&self, route: &RouteId, before: Counts, now: Counts) {
+        if before == now {
+            return;
+        }
+        let hedges = [
+            ("won", now.hedges_won - before.hedges_won),
+            ("lost", now.hedges_lost - before.hedges_lost),
+        ];
+        for (result, count) in hedges {
+            let route = self.routes.label(route);
+            let label = Hedge { route, result };
+            self.hedges.get_or_create(&label).inc_by(count);
+        }
+        let denied = [
+            (Sending::Hedge, now.hedges_denied - before.hedges_denied),
+            (Sending::Retry, now.retries_denied - before.retries_denied),
+        ];
+        for (kind, count) in denied {
+            let route = self.routes.label(route);
+            let label = Attempt { route, kind };
+            self.denied.get_or_create(&label).inc_by(count);
+        }
+    }
+
+    /// Sets the number of requests in progress and of leaving backend servers.
+    pub fn stands(&self, route: &RouteId, in_progress: usize, leaving: usize) {
+        let label = ByRoute {
+            route: self.routes.label(route),
+        };
+        let in_progress = gauge_value(in_progress);
+        self.in_progress.get_or_create(&label).set(in_progress);
+        self.leaving.get_or_create(&label).set(gauge_value(leaving));
+    }
+
+    fn attempted(&self, route: &RouteId, kind: Sending) {
+        let route = self.routes.label(route);
+        self.attempts.get_or_create(&Attempt { route, kind }).inc();
+    }
+
+    fn discarded(&self, route: &RouteId, reason: &'static str) {
+        let route = self.routes.label(route);
+        let label = Discard { route, reason };
+        self.discarded.get_or_create(&label).inc();
+    }
+
+    fn found(&self, route: &RouteId, event: &'static str) {
+        let route = self.routes.label(route);
+        let label = ServerEvent { route, event };
+        self.server_events.get_or_create(&label).inc();
+    }
+
+    fn inc(&self, family: &ByRouteCounter, route: &RouteId) {
+        let route = self.routes.label(route);
+        family.get_or_create(&ByRoute { route }).inc();
+    }
+}
+
+/// Names the reason of a failure.
+fn reason(failure: &Failure) -> &'static str {
+    match failure {
+        Failure::Refused { refusal, .. } => match refusal {
+            Refusal::Shedding => "shedding",
+            Refusal::Draining => "draining",
+            Refusal::Starting => "starting",
+            Refusal::Deadline => "deadline",
+            Refusal::IndexVersion { .. } => "index_version",
+            Refusal::Connections => "connections",
+            Refusal::Malformed => "malformed",
+        },
+        Failure::NotSent => "not_sent",
+        Failure::Ran { .. } => "ran",
+        Failure::Lost => "lost",
+        Failure::Mismatched => "mismatched",
+        Failure::Cancelled { .. } => "cancelled",
+    }
+}
--- a/crates/daemon/src/metrics/label.rs
+++ b/crates/daemon/src/metrics/label.rs
@@ -84,6 +84,9 @@
     /// After a failure.
     #[display("retry")]
     Retry,
+    /// For keys that an attempt did not leave for, or that its reply did not cover.
+    #[display("rest")]
+    Rest,
 }
 
 /// Labels of an attempt.
@@ -95,13 +98,92 @@
     pub kind: Sending,
 }
 
-/// Label of refusals.
+/// Labels of a refusal.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Refusal {
-    /// Why it was refused: the last part of the problem's type, or an outcome's reason.
+    /// The route; empty where it was refused before one was known.
+    pub route: RouteId,
+    /// The caller's class; empty where it was refused before the caller was known.
+    pub class: ClassLabel,
+    /// Why it was refused: the last part of the problem's type.
+    pub reason: &'static str,
+}
+
+/// Labels of what is measured by route and class.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ByClass {
+    /// The route.
+    pub route: RouteId,
+    /// The caller's class.
+    pub class: ClassLabel,
+}
+
+/// Labels of failed attempts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Failed {
+    /// The route.
+    pub route: RouteId,
+    /// Why it failed.
+    pub reason: &'static str,
+}
+
+/// Labels of hedges.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Hedge {
+    /// The route.
+    pub route: RouteId,
+    /// `won` or `lost`.
+    pub result: &'static str,
+}
+
+/// Labels of replies that were not merged.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Discard {
+    /// The route.
+    pub route: RouteId,
+    /// Why it was not merged.
     pub reason: &'static str,
 }
 
+/// Labels of what was found of backend servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ServerEvent {
+    /// The route.
+    pub route: RouteId,
+    /// `leaving`, `unreachable` or `back_off`.
+    pub event: &'static str,
+}
+
+/// Label of requests passed on.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Hop {
+    /// `answered`, `declined` or `lost`.
+    pub result: &'static str,
+}
+
+/// Label of decisions on keys.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Decided {
+    /// The decision.
+    pub decision: &'static str,
+}
+
+/// Label of decisions on documents.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConfigurationEvent {
+    /// `adopted`, `rejected`, `stale` or `conflict`.
+    pub event: &'static str,
+}
+
+/// Labels of facts.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct FactLabel {
+    /// What they are about.
+    pub kind: &'static str,
+    /// `learned` or `heard`.
+    pub source: &'static str,
+}
+
 /// Who is at the other end of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Display)]
 pub enum Side {
@@ -135,9 +217,9 @@
     /// It may be dead.
     #[display("suspect")]
     Suspect,
-    /// It is leaving.
-    #[display("leaving")]
-    Leaving,
+    /// It left gracefully.
+    #[display("left")]
+    Left,
     /// It is dead.
     #[display("dead")]
     Dead,
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -95,9 +95,10 @@
 
     pub(crate) fn mint_here(&self, call: &Call) -> Result<Key, Refusal> {
         let now = self.clock.now();
-        self.ledger
-            .ledger()
-            .mint(&call.caller, &call.route.name, now)
+        let mut ledger = self.ledger.ledger();
+        let key = ledger.mint(&call.caller, &call.route.name, now)?;
+        self.metrics.node.keys_issued.inc();
+        Ok(key)
     }
 
     pub(super) async fn execute_call(
@@ -164,6 +165,7 @@
             self.ledger.joined().remove(&call.request);
         }
         let (what, home, why) = describe(&decision);
+        self.metrics.node.decided(what);
         self.note(&call, what, home, &why);
         match decision {
             Decision::Run(permit) => Sent::Ended(self.run(permit, call, &key).await),
@@ -265,7 +267,13 @@
                 continue;
             };
             let answer = client.run(context(call.deadline), self.passed(call), key.to_string());
-            match answer.await {
+            let answer = answer.await;
+            self.metrics.node.hopped(match &answer {
+                Ok(Ok(_)) => "answered",
+                Ok(Err(_)) => "declined",
+                Err(_) => "lost",
+            });
+            match answer {
                 Ok(Ok(outcome)) => return outcome,
                 Ok(Err(Declined::NotHome | Declined::Ledger(_))) => {}
                 Err(_) => {
@@ -405,6 +413,12 @@
         self.ledger.ledger().answer(question)
     }
 
+    /// Measures the ledger.
+    pub(super) fn measure(&self) {
+        let ledger = self.ledger.ledger();
+        self.metrics.node.set_keys(ledger.kept(), ledger.running());
+    }
+
     /// Drops what has expired from the ledger.
     pub(super) fn tick_ledger(&self, now: Time) {
         self.ledger.ledger().tick(now);
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -18,6 +18,7 @@
 use crate::clock::Clock;
 use crate::control;
 use crate::metrics::Metrics;
+use crate::metrics::label::Side;
 use crate::peer::Pool;
 use crate::service::{Call, Configuration, Execution, Explain, Service};
 use futures::future::{BoxFuture, FutureExt};
@@ -25,6 +26,7 @@
 use monsoonring_decision::member::{MemberId, Message};
 use monsoonring_decision::outcome::Outcome;
 use monsoonring_decision::placement::Member;
+use prometheus_client::metrics::gauge::Gauge;
 use recent::{Line, Recent};
 use routes::Routes;
 use slog::{Logger, info};
@@ -51,6 +53,11 @@
         &self.log
     }
 
+    /// Returns the number of connections that peers have open to this daemon.
+    pub(crate) fn open_connections(&self) -> Gauge {
+        self.metrics.open_connections(Side::Peer)
+    }
+
     pub(crate) fn control(&self) -> &control::Handle {
         &self.control
     }
--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -213,12 +213,18 @@
         let guard = self.hops.begin(home);
         let Ok(client) = self.peers.client(home).await else {
             guard.answered(false);
+            self.metrics.node.hopped("lost");
             return Reached::Declined;
         };
         let answer = client
             .search(context(call.deadline), self.passed(call))
             .await;
         guard.answered(answer.is_ok());
+        self.metrics.node.hopped(match &answer {
+            Ok(Ok(_)) => "answered",
+            Ok(Err(_)) => "declined",
+            Err(_) => "lost",
+        });
         match answer {
             Ok(Ok(outcome)) => Reached::Ended(outcome),
             Ok(Err(Declined::NotHome | Declined::Ledger(_))) => Reached::Declined,
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -165,7 +165,6 @@
         let known = |id: &SocketAddr| view.members.iter().any(|member| member.id == *id);
         node.hops.retain(known);
         node.peers.retain(known);
-        node.metrics_of(&view);
     }
 }
 
@@ -201,6 +200,7 @@
     loop {
         ticks.tick().await;
         node.tick_ledger(node.clock.now());
+        node.measure();
     }
 }
 
@@ -231,10 +231,4 @@
             fact::Key::IndexVersion(_) => None,
         }
     }
-
-    fn metrics_of(&self, view: &control::View) {
-        let suspects = view.suspects.len();
-        self.metrics
-            .set_members(view.members.len() - suspects, suspects);
-    }
 }
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -50,6 +50,8 @@
             return;
         }
     };
+    let open = node.open_connections();
+    open.inc();
     let server = Server(node);
     BaseChannel::with_defaults(transport(stream))
         .execute(server.serve())
@@ -57,6 +59,7 @@
             tokio::spawn(call);
         })
         .await;
+    open.dec();
 }
 
 /// Answers the calls of one peer.
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -1,5 +1,6 @@
 //! The task of one route.
 
+use super::gauges::Gauges;
 use super::handle::{Handle, Input};
 use super::poll;
 use crate::backend::{self, Connection, Endpoint};
@@ -106,6 +107,7 @@
     connections: HashMap<ConnectionId, Connection>,
     waiting: HashMap<RequestId, oneshot::Sender<Outcome>>,
     alarm: Alarm,
+    gauges: Gauges,
 }
 
 impl Controller {
@@ -116,6 +118,7 @@
         endpoint: Endpoint,
         servers: poll::Servers,
     ) -> Self {
+        let gauges = Gauges::new(settings.metrics.clone(), settings.route.name.clone());
         Self {
             home,
             clock: settings.clock,
@@ -130,6 +133,7 @@
             connections: HashMap::new(),
             waiting: HashMap::new(),
             alarm: Alarm::default(),
+            gauges,
         }
     }
 
@@ -150,6 +154,8 @@
         match &event {
             Event::Abandoned(request) => drop(self.waiting.remove(request)),
             Event::Closed(connection) => drop(self.connections.remove(connection)),
+            Event::Opened(_) => self.metrics.home.opened(&self.route),
+            Event::Failed(_, failure) => self.metrics.home.failed(&self.route, failure),
             Event::Route(route) => self.servers.replace(route),
             _ => {}
         }
@@ -157,6 +163,7 @@
         self.alarm.feed(now);
         let actions = self.home.on(event, now);
         self.perform(actions);
+        self.gauges.follow(&self.home, self.connections.len(), now);
     }
 
     fn perform(&mut self, actions: Vec<Action>) {
@@ -176,7 +183,7 @@
             Action::Send(send) => self.send(send),
             Action::Cancel(attempt, backend_server) => {
                 let endpoint = self.endpoint.clone();
-                self.metrics.count_cancelled(&self.route);
+                self.metrics.home.cancelled(&self.route);
                 tokio::spawn(async move { endpoint.cancel(backend_server, attempt).await });
             }
             Action::Finish(request, outcome) => self.finish(request, outcome),
@@ -194,7 +201,7 @@
     }
 
     fn log(&self, decision: &Decision) {
-        self.metrics.count_decision(&self.route, decision.what);
+        self.metrics.home.decided(&self.route, decision.what);
         self.keep(decision);
         log::Decision {
             request: decision.request,
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -7,6 +7,7 @@
 //! [`Home`]: monsoonring_decision::home::Home
 
 mod controller;
+mod gauges;
 mod handle;
 mod poll;
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -7,14 +7,13 @@
 
 use crate::caller::{self, Ledger};
 use crate::metrics::Metrics;
-use crate::metrics::label::{Connection, Side};
+use crate::metrics::label::Side;
 use crate::operator;
 use crate::server::Server;
 use crate::server::stop::{Control, Stage, Watch};
 use crate::service::Service;
 use crate::settings::{Limits, Settings};
 use futures::stream::{Stream, StreamExt};
-use prometheus_client::metrics::gauge::Gauge;
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
@@ -257,14 +256,14 @@
         ledger,
         stop.clone(),
         settings.limits.body_timeout(),
-        metrics.excess_connections.clone(),
+        metrics.front.excess_connections.clone(),
         settings.seed,
     );
     Server {
         handler,
         limits: settings.limits.clone(),
         stop,
-        gauge: gauge(metrics, Side::Caller),
+        gauge: metrics.open_connections(Side::Caller),
         log: telemetry.log.clone(),
     }
 }
@@ -276,7 +275,7 @@
     stop: Watch,
 ) -> Server<operator::Front> {
     let metrics = telemetry.metrics.clone();
-    let gauge = gauge(&metrics, Side::Operator);
+    let gauge = metrics.open_connections(Side::Operator);
     Server {
         handler: operator::Front::new(service, metrics, settings.limits.body_timeout()),
         limits: Limits {
@@ -297,9 +296,3 @@
     let local = listener.local_addr().with_context(|_| context())?;
     Ok((listener, local))
 }
-
-fn gauge(metrics: &Metrics, side: Side) -> Gauge {
-    metrics
-        .connections
-        .get_or_create_owned(&Connection { side })
-}
--- /dev/null
+++ b/crates/daemon/tests/metrics.rs
@@ -0,0 +1,158 @@
+//! The metrics: their names, the page that explains them, and their bounds.
+
+mod support;
+
+use monsoonring_daemon::metrics::Metrics;
+use monsoonring_daemon::metrics::label::Side;
+use monsoonring_daemon::metrics::routes::{MAX_ROUTES, OTHERS};
+use monsoonring_decision::attempt::Failure;
+use monsoonring_decision::fact;
+use monsoonring_decision::home::Counts;
+use monsoonring_decision::member::State;
+use std::collections::BTreeSet;
+use support::Daemon;
+use support::http::{ask, get, post, search};
+use support::service::Fake;
+
+/// Counts everything that the parts behind the front count, each with one of its labels.
+fn touch(metrics: &Metrics) {
+    touch_home(metrics);
+    metrics.front.refused(None, None, "caller");
+    metrics.open_connections(Side::Peer).inc();
+    metrics.open_connections(Side::BackendServer).inc();
+    metrics.node.hopped("answered");
+    metrics.node.decided("run");
+    metrics.node.keys_issued.inc();
+    metrics.node.set_keys(2, 1);
+    let control = &metrics.control;
+    control.set_revision(42);
+    control.decided("adopted");
+    control.set_members([State::Alive, State::Dead].into_iter());
+    control.changed(State::Left { successor: None });
+    control.set_standing(true, false, 0);
+    control.fact(&fact::Key::Suspect(7), "learned");
+}
+
+fn touch_home(metrics: &Metrics) {
+    let route = "hydrants".into();
+    let decisions = [
+        "send",
+        "hedge",
+        "retry",
+        "rest",
+        "withdraw",
+        "discard",
+        "restart",
+        "give_up",
+        "pin",
+        "silent",
+        "suspect",
+        "leave",
+        "unreachable",
+        "back_off",
+        "finish",
+    ];
+    for what in decisions {
+        metrics.home.decided(&route, what);
+    }
+    metrics.home.failed(&route, &Failure::Mismatched);
+    metrics.home.cancelled(&route);
+    metrics.home.opened(&route);
+    let counts = Counts {
+        hedges_won: 1,
+        hedges_lost: 2,
+        hedges_denied: 3,
+        retries_denied: 4,
+    };
+    metrics.home.counted(&route, Counts::default(), counts);
+    metrics.home.stands(&route, 1, 1);
+}
+
+/// The lines of all metrics, without their values and without the buckets of histograms.
+async fn names(daemon: &Daemon) -> Vec<String> {
+    touch(&daemon.metrics);
+    ask(daemon.callers, &search("1")).await;
+    ask(daemon.callers, &post("/routes/none/query", &[], "1")).await;
+    let response = ask(daemon.operators, &get("/metrics")).await;
+    let kind = response.header("content-type").expect("it has one");
+    assert!(kind.starts_with("application/openmetrics-text"));
+    let without_value = |line: &str| match line.rsplit_once(' ') {
+        Some((name, _)) if !line.starts_with('#') => name.to_owned(),
+        _ => line.to_owned(),
+    };
+    let lines = response.body.lines();
+    let lines = lines.filter(|line| !line.contains("_bucket{"));
+    let mut names: Vec<String> = lines.map(without_value).collect();
+    names.sort();
+    names
+}
+
+#[tokio::test]
+async fn metrics_names_are_kept() {
+    let daemon = Daemon::start(Fake::default(), &[]).await;
+    let names = names(&daemon).await;
+    for name in daemon.metrics.names() {
+        let head = format!("# TYPE {name} ");
+        assert!(names.iter().any(|line| line.starts_with(&head)), "{name}");
+    }
+    insta::assert_snapshot!(names.join("\n"));
+}
+
+/// The page that explains each metric to operators.
+const PAGE: &str = include_str!("../../../docs/operations.md");
+
+/// All words of the page that name a metric, without the suffixes of samples.
+fn explained() -> BTreeSet<String> {
+    let is_part = |character: char| character.is_ascii_lowercase() || character == '_';
+    let words = PAGE.split(|character: char| !is_part(character));
+    let words = words.filter(|word| word.starts_with("monsoonring_"));
+    let words = words.map(|word| {
+        let suffixes = ["_total", "_bucket", "_sum", "_count"];
+        let base = suffixes.iter().find_map(|suffix| word.strip_suffix(suffix));
+        base.unwrap_or(word).to_owned()
+    });
+    words.collect()
+}
+
+#[test]
+fn metrics_page_names_each_and_no_other() {
+    // Symptom: an alarm never fires, and nobody notices before the failure that it was made for.
+    // Events: a metric is renamed; the page, and the rules copied from it, keep the old name.
+    // Cause: nothing holds the page against the code.
+    let metrics = Metrics::default();
+    let known: BTreeSet<String> = metrics.names().iter().cloned().collect();
+    assert_eq!(explained(), known);
+}
+
+#[test]
+fn metrics_table_has_each() {
+    let metrics = Metrics::default();
+    for name in metrics.names() {
+        let row = |line: &str| {
+            let head = line
+                .strip_prefix("| `")
+                .and_then(|line| line.strip_prefix(name.as_str()));
+            head.is_some_and(|rest| rest.starts_with("` |") || rest.starts_with("_total` |"))
+        };
+        assert!(PAGE.lines().any(row), "{name} has no row of its own");
+    }
+}
+
+#[test]
+fn metrics_of_many_routes_are_bounded() {
+    // Symptom: a daemon that has run for months takes more memory each day.
+    // Events: operators rename routes; the series of the old names stay.
+    // Cause: a series for each route that ever was.
+    let metrics = Metrics::default();
+    for number in 0..2 * MAX_ROUTES {
+        let route = format!("route-{number}").into();
+        metrics.home.decided(&route, "send");
+    }
+    let text = metrics.text().expect("it can be written");
+    let series = text
+        .lines()
+        .filter(|line| line.starts_with("monsoonring_attempts_total{"));
+    assert_eq!(series.count(), MAX_ROUTES + 1);
+    let others = format!("route=\"{OTHERS}\",kind=\"first\"}} {MAX_ROUTES}");
+    assert!(text.contains(&others), "the rest is counted together");
+}
--- a/crates/decision/src/home/action.rs
+++ b/crates/decision/src/home/action.rs
@@ -62,7 +62,7 @@
 pub struct Decision {
     /// The request decided on, if it is about one.
     pub request: Option<RequestId>,
-    /// What was decided: `send`, `hedge`, `retry`, `refuse`, `discard`, `leave`, `pin`, …
+    /// What was decided: `send`, `hedge`, `retry`, `refuse`, `deny`, `discard`, `leave`, `pin`, …
     pub what: &'static str,
     /// The backend server concerned, if there is one.
     pub backend_server: Option<BackendServerId>,
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -108,6 +108,7 @@
             return;
         }
         let change = run.accept(part, &flight.asked, reply);
+        self.counts.hedges_won += u64::from(flight.cause.is_hedge() && change.progress);
         self.cancel_losers(change.losers, flight.id, now);
         run.exclude(part, flight.server);
         let cause = if change.progress {
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -12,6 +12,7 @@
 
 pub mod action;
 mod alarm;
+mod counts;
 mod dispatch;
 mod ending;
 pub mod event;
@@ -26,5 +27,6 @@
 
 pub use action::Action;
 pub use alarm::Alarm;
+pub use counts::Counts;
 pub use event::Event;
 pub use state::Home;
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -141,7 +141,7 @@
                 self.log(Some(run.request.id), cause.what(), Some(server), why);
                 self.ask(run, id, server, cause, now);
             }
-            Some((server, _)) => self.deny(run, id, server),
+            Some((server, _)) => self.deny(run, id, server, cause),
             None => self.park(run, id),
         }
     }
@@ -177,21 +177,33 @@
                 true
             }
             Cause::Rest => true,
-            Cause::Retry | Cause::Overdue => self.retries.take(now),
-            Cause::Hedge => self.hedges.take_spare(now),
-            Cause::LateHedge => self.hedges.take(now),
+            Cause::Retry | Cause::Overdue => {
+                let may = self.retries.take(now);
+                self.counts.retries_denied += u64::from(!may);
+                may
+            }
+            Cause::Hedge => {
+                let may = self.hedges.take_spare(now);
+                self.counts.hedges_denied += u64::from(!may);
+                may
+            }
+            Cause::LateHedge => {
+                let may = self.hedges.take(now);
+                self.counts.hedges_denied += u64::from(!may);
+                may
+            }
         }
     }
 
-    fn deny(&mut self, run: &mut Run, id: PartId, server: BackendServerId) {
+    fn deny(&mut self, run: &mut Run, id: PartId, server: BackendServerId, cause: Cause) {
         let Some(part) = run.parts.get_mut(&id) else {
             return;
         };
         if part.live.is_empty() {
             part.give_up();
         }
-        let why = format!("budget spent, part {id}");
-        self.log(Some(run.request.id), "refuse", Some(server), why);
+        let why = format!("budget of {} spent, part {id}", cause.what());
+        self.log(Some(run.request.id), "deny", Some(server), why);
     }
 
     fn ask(&mut self, run: &mut Run, id: PartId, server: BackendServerId, cause: Cause, now: Time) {
@@ -288,6 +300,11 @@
     pub(super) fn cancel_losers(&mut self, losers: Vec<AttemptId>, winner: AttemptId, now: Time) {
         for loser in losers {
             if loser != winner {
+                let is_hedge = self
+                    .flights
+                    .get(loser)
+                    .is_some_and(|flight| flight.cause.is_hedge());
+                self.counts.hedges_lost += u64::from(is_hedge);
                 self.cancel(loser, now);
             }
         }
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -1,6 +1,7 @@
 //! The state of a home, and the way of an event through it.
 
 use super::action::{Action, Decision};
+use super::counts::Counts;
 use super::event::{Event, Request};
 use super::flight;
 use super::placement::Placement;
@@ -69,6 +70,7 @@
     pub(super) fleet_changed: bool,
     pub(super) next_attempt: AttemptId,
     pub(super) stopping: bool,
+    pub(super) counts: Counts,
     pub(super) actions: Vec<Action>,
 }
 
@@ -113,6 +115,7 @@
             fleet_changed: true,
             next_attempt: 1,
             stopping: false,
+            counts: Counts::default(),
             actions: Vec::new(),
             route,
         };
@@ -136,6 +139,17 @@
         self.runs.len() + self.executions.len()
     }
 
+    /// Returns the number of backend servers that get no new work because they are leaving.
+    pub fn leaving(&self) -> usize {
+        let servers = self.placement.servers().iter();
+        servers.filter(|id| self.fleet.is_leaving(**id)).count()
+    }
+
+    /// Returns what was counted since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
     /// Returns the version that new queries pin, if one is known.
     pub fn index_version(&self) -> Option<IndexVersion> {
         self.pin.version()
--- a/crates/decision/src/idempotency/ledger.rs
+++ b/crates/decision/src/idempotency/ledger.rs
@@ -109,6 +109,12 @@
         all.filter(|record| record.is_running()).count()
     }
 
+    /// Number of keys of which something is recorded.
+    pub fn kept(&self) -> usize {
+        let fenced = self.estates.values().map(|e| e.records.len());
+        fenced.sum::<usize>() + self.own.len()
+    }
+
     /// Issues a key for one request of a caller.
     ///
     /// # Errors
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -46,6 +46,11 @@
 }
 
 impl Cause {
+    /// Tells whether the attempt is one beside another that is slow.
+    pub(crate) fn is_hedge(self) -> bool {
+        matches!(self, Self::Hedge | Self::LateHedge)
+    }
+
     /// Tells whether the attempt is made beside another one for the same keys.
     pub(crate) fn is_second(self) -> bool {
         matches!(self, Self::Hedge | Self::LateHedge | Self::Overdue)
