Log that a server leaves only at homes that send work to it

Members tell every home of a leaving server, and each logged and counted that it would send it no new work, homes of other routes too: three routes showed `leaving` where one was concerned (seen by hand on eight daemons). Such a home now only remembers it, as before. No test of its own; the tests of the crate pass.

--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -114,7 +114,10 @@
     /// Gives a leaving server no new work, what waits for a connection to it included. What it
     /// works on already, it may finish.
     fn leave(&mut self, server: BackendServerId, now: Time) {
-        self.log(None, "leave", Some(server), "no new work".to_owned());
+        // Members tell every home; a server of other routes is only remembered.
+        if self.placement.servers().contains(&server) {
+            self.log(None, "leave", Some(server), "no new work".to_owned());
+        }
         self.pool.set_leaving(server, true, now);
         self.evacuate(server, now);
         self.learn(server);
