--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -23,9 +23,6 @@
     "refused",
 ];
 
-/// Digits shown of a digest: enough to tell two apart.
-const DIGEST_DIGITS: usize = 8;
-
 /// What all the daemons said.
 #[derive(Debug, Serialize)]
 struct Report {
@@ -116,22 +113,15 @@
     vec![
         address.to_string(),
         reason.map_or_else(|| "yes".to_owned(), |reason| format!("no: {reason}")),
-        version(state),
+        state
+            .revision
+            .map_or_else(|| "none".to_owned(), |revision| revision.to_string()),
         members(state),
         list(state.leaving.iter()),
         refused(state),
     ]
 }
 
-fn version(state: &State) -> String {
-    let Some(revision) = state.revision else {
-        return "none".to_owned();
-    };
-    let digest = state.digest.as_deref().unwrap_or_default();
-    let digest = digest.get(..DIGEST_DIGITS).unwrap_or(digest);
-    format!("{revision} ({digest})")
-}
-
 /// Says how many members are in which state.
 fn members(state: &State) -> String {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -4,6 +4,7 @@
 //! out. A run goes on when its caller leaves: its outcome belongs to the key, not to the connection.
 
 use super::Node;
+use super::decided::describe;
 use super::hop::context;
 use super::search::{Choice, unavailable};
 use crate::service::{Call, Execution};
@@ -439,21 +440,3 @@
         conflict: true,
     }
 }
-
-/// Says what the ledger decided, whom it concerns, and why.
-fn describe(decision: &Decision) -> (&'static str, Option<MemberId>, String) {
-    match decision {
-        Decision::Run(_) => ("run", None, "the key has not been run".to_owned()),
-        Decision::Join => ("join", None, "another send of the key runs".to_owned()),
-        Decision::Replay(_) => ("replay", None, "the key has its outcome".to_owned()),
-        Decision::Refuse(refusal) => ("refuse", None, format!("key: {refusal:?}")),
-        Decision::PassTo(fence) => {
-            let why = "the key names that incarnation".to_owned();
-            ("pass on", Some(fence.member), why)
-        }
-        Decision::Ask => {
-            let why = "a later send of a key that is not known here".to_owned();
-            ("ask members", None, why)
-        }
-    }
-}
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -4,6 +4,7 @@
 //! in `search`, non-idempotent requests in `execute`; `routes` keeps the homes that this daemon is
 //! one of; `stop` ends it all without cutting anything off.
 
+mod decided;
 mod execute;
 mod hop;
 pub(crate) mod recent;
