Read the operators' queries with the library that reads forms

The port had a decoder of its own for percent signs. The answers to hostile queries of /explain are now held by cases: half an escape, no text, too long.

--- a/crates/daemon/src/operator/query.rs
+++ b/crates/daemon/src/operator/query.rs
@@ -42,27 +42,9 @@
     })
 }
 
-/// The value of a name, with percent signs and pluses decoded.
+/// The value of a name.
 fn value(query: &str, name: &str) -> Option<String> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    let (_, value) = pairs.into_iter().find(|(found, _)| *found == name)?;
-    decode(value)
-}
-
-fn decode(text: &str) -> Option<String> {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.bytes();
-    while let Some(byte) = rest.next() {
-        match byte {
-            b'%' => bytes.push(digit(rest.next()?)? << 4 | digit(rest.next()?)?),
-            b'+' => bytes.push(b' '),
-            other => bytes.push(other),
-        }
-    }
-    String::from_utf8(bytes).ok()
-}
-
-fn digit(byte: u8) -> Option<u8> {
-    let value = char::from(byte).to_digit(16)?;
-    u8::try_from(value).ok()
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    let (_, value) = pairs.find(|(found, _)| found == name)?;
+    Some(value.into_owned())
 }
--- a/crates/daemon/tests/operator.rs
+++ b/crates/daemon/tests/operator.rs
@@ -19,6 +19,13 @@
 #[test_case("/explain?request=0", 404, "nothing is known of it"; "explain_unknown_request")]
 #[test_case("/explain?request=x", 400, "`request` is not a request id of 32 hexadecimal digits"; "explain_wrong_request")]
 #[test_case("/explain?route=a", 400, "give `request`, or `route` and `backend_server`"; "explain_half_a_question")]
+#[test_case("/explain", 400, "give `request`, or `route` and `backend_server`"; "explain_nothing")]
+#[test_case("/explain?request=%", 400, "`request` is not a request id of 32 hexadecimal digits"; "explain_half_an_escape")]
+#[test_case("/explain?request=%ff%fe", 400, "`request` is not a request id of 32 hexadecimal digits"; "explain_no_text")]
+#[test_case("/explain?request=-1", 400, "`request` is not a request id of 32 hexadecimal digits"; "explain_negative")]
+#[test_case("/explain?request=fffffffffffffffffffffffffffffffff", 400, "`request` is not a request id of 32 hexadecimal digits"; "explain_too_long")]
+#[test_case("/explain?route=&backend_server=[::1", 400, "`backend_server` is not an address such as 127.0.0.1:7000"; "explain_wrong_address")]
+#[test_case("/explain?&&==&route&backend_server", 400, "`backend_server` is not an address such as 127.0.0.1:7000"; "explain_empty_parts")]
 #[test_case("/elsewhere", 404, "there is nothing at this path"; "unknown_path")]
 #[tokio::test]
 async fn operator(path: &str, status: u16, body: &str) {
