--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -4,8 +4,9 @@
 //! out. A run goes on when its caller leaves: its outcome belongs to the key, not to the connection.
 
 use super::Node;
+use super::decided::describe;
 use super::hop::context;
-use super::search::unavailable;
+use super::search::{Choice, unavailable};
 use crate::service::{Call, Execution};
 use futures::stream::{FuturesUnordered, StreamExt};
 use monsoonring_decision::attempt::Failure;
@@ -18,7 +19,6 @@
 use monsoonring_decision::outcome::{Outcome, Reason};
 use monsoonring_decision::{RequestId, Time};
 use monsoonring_wire::message::{Declined, Send, Sent};
-use slog::info;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -76,8 +76,9 @@
         }
         let entry = self.routes.get(&call.route.name).ok_or_else(unavailable)?;
         let home = self.choose(&entry, call.request, &[]);
-        if let Some(home) = home.filter(|home| *home != self.own.id) {
-            if let Some(key) = self.mint_at(home, &call).await {
+        if let Some(choice) = home.filter(|choice| choice.home != self.own.id) {
+            self.note(&call, "fetch key", Some(choice.home), &choice.why);
+            if let Some(key) = self.mint_at(choice.home, &call).await {
                 return Ok(key.to_string());
             }
         }
@@ -95,9 +96,10 @@
 
     pub(crate) fn mint_here(&self, call: &Call) -> Result<Key, Refusal> {
         let now = self.clock.now();
-        self.ledger
-            .ledger()
-            .mint(&call.caller, &call.route.name, now)
+        let mut ledger = self.ledger.ledger();
+        let key = ledger.mint(&call.caller, &call.route.name, now)?;
+        self.metrics.node.keys_issued.inc();
+        Ok(key)
     }
 
     pub(super) async fn execute_call(
@@ -163,8 +165,9 @@
         if !matches!(decision, Decision::Join) {
             self.ledger.joined().remove(&call.request);
         }
-        info!(self.log, "decision"; "decision" => name(&decision), "route" => &*call.route.name,
-            "request" => format!("{:032x}", call.request), "reason" => "ledger");
+        let (what, home, why) = describe(&decision);
+        self.metrics.node.decided(what);
+        self.note(&call, what, home, &why);
         match decision {
             Decision::Run(permit) => Sent::Ended(self.run(permit, call, &key).await),
             Decision::Join => Sent::Ended(self.join(joined, &call).await),
@@ -250,7 +253,7 @@
         };
         let mut tried = Vec::new();
         while tried.len() < MAX_HOMES {
-            let Some(home) = self.choose(&entry, call.request, &tried) else {
+            let Some(Choice { home, why }) = self.choose(&entry, call.request, &tried) else {
                 break;
             };
             tried.push(home);
@@ -260,11 +263,18 @@
                 };
                 return handle.run(self.local(call, Some(key.clone()))).await;
             }
+            self.note(call, "pass on", Some(home), &why);
             let Ok(client) = self.peers.client(home).await else {
                 continue;
             };
             let answer = client.run(context(call.deadline), self.passed(call), key.to_string());
-            match answer.await {
+            let answer = answer.await;
+            self.metrics.node.hopped(match &answer {
+                Ok(Ok(_)) => "answered",
+                Ok(Err(_)) => "declined",
+                Err(_) => "lost",
+            });
+            match answer {
                 Ok(Ok(outcome)) => return outcome,
                 Ok(Err(Declined::NotHome | Declined::Ledger(_))) => {}
                 Err(_) => {
@@ -404,6 +414,12 @@
         self.ledger.ledger().answer(question)
     }
 
+    /// Measures the ledger.
+    pub(super) fn measure(&self) {
+        let ledger = self.ledger.ledger();
+        self.metrics.node.set_keys(ledger.kept(), ledger.running());
+    }
+
     /// Drops what has expired from the ledger.
     pub(super) fn tick_ledger(&self, now: Time) {
         self.ledger.ledger().tick(now);
@@ -424,14 +440,3 @@
         conflict: true,
     }
 }
-
-fn name(decision: &Decision) -> &'static str {
-    match decision {
-        Decision::Run(_) => "run",
-        Decision::Join => "join",
-        Decision::Replay(_) => "replay",
-        Decision::Refuse(_) => "refuse",
-        Decision::PassTo(_) => "pass to the key's incarnation",
-        Decision::Ask => "ask members",
-    }
-}
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -4,12 +4,14 @@
 //! in `search`, non-idempotent requests in `execute`; `routes` keeps the homes that this daemon is
 //! one of; `stop` ends it all without cutting anything off.
 
+mod decided;
 mod execute;
 mod hop;
+pub(crate) mod recent;
 mod routes;
 mod search;
 mod start;
-pub(crate) mod state;
+mod state;
 mod stop;
 
 pub(crate) use start::start;
@@ -17,6 +19,7 @@
 use crate::clock::Clock;
 use crate::control;
 use crate::metrics::Metrics;
+use crate::metrics::label::Side;
 use crate::peer::Pool;
 use crate::service::{Call, Configuration, Execution, Explain, Service};
 use futures::future::{BoxFuture, FutureExt};
@@ -24,9 +27,11 @@
 use monsoonring_decision::member::{MemberId, Message};
 use monsoonring_decision::outcome::Outcome;
 use monsoonring_decision::placement::Member;
+use monsoonring_decision::why::Why;
+use prometheus_client::metrics::gauge::Gauge;
+use recent::{Line, Recent};
 use routes::Routes;
-use slog::Logger;
-use state::Recent;
+use slog::{Logger, info};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -50,10 +55,31 @@
         &self.log
     }
 
+    /// Returns the number of connections that peers have open to this daemon.
+    pub(crate) fn open_connections(&self) -> Gauge {
+        self.metrics.open_connections(Side::Peer)
+    }
+
     pub(crate) fn control(&self) -> &control::Handle {
         &self.control
     }
 
+    /// Writes a decision on a call to the log, and keeps it.
+    fn note(&self, call: &Call, what: &'static str, home: Option<MemberId>, why: &str) {
+        info!(self.log, "decision"; "request" => format!("{:032x}", call.request),
+            "route" => &*call.route.name, "decision" => what,
+            "home" => home.map(|home| home.to_string()), "reason" => why);
+        self.recent.keep(Line {
+            request: call.request,
+            at: self.clock.now(),
+            route: call.route.name.clone(),
+            what,
+            backend_server: None,
+            home,
+            why: Why::Text(why.to_owned()),
+        });
+    }
+
     /// Probes a member for another one.
     pub(crate) async fn probe(
         &self,
