Refuse a call of a later version alone, and hold the bytes of every message

Cause: messages between daemons have neither names nor lengths; during a roll-out two versions run beside each other. A method that the older one lacks was an error of the stream: it was closed, and every call on it was lost. A stream that the peer had closed stayed in the pool and failed the next call. And a call whose time was longer than the clock can tell made the library panic while reading it.

Change: the acceptor reads calls with `wire::codec`: a body that can't be read, or that goes on where it should end, is refused alone; a time above an hour (no route has more than ten minutes) is an error; a length that lies is held against the largest frame. At most 2,000 calls of one stream are worked on at once (a client makes no more than 1,000). The pool opens anew where a stream has ended.

Tests seen failing without their mechanism: - call_of_a_later_version_fails_alone: `Err(Shutdown)`; - client_of_ended_stream_is_opened_anew: "a stream is opened: Elapsed(())"; - read_call_with_endless_time_is_refused: "overflow when adding duration to instant"; - read_call_of_a_later_version_is_unknown, read_call_that_goes_on_is_unknown: failed at their assertions.

--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -2,6 +2,8 @@
 
 mod pool;
 mod server;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use pool::Pool;
 pub(crate) use server::serve;
--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -4,14 +4,14 @@
 //! at the next call; whoever called decides whether the call may be made again.
 
 use monsoonring_wire::channel::{self, Endpoint};
-use monsoonring_wire::peer::{self, PeerClient};
+use monsoonring_wire::peer::{self, Line, PeerClient};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::OnceCell;
 
 /// A client, or the place where the first caller is opening one.
-type Slot = Arc<OnceCell<PeerClient>>;
+type Slot = Arc<OnceCell<Line>>;
 
 /// Clients by peer.
 #[derive(Clone, Debug)]
@@ -37,10 +37,10 @@
         let slot = self.slot(peer);
         // Callers that come at the same time wait for the one who opens, so that a restart of a peer
         // does not meet as many connections as there are queries.
-        let client = slot
+        let line = slot
             .get_or_try_init(|| peer::connect(peer, &self.endpoint))
             .await?;
-        Ok(client.clone())
+        Ok(line.client().clone())
     }
 
     /// Throws a failed client away.
@@ -54,7 +54,14 @@
     }
 
     fn slot(&self, peer: SocketAddr) -> Slot {
-        self.lock().entry(peer).or_default().clone()
+        let mut slots = self.lock();
+        let slot = slots.entry(peer).or_default();
+        // A stream that the peer has closed, because it restarted or was idle, would fail the next
+        // call on it, though a new one is as good as any.
+        if slot.get().is_some_and(Line::has_ended) {
+            *slot = Slot::default();
+        }
+        slot.clone()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Slot>> {
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -11,13 +11,12 @@
 use monsoonring_decision::outcome::Outcome;
 use monsoonring_wire::channel::Endpoint;
 use monsoonring_wire::message::{Declined, Request, Sections, Send, Sent};
-use monsoonring_wire::peer::{GRACE, Peer, transport};
+use monsoonring_wire::peer::{self as wire, GRACE, Peer};
 use slog::warn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tarpc::context::Context;
-use tarpc::server::{BaseChannel, Channel};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Pause after a failed accept: the process is out of descriptors, and trying at once again would
@@ -50,12 +49,9 @@
             return;
         }
     };
-    let server = Server(node);
-    BaseChannel::with_defaults(transport(stream))
-        .execute(server.serve())
-        .for_each(|call| async {
-            tokio::spawn(call);
-        })
+    let answer = async |call| drop(tokio::spawn(call));
+    wire::calls(stream, Server(node).serve())
+        .for_each(answer)
         .await;
 }
 
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -80,7 +80,7 @@
     )]
     pub key: Option<Key>,
 
-    /// Key that was in use before and is still accepted, 64 hexadecimal digits.
+    /// A further key that is accepted, the next or the previous one, 64 hexadecimal digits.
     #[arg(
         long,
         env = "MONSOONRING_PREVIOUS_KEY",
--- a/crates/daemon/tests/fetch.rs
+++ b/crates/daemon/tests/fetch.rs
@@ -5,9 +5,7 @@
 use monsoonring_configuration::document::Document;
 use monsoonring_configuration::section::transfer::{Base, Part};
 use monsoonring_configuration::{check, example};
-use monsoonring_daemon::launch::{Launched, launch};
-use monsoonring_daemon::metrics::Metrics;
-use monsoonring_daemon::run::Telemetry;
+use monsoonring_daemon::launch::Launched;
 use monsoonring_decision::configuration::Version;
 use monsoonring_fakes::configuration_service::{DOCUMENT, Service};
 use monsoonring_wire::peer::connect;
@@ -15,7 +13,7 @@
 use std::time::Duration;
 use support::http::{ask, get};
 use support::peer::{Fake, endpoint, version};
-use support::{settings, within};
+use support::{start_whole, within};
 use test_case::test_case;
 
 /// Between two looks at something that must change.
@@ -31,18 +29,8 @@
     document
 }
 
-/// Starts a whole daemon.
-async fn start(more: &[&str]) -> Launched {
-    let telemetry = Telemetry {
-        log: slog::Logger::root(slog::Discard, slog::o!()),
-        metrics: Arc::new(Metrics::default()),
-    };
-    let launched = launch(&settings(more), telemetry).await;
-    launched.expect("port 0 is free")
-}
-
 async fn start_beside(peer: &Fake) -> Launched {
-    start(&[&format!("--peers={}", peer.address)]).await
+    start_whole(&[&format!("--peers={}", peer.address)]).await
 }
 
 /// The configuration that operators see: revision, digest and conflicts.
@@ -158,13 +146,14 @@
     let in_force = peer.adopt(7, &document());
     let daemon = start_beside(&peer).await;
     next(&daemon, 0).await;
-    let client = connect(daemon.peer_address, &endpoint()).await;
+    let line = connect(daemon.peer_address, &endpoint()).await;
+    let line = line.expect("it listens");
     let least = Version {
         revision: least,
         ..in_force
     };
-    let fetching = client.expect("it listens");
-    let fetching = fetching.sections(tarpc::context::current(), least, Base::default());
+    let context = tarpc::context::current();
+    let fetching = line.client().sections(context, least, Base::default());
     let sections = within(fetching).await.expect("an answer");
     assert_eq!(sections.map(|sections| sections.version.revision), given);
 }
@@ -181,7 +170,7 @@
     turned.callers.reverse();
     let text = serde_json::to_string_pretty(&turned).expect("a document is plain JSON");
     let revision = service.publish(DOCUMENT, text);
-    let daemon = start(&[&format!("--configuration-service={}", service.address())]).await;
+    let daemon = start_whole(&[&format!("--configuration-service={}", service.address())]).await;
     let (version, _) = version(revision, &document());
     assert_eq!(next(&daemon, 0).await, expected(version));
 }
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod peer;
 pub(crate) mod service;
 
+use monsoonring_daemon::launch::{Launched, launch};
 use monsoonring_daemon::metrics::Metrics;
 use monsoonring_daemon::run::{Ended, Running, Telemetry};
 use monsoonring_daemon::settings::Settings;
@@ -53,6 +54,16 @@
     Settings::read(arguments).expect("the settings are right")
 }
 
+/// Starts a daemon with all that is behind its front.
+pub(crate) async fn start_whole(more: &[&str]) -> Launched {
+    let telemetry = Telemetry {
+        log: slog::Logger::root(slog::Discard, slog::o!()),
+        metrics: Arc::new(Metrics::default()),
+    };
+    let launched = launch(&settings(more), telemetry).await;
+    launched.expect("port 0 is free")
+}
+
 /// A daemon that runs in the test.
 pub(crate) struct Daemon {
     pub(crate) service: Arc<Fake>,
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -15,12 +15,11 @@
 use monsoonring_wire::key::Ring;
 use monsoonring_wire::message::{Declined, Request, Sections, Send, Sent};
 use monsoonring_wire::meter::Meter;
-use monsoonring_wire::peer::{Peer, transport};
+use monsoonring_wire::peer::{Peer, calls};
 use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tarpc::context::Context;
-use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 
 /// Damage to an answer on its way.
@@ -95,11 +94,8 @@
                 let Ok(stream) = endpoint().accept(stream, peer).await else {
                     return;
                 };
-                BaseChannel::with_defaults(transport(stream))
-                    .execute(fake.serve())
-                    .for_each(|call| async {
-                        tokio::spawn(call);
-                    })
+                calls(stream, fake.serve())
+                    .for_each(async |call| drop(tokio::spawn(call)))
                     .await;
             });
         }
--- a/crates/wire/examples/sections.rs
+++ b/crates/wire/examples/sections.rs
@@ -13,13 +13,14 @@
 use monsoonring_wire::key::{Key, Ring};
 use monsoonring_wire::message::Sections;
 use monsoonring_wire::meter::Meter;
-use monsoonring_wire::peer::transport;
+use monsoonring_wire::peer::framed;
 use serde_json::json;
 use std::error::Error;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use tarpc::context::{self, Context};
 use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpListener;
 
 type Result<T, E = Box<dyn Error>> = std::result::Result<T, E>;
@@ -116,14 +117,16 @@
     let meter = Meter::default();
     let stream = endpoint(meter.clone()).connect(address).await?;
     let config = tarpc::client::Config::default();
-    Ok((FetchClient::new(config, transport(stream)).spawn(), meter))
+    let calls = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    Ok((FetchClient::new(config, calls).spawn(), meter))
 }
 
 async fn serve(server: Server, listener: TcpListener) -> Option<()> {
     let (stream, peer): (_, SocketAddr) = listener.accept().await.ok()?;
     let endpoint = endpoint(Meter::default());
     let stream = endpoint.accept(stream, peer).await.ok()?;
-    BaseChannel::with_defaults(transport(stream))
+    let calls = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    BaseChannel::with_defaults(calls)
         .execute(server.serve())
         .for_each(|call| async {
             tokio::spawn(call);
--- a/crates/wire/src/channel.rs
+++ b/crates/wire/src/channel.rs
@@ -5,8 +5,8 @@
 //! connection alone. The sealed stream is handed on as an ordinary stream (a pump task en- and
 //! decrypts), so that the protocols above need not know of it.
 //!
-//! During a change of keys a daemon accepts two. The opener offers the current key; an acceptor that
-//! knows it only as the previous one accepts it all the same.
+//! During a change of keys a daemon accepts two. The opener offers its current key; an acceptor takes
+//! that also where it is only its further one. So every daemon has to accept a key before any offers it.
 
 use crate::key::{Key, Ring};
 use crate::meter::{Meter, Metered};
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! every byte goes through the [`channel`] that only holders of a key can open.
 
 pub mod channel;
+pub mod codec;
 pub mod key;
 pub mod message;
 pub mod meter;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,7 @@
 //! The calls that daemons make to each other.
 
 use crate::channel::{Endpoint, Result as Opened, Stream};
+use crate::codec::{Codec, Tolerant};
 use crate::message::{Declined, Request, Sections, Send, Sent};
 use monsoonring_configuration::section::transfer::Base;
 use monsoonring_decision::configuration::Version;
@@ -9,19 +10,29 @@
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
 use monsoonring_decision::outcome::Outcome;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tarpc::serde_transport::Transport;
+use tarpc::server::{BaseChannel, Channel, Serve};
 use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tarpc::{ClientMessage, Response};
 
 /// Largest call or answer between daemons, in bytes. An answer over 160 backend servers has to fit.
-const MAX_FRAME: usize = 64 * 1024 * 1024;
+pub const MAX_FRAME: usize = 64 * 1024 * 1024;
+
+/// Most calls of one peer that are worked on at the same time; a client makes no more than half of it.
+const MAX_CALLS: usize = 2_000;
 
 /// Time for which a call outlives the deadline of the request that it carries, so that the final
 /// answer "the deadline has passed" still arrives in place of a call that was cut off.
 pub const GRACE: Duration = Duration::from_millis(100);
 
 /// What a daemon does for another.
+///
+/// Two versions run beside each other during a roll-out. So methods are only ever added, at the end,
+/// and a message never changes: what has to say more is a new message in a new method. A golden file of
+/// the bytes of each shows a change that was not meant.
 #[tarpc::service]
 pub trait Peer {
     /// Answers a probe, which carries what the sender passes on; `None` from a daemon that starts.
@@ -56,29 +67,70 @@
     async fn take_over(handover: Handover) -> Option<Receipt>;
 }
 
-/// The transport that calls go over.
-pub type Calls<Item, SinkItem> =
-    Transport<Box<dyn Stream>, Item, SinkItem, Bincode<Item, SinkItem>>;
+/// How the opener of a connection writes calls and reads answers.
+pub type CallerCodec = Bincode<Response<PeerResponse>, ClientMessage<PeerRequest>>;
+
+/// How the acceptor of a connection reads calls and writes answers.
+pub type AnswererCodec = Codec<PeerRequest, Response<PeerResponse>>;
+
+/// A client, and whether it can still be used.
+#[derive(Clone, Debug)]
+pub struct Line {
+    client: PeerClient,
+    ended: Arc<AtomicBool>,
+}
+
+impl Line {
+    /// Returns the client.
+    pub fn client(&self) -> &PeerClient {
+        &self.client
+    }
+
+    /// Tells whether the stream has ended. Every call on it would fail.
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::Relaxed)
+    }
+}
 
 /// Opens a client to a peer.
 ///
 /// # Errors
 ///
 /// Fails where no stream to the peer can be opened.
-pub async fn connect(peer: SocketAddr, endpoint: &Endpoint) -> Opened<PeerClient> {
+pub async fn connect(peer: SocketAddr, endpoint: &Endpoint) -> Opened<Line> {
     let stream = endpoint.connect(peer).await?;
-    let calls = transport(stream);
-    Ok(PeerClient::new(tarpc::client::Config::default(), calls).spawn())
+    let calls = tarpc::serde_transport::new(framed(stream), CallerCodec::default());
+    let new = PeerClient::new(tarpc::client::Config::default(), calls);
+    let ended = Arc::new(AtomicBool::new(false));
+    let (dispatch, flag) = (new.dispatch, ended.clone());
+    tokio::spawn(async move {
+        // Whoever calls is told of the error too, and says so with more context.
+        let _error = dispatch.await;
+        flag.store(true, Ordering::Relaxed);
+    });
+    let client = new.client;
+    Ok(Line { client, ended })
 }
 
-/// Makes the transport for one stream.
-pub fn transport<Item, SinkItem>(stream: Box<dyn Stream>) -> Calls<Item, SinkItem>
+/// Returns the answering of each call that comes on a stream, until the stream ends.
+///
+/// `server` is what [`Peer::serve`] makes. Each answering runs on its own and has to be spawned.
+pub fn calls<S>(
+    stream: Box<dyn Stream>,
+    server: S,
+) -> impl futures::Stream<Item = impl Future<Output = ()>>
 where
-    Item: for<'de> serde::Deserialize<'de>,
-    SinkItem: serde::Serialize,
+    S: Serve<Req = PeerRequest, Resp = PeerResponse> + Clone,
 {
-    let codec = LengthDelimitedCodec::builder()
+    let calls = tarpc::serde_transport::new(framed(stream), AnswererCodec::default());
+    BaseChannel::with_defaults(calls)
+        .max_concurrent_requests(MAX_CALLS)
+        .execute(Tolerant(server))
+}
+
+/// Cuts a stream into messages.
+pub fn framed(stream: Box<dyn Stream>) -> Framed<Box<dyn Stream>, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder()
         .max_frame_length(MAX_FRAME)
-        .new_framed(stream);
-    tarpc::serde_transport::new(codec, Bincode::default())
+        .new_framed(stream)
 }
--- /dev/null
+++ b/crates/wire/tests/samples/mod.rs
@@ -0,0 +1,387 @@
+//! One of each message, with one of each case of what is in it.
+
+use monsoonring_configuration::Range;
+use monsoonring_configuration::document::Class;
+use monsoonring_configuration::section::transfer::{Base, Part};
+use monsoonring_configuration::section::{Name, Section};
+use monsoonring_decision::Time;
+use monsoonring_decision::configuration::Version;
+use monsoonring_decision::fact;
+use monsoonring_decision::idempotency::lookup::{Answer, Question};
+use monsoonring_decision::idempotency::{
+    self, Fence, Handover, Key, Ledger, Limits, Receipt, Refusal,
+};
+use monsoonring_decision::member::{
+    Attachment, Change, Digest, Incarnation, Message, Page, Span, State,
+};
+use monsoonring_decision::outcome::{self, Outcome, Reason};
+use monsoonring_decision::reply::Item;
+use monsoonring_wire::message::{Declined, Request, Sections, Send, Sent};
+use monsoonring_wire::peer::{PeerRequest, PeerResponse};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const FINGERPRINT: u64 = 0xf00d;
+
+fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+fn near() -> SocketAddr {
+    address("10.0.0.1:7000")
+}
+
+fn far() -> SocketAddr {
+    address("[fd00::2]:7000")
+}
+
+fn incarnation() -> Incarnation {
+    Incarnation {
+        start: 1_764_000_000_000,
+        refutation: 2,
+    }
+}
+
+fn version() -> Version {
+    Version {
+        revision: 300,
+        digest: 0xfeed,
+    }
+}
+
+fn change(state: State) -> Change {
+    Change {
+        id: far(),
+        incarnation: incarnation(),
+        state,
+        data_centre: "dobrich-2".into(),
+    }
+}
+
+fn changes() -> Vec<Change> {
+    let successor = Some(near());
+    let states = [
+        State::Alive,
+        State::Suspect,
+        State::Dead,
+        State::Left { successor },
+        State::Left { successor: None },
+    ];
+    states.into_iter().map(change).collect()
+}
+
+fn facts() -> Vec<fact::Entry> {
+    let stamp = fact::Stamp {
+        version: 9,
+        renewal: 1,
+    };
+    let keys = [
+        fact::Key::Leaving(near()),
+        fact::Key::Suspect(FINGERPRINT),
+        fact::Key::IndexVersion("map".into()),
+    ];
+    let entry = |key| fact::Entry {
+        key,
+        stamp,
+        life: Duration::from_millis(1_500),
+    };
+    keys.into_iter().map(entry).collect()
+}
+
+fn message() -> Message {
+    Message {
+        from: near(),
+        incarnation: incarnation(),
+        data_centre: "tunis-1".into(),
+        digest: Digest {
+            bucket: 7,
+            hash: 1 << 40,
+        },
+        changes: changes(),
+        attachment: Attachment {
+            configuration: Some(version()),
+            facts: facts(),
+        },
+    }
+}
+
+fn request() -> Request {
+    Request {
+        id: 1 << 100,
+        route: "map".into(),
+        revision: 300,
+        caller: "dispatch".into(),
+        class: Class::Urgent,
+        fingerprint: FINGERPRINT,
+        body: "{}".into(),
+    }
+}
+
+fn fence() -> Fence {
+    Fence {
+        member: near(),
+        start: 5,
+    }
+}
+
+fn fenced() -> Key {
+    let text = format!("m1.10.0.0.1~7000.5.6.700.{}", "ab".repeat(16));
+    text.parse().expect("a key")
+}
+
+fn own() -> Key {
+    Key::Own("ticket-1".into())
+}
+
+/// A ledger with a key that was issued, one that ran and one of a caller's own.
+fn handover() -> Handover {
+    let mut ledger = Ledger::new(fence(), [9; 32].into(), Limits::default());
+    let now = Time::from_secs(1);
+    let issued = ledger.mint(&"clerk".into(), &"ledger".into(), now);
+    let issued = issued.expect("there is room");
+    for (key, send) in [(issued, None), (own(), Some(1))] {
+        let request = idempotency::Request {
+            id: 1,
+            caller: "clerk".into(),
+            route: "ledger".into(),
+            fingerprint: FINGERPRINT,
+            deadline: Time::from_secs(2),
+            send,
+            passed_on: false,
+        };
+        drop(ledger.begin(&key, &request, now));
+    }
+    let heir = Fence {
+        member: far(),
+        start: 6,
+    };
+    ledger.hand_over(heir, now).expect("the first")
+}
+
+/// One call of each method.
+pub(crate) fn requests() -> Vec<(&'static str, PeerRequest)> {
+    let section = Section::new(Name::Callers, *b"[]");
+    let base = Base::of(&[section]);
+    let (first, last) = (3, 250);
+    let send = |key, send| Send {
+        request: request(),
+        key,
+        send,
+    };
+    let own_key = Question::Own {
+        caller: "clerk".into(),
+        key: "ticket-1".into(),
+        fingerprint: FINGERPRINT,
+    };
+    let (key, handover) = (own().to_string(), handover());
+    let (least, message, target, span) = (version(), message(), far(), Span { first, last });
+    let normal = Request {
+        class: Class::Normal,
+        ..request()
+    };
+    let background = Request {
+        class: Class::Background,
+        ..request()
+    };
+    vec![
+        ("probe", PeerRequest::Probe { message }),
+        ("probe_for", PeerRequest::ProbeFor { target }),
+        ("page", PeerRequest::Page { span }),
+        ("sections", PeerRequest::Sections { least, base }),
+        ("search", PeerRequest::Search { request: request() }),
+        ("search_normal", PeerRequest::Search { request: normal }),
+        (
+            "mint_background",
+            PeerRequest::Mint {
+                request: background,
+            },
+        ),
+        (
+            "send_issued",
+            PeerRequest::Send {
+                send: send(fenced(), None),
+            },
+        ),
+        (
+            "send_own",
+            PeerRequest::Send {
+                send: send(own(), Some(2)),
+            },
+        ),
+        (
+            "run",
+            PeerRequest::Run {
+                request: request(),
+                key,
+            },
+        ),
+        ("ask_own", PeerRequest::Ask { question: own_key }),
+        (
+            "ask_fence",
+            PeerRequest::Ask {
+                question: Question::Fence(fence()),
+            },
+        ),
+        ("take_over", PeerRequest::TakeOver { handover }),
+    ]
+}
+
+fn answer() -> outcome::Answer {
+    let item = Item {
+        key: 11,
+        value: "{}".into(),
+    };
+    outcome::Answer {
+        index_version: 7,
+        coverage: 0.75,
+        missing: vec![Range::new(5, 9)],
+        items: vec![item],
+    }
+}
+
+fn not_run(reason: Reason) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        retry_after: None,
+    }
+}
+
+fn reasons() -> Vec<(&'static str, Reason)> {
+    vec![
+        ("deadline", Reason::Deadline),
+        ("overload", Reason::Overload),
+        ("unavailable", Reason::Unavailable),
+        ("suspect", Reason::Suspect),
+        ("stopping", Reason::Stopping),
+        ("abandoned", Reason::Abandoned),
+        ("backend_server", Reason::BackendServer),
+        ("lost", Reason::Lost),
+        ("fence", Reason::Fence),
+    ]
+}
+
+fn refusals() -> Vec<(&'static str, Refusal)> {
+    let retry_after = Duration::from_secs(1);
+    vec![
+        ("full", Refusal::Full { retry_after }),
+        ("stopping", Refusal::Stopping),
+        ("unmarked", Refusal::Unmarked),
+        ("mismatch", Refusal::Mismatch),
+        ("forged", Refusal::Forged),
+        ("expired", Refusal::Expired),
+        ("crowded", Refusal::Crowded),
+        ("gone", Refusal::Gone),
+        ("moved", Refusal::Moved(fence())),
+    ]
+}
+
+fn outcomes() -> Vec<(&'static str, Outcome)> {
+    let retry_after = Some(Duration::from_millis(20));
+    let reason = Reason::Overload;
+    vec![
+        ("answered", Outcome::Answered(answer())),
+        ("executed", Outcome::Executed("1".into())),
+        (
+            "not_run",
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            },
+        ),
+        (
+            "failed",
+            Outcome::Failed {
+                reason,
+                retry_after,
+            },
+        ),
+        ("unknown", Outcome::Unknown { reason }),
+    ]
+}
+
+fn parts() -> Vec<Part> {
+    let sent = |name| Part::Sent {
+        name,
+        body: (*b"[]").into(),
+    };
+    let route = Name::Route("map".into());
+    vec![sent(Name::Callers), Part::Held(300), sent(route)]
+}
+
+fn asked() -> Vec<(&'static str, Answer)> {
+    let reason = Reason::Lost;
+    let done = |outcome| Answer::Done(outcome);
+    let not_run = idempotency::Outcome::NotRun {
+        reason,
+        retry_after: None,
+    };
+    vec![
+        ("ask_nothing", Answer::Nothing),
+        ("ask_holds", Answer::Holds),
+        ("ask_running", Answer::Running),
+        ("ask_mismatch", Answer::Mismatch),
+        (
+            "ask_executed",
+            done(idempotency::Outcome::Executed("1".into())),
+        ),
+        ("ask_not_run", done(not_run)),
+        ("ask_failed", done(idempotency::Outcome::Failed { reason })),
+        (
+            "ask_unknown",
+            done(idempotency::Outcome::Unknown { reason }),
+        ),
+    ]
+}
+
+/// Answers of each method, and each case of what they can say.
+pub(crate) fn responses() -> Vec<(&'static str, PeerResponse)> {
+    let page = |rest| Page {
+        changes: changes(),
+        rest,
+    };
+    let sections = Sections {
+        version: version(),
+        parts: parts(),
+    };
+    let (first, last) = (4, 5);
+    let rest = Some(Span { first, last });
+    let (from, to) = (fence(), fence());
+    let mut all = vec![
+        ("probe", PeerResponse::Probe(Some(message()))),
+        ("probe_none", PeerResponse::Probe(None)),
+        ("probe_for", PeerResponse::ProbeFor(None)),
+        ("page", PeerResponse::Page(Some(page(rest)))),
+        ("page_last", PeerResponse::Page(Some(page(None)))),
+        ("sections", PeerResponse::Sections(Some(sections))),
+        (
+            "search_not_home",
+            PeerResponse::Search(Err(Declined::NotHome)),
+        ),
+        ("mint", PeerResponse::Mint(Ok(fenced()))),
+        ("send_conflict", PeerResponse::Send(Sent::Conflict)),
+        (
+            "send_ended",
+            PeerResponse::Send(Sent::Ended(not_run(Reason::Fence))),
+        ),
+        ("run", PeerResponse::Run(Ok(Outcome::Executed("1".into())))),
+        (
+            "take_over",
+            PeerResponse::TakeOver(Some(Receipt { from, to })),
+        ),
+        ("take_over_none", PeerResponse::TakeOver(None)),
+    ];
+    let outcomes = outcomes().into_iter();
+    all.extend(outcomes.map(|(name, outcome)| (name, PeerResponse::Search(Ok(outcome)))));
+    let reasons = reasons().into_iter();
+    all.extend(reasons.map(|(name, reason)| (name, PeerResponse::Run(Ok(not_run(reason))))));
+    for (name, refusal) in refusals() {
+        all.push((name, PeerResponse::Send(Sent::Refused(refusal))));
+        all.push((name, PeerResponse::Mint(Err(Declined::Ledger(refusal)))));
+    }
+    all.extend(
+        asked()
+            .into_iter()
+            .map(|(name, answer)| (name, PeerResponse::Ask(answer))),
+    );
+    all
+}
