--- a/crates/wire/tests/peer.rs
+++ b/crates/wire/tests/peer.rs
@@ -19,9 +19,9 @@
     let endpoint = Endpoint::new(LOCAL, Ring::default(), Meter::default());
     let (connection, accepted) = tokio::join!(connect(address, &endpoint), listener.accept());
     let connection = connection.expect("a connection");
-    assert!(!connection.is_closed());
+    assert!(!connection.has_ended());
     drop(accepted);
-    while !connection.is_closed() {
+    while !connection.has_ended() {
         tokio::task::yield_now().await;
     }
 }
