--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -109,7 +109,8 @@
     tokio::spawn(hear(node.clone(), heard));
     tokio::spawn(tell(node.clone(), found));
     tokio::spawn(clean(node.clone()));
-    tokio::spawn(peer::serve(node.clone(), peers, endpoint));
+    let max_connections = settings.limits.max_peer_connections;
+    tokio::spawn(peer::serve(node.clone(), peers, endpoint, max_connections));
     Front(node)
 }
 
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -18,6 +18,7 @@
 use std::time::{Duration, Instant};
 use tarpc::context::Context;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 
 /// Pause after a failed accept: the process is out of descriptors, and trying at once again would
 /// only take processor time from those who could give some back.
@@ -27,11 +28,28 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Serves peers until the process ends.
-pub(crate) async fn serve(node: Arc<Node>, listener: TcpListener, endpoint: Endpoint) {
+///
+/// Without a limit, someone at the port who needs no key to open connections would take the
+/// descriptors that callers and backend servers need; one would see accepting fail everywhere. One
+/// above the limit is closed, and one that does not finish its handshake frees its place in a second.
+pub(crate) async fn serve(
+    node: Arc<Node>,
+    listener: TcpListener,
+    endpoint: Endpoint,
+    max_connections: usize,
+) {
+    let places = Arc::new(Semaphore::new(max_connections.min(Semaphore::MAX_PERMITS)));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(converse(node.clone(), stream, peer, endpoint.clone()));
+                let Ok(place) = places.clone().try_acquire_owned() else {
+                    continue;
+                };
+                let conversation = converse(node.clone(), stream, peer, endpoint.clone());
+                tokio::spawn(async move {
+                    conversation.await;
+                    drop(place);
+                });
             }
             Err(error) => {
                 warn!(node.log(), "peer"; "what" => "accept", "error" => %error);
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -104,6 +104,9 @@
     if limits.max_connections == 0 {
         problems.push(Problem::new("--max-connections", "must be above 0"));
     }
+    if limits.max_peer_connections == 0 {
+        problems.push(Problem::new("--max-peer-connections", "must be above 0"));
+    }
     if limits.max_header_bytes < MIN_HEADER_BYTES {
         let detail = format!("must be at least {MIN_HEADER_BYTES}");
         problems.push(Problem::new("--max-header-bytes", detail));
--- a/crates/daemon/src/settings/limits.rs
+++ b/crates/daemon/src/settings/limits.rs
@@ -15,6 +15,15 @@
     )]
     pub max_connections: usize,
 
+    /// Connections of other daemons at the same time; one more is closed.
+    #[arg(
+        long,
+        env = "MONSOONRING_MAX_PEER_CONNECTIONS",
+        value_name = "NUMBER",
+        default_value_t = 8_192
+    )]
+    pub max_peer_connections: usize,
+
     /// Largest request head, in bytes.
     #[arg(
         long,
