Write each line of the log with one system call

Cause: the JSON format writes token by token to standard error, which does not collect: dozens of system calls a line, in the thread of the log. Change: a line writer between the two. The operator tests, which read the lines, pass.

--- a/crates/daemon/src/log.rs
+++ b/crates/daemon/src/log.rs
@@ -12,11 +12,14 @@
 use slog::{Drain, Key, Level, LevelFilter, Logger, OwnedKVList, Record, Serializer};
 use slog_async::{AsyncCore, AsyncError, AsyncGuard};
 use std::fmt::Display;
-use std::io::Write;
+use std::io::{LineWriter, Write};
 
 /// Lines that wait for the writing thread.
 const QUEUE_LINES: usize = 8_192;
 
+/// Bytes of a line that are written at once.
+const LINE_BYTES: usize = 4_096;
+
 /// Keeps the writing thread; when it is dropped, the lines that wait are written first.
 #[must_use = "dropping the guard ends the log"]
 pub struct Guard {
@@ -39,7 +42,12 @@
     W: Write + Send + 'static,
 {
     let (queue, writer) = match format {
-        LogFormat::Json => queue(slog_json::Json::default(output).fuse()),
+        LogFormat::Json => {
+            // The format writes token by token, and standard error does not collect: without this
+            // each line would take dozens of system calls.
+            let lines = LineWriter::with_capacity(LINE_BYTES, output);
+            queue(slog_json::Json::default(lines).fuse())
+        }
         LogFormat::Text => {
             let decorator = slog_term::PlainSyncDecorator::new(output);
             queue(slog_term::FullFormat::new(decorator).build().fuse())
