Tell the other homes of a fact at once, ahead of the probes

Cause: a fact rode on the probes, about a second apart, and extra probes wait out a period of 200 ms. Ruled out: a shorter period of extra probes, which reaches three members and not the homes.

--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -58,7 +58,14 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<Metrics>,
     /// Where facts go that this daemon has not known before.
-    pub(crate) news: mpsc::UnboundedSender<fact::Entry>,
+    pub(crate) news: mpsc::UnboundedSender<News>,
+}
+
+/// A fact that this daemon has not known before.
+pub(crate) struct News {
+    pub(crate) entry: fact::Entry,
+    /// Whether it was found here.
+    pub(crate) own: bool,
 }
 
 /// Starts the control task.
@@ -78,7 +85,7 @@
     clock: Clock,
     log: Logger,
     metrics: Arc<Metrics>,
-    news: mpsc::UnboundedSender<fact::Entry>,
+    news: mpsc::UnboundedSender<News>,
     table: Table,
     holder: Holder,
     facts: fact::Table,
@@ -218,6 +225,7 @@
                     self.learn(fact::Key::Leaving(server), 0, LEAVING_LIFE);
                 }
             }
+            Input::Heard(entry, from) => self.heard(vec![entry], from),
             Input::Fact(key, version, life) => self.learn(key, version, life),
         }
         self.publish();
@@ -248,14 +256,17 @@
             let outranks = outranks(contact.by, self.own.id);
             self.configuration(configuration::Event::Contacted(contact, outranks));
         }
-        let now = self.clock.now();
-        for entry in self.facts.receive(attachment.facts, now) {
+        self.heard(attachment.facts, message.from);
+        message
+    }
+
+    fn heard(&mut self, entries: Vec<fact::Entry>, from: MemberId) {
+        for entry in self.facts.receive(entries, self.clock.now()) {
             self.metrics.control.fact(&entry.key, "heard");
             info!(self.log, "fact"; "what" => "heard", "fact" => format!("{:?}", entry.key),
-                "from" => %message.from, "life_ms" => entry.life.as_millis());
-            let _ = self.news.send(entry);
+                "from" => %from, "life_ms" => entry.life.as_millis());
+            let _ = self.news.send(News { entry, own: false });
         }
-        message
     }
 
     fn attach(&mut self, mut message: Message) -> Message {
@@ -277,7 +288,7 @@
         self.metrics.control.fact(&entry.key, "learned");
         info!(self.log, "fact"; "what" => "learned", "fact" => format!("{:?}", entry.key),
             "life_ms" => entry.life.as_millis());
-        let _ = self.news.send(entry);
+        let _ = self.news.send(News { entry, own: true });
         self.member(member::Event::Hurry, None);
     }
 
--- a/crates/daemon/src/control/handle.rs
+++ b/crates/daemon/src/control/handle.rs
@@ -36,6 +36,8 @@
     Read(Option<MemberId>, Box<Read>),
     /// The host list says that these backend servers are leaving.
     Listed(Vec<BackendServerId>),
+    /// Another home found something out just now.
+    Heard(fact::Entry, MemberId),
     /// This daemon found something out: key, version and life.
     Fact(fact::Key, u64, Duration),
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -13,6 +13,6 @@
 mod pulse;
 mod view;
 
-pub(crate) use controller::{LEAVING_LIFE, Settings, spawn};
+pub(crate) use controller::{LEAVING_LIFE, News, Settings, spawn};
 pub(crate) use handle::{Handle, Input};
 pub(crate) use view::View;
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -22,6 +22,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha20Rng;
 use slog::Logger;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -170,11 +171,14 @@
 }
 
 /// Takes facts that other daemons found to the homes here.
-async fn hear(node: Arc<Node>, mut heard: mpsc::UnboundedReceiver<fact::Entry>) {
-    while let Some(entry) = heard.recv().await {
-        if let Some(event) = node.event(&entry) {
+async fn hear(node: Arc<Node>, mut heard: mpsc::UnboundedReceiver<control::News>) {
+    while let Some(news) = heard.recv().await {
+        if let Some(event) = node.event(&news.entry) {
             node.routes.tell(&event);
         }
+        if news.own {
+            node.spread(&news.entry);
+        }
     }
 }
 
@@ -218,6 +222,29 @@
         }
     }
 
+    /// Tells the other homes of the routes here at once of a fact found here.
+    ///
+    /// With the probes it would reach them within a second or two. A caller that sends a crashing
+    /// request again is at the next home within milliseconds, and would take a server of each group
+    /// down there too.
+    fn spread(&self, entry: &fact::Entry) {
+        let routes = self.routes.list();
+        let homes = routes.iter().filter(|route| route.handle.is_some());
+        let homes: BTreeSet<_> = homes
+            .flat_map(|route| route.homes.iter())
+            .map(|home| home.id)
+            .collect();
+        for home in homes.into_iter().filter(|home| *home != self.own.id) {
+            let (peers, entry, own) = (self.peers.clone(), entry.clone(), self.own.id);
+            tokio::spawn(async move {
+                if let Ok(client) = peers.client(home).await {
+                    // Lost, it comes with the probes.
+                    let _ = client.hear(tarpc::context::current(), entry, own).await;
+                }
+            });
+        }
+    }
+
     /// Returns what a fact means for a home.
     fn event(&self, entry: &fact::Entry) -> Option<Event> {
         match &entry.key {
--- a/crates/daemon/src/peer/server.rs
+++ b/crates/daemon/src/peer/server.rs
@@ -5,6 +5,7 @@
 use futures::StreamExt;
 use monsoonring_configuration::section::transfer::{Base, parts};
 use monsoonring_decision::configuration::Version;
+use monsoonring_decision::fact;
 use monsoonring_decision::idempotency::lookup::{Answer, Question};
 use monsoonring_decision::idempotency::{Handover, Key, Receipt, Refusal};
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
@@ -149,6 +150,10 @@
         self.0.answer(&question)
     }
 
+    async fn hear(self, _: Context, entry: fact::Entry, from: MemberId) {
+        self.control().tell(control::Input::Heard(entry, from));
+    }
+
     async fn take_over(self, _: Context, handover: Handover) -> Option<Receipt> {
         self.0.take_over(handover)
     }
--- a/crates/daemon/tests/support/peer.rs
+++ b/crates/daemon/tests/support/peer.rs
@@ -168,6 +168,14 @@
         Answer::Nothing
     }
 
+    async fn hear(
+        self,
+        _: tarpc::context::Context,
+        _: monsoonring_decision::fact::Entry,
+        _: std::net::SocketAddr,
+    ) {
+    }
+
     async fn take_over(self, _: Context, _: Handover) -> Option<Receipt> {
         None
     }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,6 +5,7 @@
 use crate::message::{Declined, Request, Sections, Send, Sent};
 use monsoonring_configuration::section::transfer::Base;
 use monsoonring_decision::configuration::Version;
+use monsoonring_decision::fact;
 use monsoonring_decision::idempotency::lookup::{Answer, Question};
 use monsoonring_decision::idempotency::{Handover, Key, Receipt};
 use monsoonring_decision::member::{MemberId, Message, Page, Span};
@@ -65,6 +66,9 @@
 
     /// Takes the ledger of a daemon that stops.
     async fn take_over(handover: Handover) -> Option<Receipt>;
+
+    /// Takes a fact that another home of a route has just found, ahead of its way with the probes.
+    async fn hear(entry: fact::Entry, from: MemberId);
 }
 
 /// How the opener of a connection writes calls and reads answers.
--- a/crates/wire/tests/samples/mod.rs
+++ b/crates/wire/tests/samples/mod.rs
@@ -227,6 +227,13 @@
             },
         ),
         ("take_over", PeerRequest::TakeOver { handover }),
+        (
+            "hear",
+            PeerRequest::Hear {
+                entry: facts().remove(0),
+                from: near(),
+            },
+        ),
     ]
 }
 
@@ -373,6 +380,7 @@
             PeerResponse::TakeOver(Some(Receipt { from, to })),
         ),
         ("take_over_none", PeerResponse::TakeOver(None)),
+        ("hear", PeerResponse::Hear(())),
     ];
     let outcomes = outcomes().into_iter();
     all.extend(outcomes.map(|(name, outcome)| (name, PeerResponse::Search(Ok(outcome)))));
