--- a/crates/experiment/tests/processes/cluster.rs
+++ b/crates/experiment/tests/processes/cluster.rs
@@ -78,20 +78,16 @@
         self.until_ready(&all, all.len()).await;
     }
 
-    /// Waits until these daemons are ready and know that many members, none of them suspect.
+    /// Waits until these daemons are ready and know that many members that serve, none of them
+    /// suspect. Members that are dead or have left are still shown.
     pub(crate) async fn until_ready(&self, places: &[usize], members: usize) {
         for &place in places {
             let what = format!("daemon {place} is ready and knows {members} members");
             until(&what, async || {
                 let state = self.state(place).await;
-                // The state lists the dead too.
-                let in_state = |wanted: &str| {
-                    let known = state["members"].as_array();
-                    let known = known.map(|known| known.iter());
-                    known.map_or(0, |known| known.filter(|m| m["state"] == wanted).count())
-                };
-                let whole = in_state("alive") == members && in_state("suspect") == 0;
-                state["ready"] == true && whole
+                let shown = state["members"].as_array().cloned().unwrap_or_default();
+                let count = |of| shown.iter().filter(|member| member["state"] == of).count();
+                state["ready"] == true && count("alive") == members && count("suspect") == 0
             })
             .await;
         }
