--- a/crates/decision/src/backend/suspect.rs
+++ b/crates/decision/src/backend/suspect.rs
@@ -36,6 +36,10 @@
 /// Losses this close together are one moment: the connections of a server that died end one by one.
 const MOMENT: Duration = Duration::from_millis(500);
 
+/// An attempt sent this long after a loss at its server met another process: all connections to the
+/// dead one had ended. It is short, as a server may be back within a moment and be crashed again.
+const SAME_DEATH: Duration = Duration::from_millis(100);
+
 /// Evidence that a fingerprint without any is taken to have when a death is shared out.
 const UNSUSPECTED: f64 = 0.1;
 
@@ -153,12 +157,12 @@
             sent,
             ..
         } = self.running.get(&attempt).copied()?;
-        let weight = self.blame(fingerprint, server, now);
+        let weight = self.blame(fingerprint, server, sent, now);
         self.running.remove(&attempt);
         let all = self.evidence.entry(fingerprint).or_default();
         // A second attempt of the same request at the same server tells of the same death, unless it
-        // was sent when all connections to the dead process had ended: it then met another one.
-        let is_same = |one: &Evidence| one.server == server && sent < one.at + MOMENT;
+        // met another process.
+        let is_same = |one: &Evidence| one.server == server && sent < one.at + SAME_DEATH;
         all.retain(|evidence| !is_same(evidence));
         all.push(Evidence {
             server,
@@ -204,9 +208,16 @@
     }
 
     /// Returns the share of a fingerprint in the death of a server.
-    fn blame(&mut self, fingerprint: Fingerprint, server: BackendServerId, now: Time) -> f64 {
+    fn blame(
+        &mut self,
+        fingerprint: Fingerprint,
+        server: BackendServerId,
+        sent: Time,
+        now: Time,
+    ) -> f64 {
         let known = self.deaths.get(&server);
-        if known.is_none_or(|death| now >= death.at + MOMENT) {
+        let is_over = |death: &Death| now >= death.at + MOMENT || sent >= death.at + SAME_DEATH;
+        if known.is_none_or(is_over) {
             let death = self.share_out(server, now);
             self.deaths.insert(server, death);
         }
--- a/crates/decision/tests/suspect.rs
+++ b/crates/decision/tests/suspect.rs
@@ -6,6 +6,7 @@
 use monsoonring_decision::backend::suspect::{Standing, Table};
 use proptest::prelude::*;
 use support::{ms, server};
+use test_case::test_case;
 
 const CULPRIT: u64 = 666;
 
@@ -41,11 +42,12 @@
 // Symptom: the only server of a group goes down again and again, each time that it is back.
 // Events:  a request crashes the server; it is started again; the request is sent again.
 // Cause:   evidence is counted by server, and there is only one.
-#[test]
-fn lost_twice_on_one_server_is_refused() {
+#[test_case(2_000; "long after")]
+#[test_case(300; "as soon as it is back")]
+fn lost_twice_on_one_server_is_refused(after: u64) {
     let mut table = Table::new();
     assert!(die(&mut table, 1, &[CULPRIT], ms(0)).is_empty());
-    assert_eq!(die(&mut table, 1, &[CULPRIT], ms(2_000)), [CULPRIT]);
+    assert_eq!(die(&mut table, 1, &[CULPRIT], ms(after)), [CULPRIT]);
 }
 
 // Symptom: a harmless request is refused after a single death.
