Drop the fact of an index version, which nothing told and nothing heeded

Each home reads the versions off the replies and reports of its own backend servers and pins by what those serve; word from another home would change nothing. Also: the example that counts a home's instructions has a name of its own, since two examples of one name will be an error in cargo.

--- a/crates/daemon/src/metrics/control.rs
+++ b/crates/daemon/src/metrics/control.rs
@@ -137,7 +137,6 @@
         let kind = match key {
             fact::Key::Leaving(_) => "leaving",
             fact::Key::Suspect(_) => "crashing_request",
-            fact::Key::IndexVersion(_) => "index_version",
         };
         self.facts.get_or_create(&FactLabel { kind, source }).inc();
     }
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -256,7 +256,6 @@
                 fingerprint: *fingerprint,
                 until: self.clock.now() + entry.life,
             }),
-            fact::Key::IndexVersion(_) => None,
         }
     }
 }
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -119,7 +119,6 @@
     let (what, of) = match &entry.key {
         fact::Key::Leaving(server) => ("leaving backend server", server.to_string()),
         fact::Key::Suspect(fingerprint) => ("crashing request", format!("{fingerprint:016x}")),
-        fact::Key::IndexVersion(route) => ("index version", route.to_string()),
     };
     json!({
         "what": what,
--- a/crates/decision/examples/cost.rs
+++ b/crates/decision/examples/instructions.rs
@@ -1,8 +1,8 @@
 //! Counts what a home's decisions cost without input or output, in figures that do not depend on
 //! the machine's load. It counts the allocations itself; valgrind counts the instructions:
 //!
-//! `cargo build --release -p monsoonring-decision --example cost`, then
-//! `valgrind --tool=callgrind --toggle-collect='*Bench::decide' target/release/examples/cost`
+//! `cargo build --release -p monsoonring-decision --example instructions`, then
+//! `valgrind --tool=callgrind --toggle-collect='*Bench::decide' target/release/examples/instructions`
 //!
 //! Divided by the sub-queries that it prints, the total is the instructions of each.
 
--- a/crates/decision/src/fact/entry.rs
+++ b/crates/decision/src/fact/entry.rs
@@ -1,7 +1,7 @@
 //! One fact, as it is sent.
 
 use crate::Fingerprint;
-use monsoonring_configuration::id::{BackendServerId, RouteId};
+use monsoonring_configuration::id::BackendServerId;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -12,8 +12,6 @@
     Leaving(BackendServerId),
     /// Requests with this fingerprint crash backend servers.
     Suspect(Fingerprint),
-    /// Newest index version seen on a route; the stamp's version is that version.
-    IndexVersion(RouteId),
 }
 
 /// Order of what is said about one key.
@@ -21,7 +19,7 @@
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 pub struct Stamp {
-    /// Version of what is said: a start number, an index version, or 0 where there is none.
+    /// Version of what is said: a start number, or 0 where there is none.
     pub version: u64,
     /// Number of times that direct evidence renewed it.
     pub renewal: u32,
@@ -45,7 +43,6 @@
         let key = match &self.key {
             Key::Leaving(_) => crate::member::record::ADDRESS_BYTES,
             Key::Suspect(_) => 8,
-            Key::IndexVersion(route) => 8 + route.len(),
         };
         FIXED + key
     }
--- a/crates/decision/src/fact/mod.rs
+++ b/crates/decision/src/fact/mod.rs
@@ -1,4 +1,7 @@
-//! Facts that spread between daemons: leaving backend servers, suspect fingerprints, index versions.
+//! Facts that spread between daemons: leaving backend servers and suspect fingerprints.
+//!
+//! Index versions are no facts: each home reads them off every reply and report of its own backend
+//! servers, and pins by what those serve. Word from another home would change nothing.
 //!
 //! A fact is a key with a stamp that orders what is said about the key, and a life time. Clocks of
 //! hosts differ, so messages carry the time that remains. A table never lengthens the life of a
