Look at the members that changed, and not at all of them

Cause: at 3,800 members the control task looked up each member to publish its suspects, at each tick and message (some 22 times a second, 603 µs each), and each change of members chose the homes of every route anew (271 routes of 269 µs; members change 1.1 times a second at design size). Together about 9 % of a core, of the 1.2 % that control may take. Weighed: a faster choice (the look-up by data centre is most of it) would still miss. Taken: a change concerns a route only if a home went or a member came that outranks a home; this holds while each data centre has MAX_HOMES members, else all is chosen anew as before. Test seen failing with the look at arrivals disabled: concerns_no_means_the_same_homes, `left: [10.0.0.40:7000] right: [10.0.0.16:7000]`.

--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -19,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use slog::{Logger, info, warn};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,6 +99,7 @@
     /// The document in force.
     in_force: Option<(Read, Arc<Configuration>)>,
     members: Arc<[Member]>,
+    suspects: Arc<BTreeSet<MemberId>>,
     reader: bool,
     /// Whether the holder knows of the members.
     announced: bool,
@@ -140,6 +142,7 @@
             read: None,
             in_force: None,
             members: Arc::default(),
+            suspects: Arc::default(),
             reader: true,
             announced: false,
             next_list: now,
@@ -351,6 +354,7 @@
             self.driver.forget(member);
         }
         self.members = self.table.members().into();
+        self.suspects = Arc::new(self.table.suspects().collect());
         self.facts.set_members(self.members.len());
         self.announce();
     }
@@ -443,11 +447,6 @@
     }
 
     fn current(&self) -> View {
-        let suspect = |member: &&Member| {
-            self.table
-                .get(member.id)
-                .is_some_and(|change| change.state == State::Suspect)
-        };
         View {
             configuration: self
                 .in_force
@@ -455,12 +454,7 @@
                 .map(|(_, configuration)| configuration.clone()),
             version: self.holder.in_force(),
             members: self.members.clone(),
-            suspects: self
-                .members
-                .iter()
-                .filter(suspect)
-                .map(|member| member.id)
-                .collect(),
+            suspects: self.suspects.clone(),
             members_current: self.table.is_current(),
             configuration_current: self.holder.is_current(),
             isolated: self.table.is_isolated(),
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -17,7 +17,7 @@
     /// Members that serve, this one included.
     pub(crate) members: Arc<[Member]>,
     /// Members that are suspected of being dead.
-    pub(crate) suspects: BTreeSet<MemberId>,
+    pub(crate) suspects: Arc<BTreeSet<MemberId>>,
     /// Whether new work may be taken, as far as members are concerned.
     pub(crate) members_current: bool,
     /// Whether new work may be taken, as far as the configuration is concerned.
--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -6,7 +6,7 @@
 use monsoonring_configuration::id::RouteId;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::member::MemberId;
-use monsoonring_decision::placement::{self, Member};
+use monsoonring_decision::placement::{self, Difference, Member};
 use slog::{Logger, info};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -33,6 +33,8 @@
     /// Number of homes of each route in place of placement's own.
     homes: Option<usize>,
     entries: Mutex<HashMap<RouteId, Entry>>,
+    /// The members that the homes were chosen from.
+    members: Mutex<Arc<[Member]>>,
 }
 
 impl Routes {
@@ -43,6 +45,7 @@
             spawn,
             homes,
             entries: Mutex::default(),
+            members: Mutex::default(),
         }
     }
 
@@ -69,6 +72,7 @@
             return Vec::new();
         };
         let mut begun = Vec::new();
+        let difference = self.difference(view);
         let mut entries = self.lock();
         let mut old = std::mem::take(&mut *entries);
         for route in &configuration.document().routes {
@@ -77,7 +81,7 @@
             };
             let old = old.remove(&route.name);
             let was_home = old.as_ref().is_some_and(|old| old.handle.is_some());
-            let entry = self.follow(route, old, view);
+            let entry = self.follow(route, old, view, &difference);
             begun.extend(entry.handle.clone().filter(|_| !was_home));
             entries.insert(route.name.clone(), entry);
         }
@@ -87,16 +91,45 @@
         begun
     }
 
-    fn follow(&self, route: &Arc<Route>, old: Option<Entry>, view: &View) -> Entry {
+    /// Compares the members of the view with those that the homes were chosen from.
+    fn difference(&self, view: &View) -> Difference {
+        let mut members = self.members.lock().unwrap_or_else(PoisonError::into_inner);
+        let old = std::mem::replace(&mut *members, view.members.clone());
+        Difference::between(&old, &view.members)
+    }
+
+    /// Returns the homes of a route, kept where they can't have changed.
+    fn homes(
+        &self,
+        route: &Route,
+        old: Option<&Entry>,
+        view: &View,
+        difference: &Difference,
+    ) -> Arc<[Member]> {
         let members = view.members.len();
         let count = placement::homes(&route.capacity, route.groups.len(), members);
         let count = self.homes.map_or(count, |homes| homes.min(members));
+        let kept = old.filter(|old| {
+            let homes: Vec<MemberId> = old.homes.iter().map(|home| home.id).collect();
+            homes.len() == count && !difference.concerns(&route.name, &homes)
+        });
+        if let Some(old) = kept {
+            return old.homes.clone();
+        }
         let homes = placement::select(&route.name, &view.members, count);
-        let is_home = homes.contains(&self.own);
-        let homes: Arc<[Member]> = homes
-            .into_iter()
-            .filter_map(|home| view.member(home))
-            .collect();
+        let homes = homes.into_iter().filter_map(|home| view.member(home));
+        homes.collect()
+    }
+
+    fn follow(
+        &self,
+        route: &Arc<Route>,
+        old: Option<Entry>,
+        view: &View,
+        difference: &Difference,
+    ) -> Entry {
+        let homes = self.homes(route, old.as_ref(), view, difference);
+        let is_home = homes.iter().any(|home| home.id == self.own);
         let handle = match old {
             Some(Entry {
                 handle: Some(handle),
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -22,7 +22,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha20Rng;
 use slog::Logger;
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -164,9 +164,9 @@
         let view = changes.borrow_and_update().clone();
         let begun = node.routes.update(&view);
         node.brief(&begun).await;
-        let known = |id: &SocketAddr| view.members.iter().any(|member| member.id == *id);
-        node.hops.retain(known);
-        node.peers.retain(known);
+        let known: HashSet<SocketAddr> = view.members.iter().map(|member| member.id).collect();
+        node.hops.retain(|id| known.contains(id));
+        node.peers.retain(|id| known.contains(id));
     }
 }
 
--- a/crates/decision/src/member/table.rs
+++ b/crates/decision/src/member/table.rs
@@ -143,6 +143,12 @@
             .collect()
     }
 
+    /// Returns the members that are suspected of being dead. The cost grows with these, not with
+    /// all members.
+    pub fn suspects(&self) -> impl Iterator<Item = MemberId> {
+        self.roster.suspects().map(|record| record.change.id)
+    }
+
     /// Returns what is known of a member.
     pub fn get(&self, id: MemberId) -> Option<&Change> {
         self.roster.get(id).map(|record| &record.change)
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -7,6 +7,10 @@
 //! common, the two sides of a partition, still fit. Half is enough, because a backend server takes
 //! about ten connections for each request that it can work on.
 
+mod difference;
+
+pub use difference::Difference;
+
 use crate::RequestId;
 use crate::member::MemberId;
 use monsoonring_configuration::document::Capacity;
--- a/crates/decision/tests/placement.rs
+++ b/crates/decision/tests/placement.rs
@@ -2,7 +2,9 @@
 
 use monsoonring_configuration::document::Capacity;
 use monsoonring_decision::member::MemberId;
-use monsoonring_decision::placement::{CONTROL, Member, Standing, choose, homes, select, share};
+use monsoonring_decision::placement::{
+    CONTROL, Difference, Member, Standing, choose, homes, select, share,
+};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
@@ -225,3 +227,56 @@
         prop_assert_eq!(select("route", &straight, count), select("route", &turned, count));
     }
 }
+
+/// Data centres that are large enough for [`Difference`] to tell by the changed members alone.
+const ROOMY: usize = 40;
+
+proptest! {
+    // Symptom: two daemons send a route's queries to different homes for good.
+    // Events: a member came or went; one of them did not choose the route's homes anew.
+    // Cause: a change was taken for one that does not concern the route.
+    #[test]
+    fn concerns_no_means_the_same_homes(
+        data_centres in 1..4_usize,
+        gone in prop::collection::vec(0..3 * ROOMY, 0..3),
+        come in prop::collection::vec(0..400_usize, 0..3),
+        count in 1..=32_usize,
+    ) {
+        let all = members(0..data_centres * ROOMY, data_centres);
+        let mut new = all.clone();
+        new.retain(|member| gone.iter().all(|number| member.id != id(*number)));
+        let first = data_centres * ROOMY;
+        new.extend(members(come.iter().map(|number| first + number).collect::<BTreeSet<_>>(), data_centres));
+        let difference = Difference::between(&all, &new);
+        for route in 0..20 {
+            let route = format!("route-{route}");
+            let homes = select(&route, &all, count);
+            if !difference.concerns(&route, &homes) {
+                prop_assert_eq!(select(&route, &new, count), homes);
+            }
+        }
+    }
+}
+
+#[test]
+fn concerns_few_routes_of_a_large_fleet() {
+    let all = members(0..3_800, 21);
+    let difference = Difference::between(&all, &all[1..]);
+    let concerned = (0..271).map(|route| format!("route-{route}"));
+    let concerned = concerned.filter(|route| difference.concerns(route, &select(route, &all, 10)));
+    let is_home = |route: &String| select(route, &all, 10).contains(&all[0].id);
+    let concerned: Vec<String> = concerned.collect();
+    assert!(concerned.iter().all(is_home), "{concerned:?}");
+    assert!(concerned.len() < 27, "{concerned:?}");
+}
+
+#[test_case(3, 0..39, 1; "small_data_centre")]
+#[test_case(3, 0..200, 2; "lost_data_centre")]
+fn concerns_all_routes(data_centres: usize, left: std::ops::Range<usize>, every: usize) {
+    let all = members(0..200, data_centres);
+    let left: Vec<Member> = members(left, data_centres);
+    let lost = |member: &Member| every == 1 || &*member.data_centre != "dc1";
+    let left: Vec<Member> = left.into_iter().filter(lost).collect();
+    let difference = Difference::between(&all, &left);
+    assert!(difference.concerns("any", &[]));
+}
