--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -67,7 +67,8 @@
     );
     let servers = poll::Servers::of(&settings.route);
     let endpoint = Endpoint::default();
-    let poller = poll::spawn(servers.clone(), endpoint.clone(), report.clone());
+    let first = usize::try_from(settings.seed).unwrap_or_default();
+    let poller = poll::spawn(servers.clone(), endpoint.clone(), report.clone(), first);
     let mut controller = Controller::new(settings, home, report, endpoint, servers);
     controller.perform(actions);
     let mut open = true;
