--- a/crates/experiment/src/deployment/process.rs
+++ b/crates/experiment/src/deployment/process.rs
@@ -9,6 +9,9 @@
 use tokio::time::{sleep, timeout};
 
 const KEY_VARIABLE: &str = "MONSOONRING_KEY";
+const LOG_LEVEL: &str = "--log-level";
+/// Least severe level that is logged where a policy names none.
+const QUIET: &str = "warning";
 
 /// Result of starting a process.
 pub(super) type Result<T, E = Box<dyn std::error::Error + Send + Sync>> = std::result::Result<T, E>;
@@ -40,12 +43,20 @@
 
 impl Process {
     pub(super) fn spawn(path: &Path, arguments: Vec<String>) -> Result<Self> {
+        let names_level = arguments.iter().any(|argument| argument == LOG_LEVEL);
+        let level = (!names_level).then_some([LOG_LEVEL, QUIET]);
+        // Warnings are few and tell why a run failed; a line for each decision would drown them.
+        let log = match names_level {
+            true => Stdio::null(),
+            false => Stdio::inherit(),
+        };
         let child = Command::new(path)
             .args(arguments)
-            .args(["--log-level", "warning"])
+            .args(level.into_iter().flatten())
             .env(KEY_VARIABLE, KEY)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
+            .stderr(log)
             .kill_on_drop(true)
             .spawn()
             .context(Snafu { path })?;
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -12,9 +12,13 @@
 
 pub mod arrival;
 pub mod caller;
+pub mod capacity;
 pub mod deployment;
+pub mod document;
 pub mod fault;
 pub mod load;
+pub mod memory;
+pub mod operator;
 pub mod processor;
 pub mod report;
 pub mod sample;
