Call only members for a key that a caller sent

Cause: a key's address comes from the caller, and the daemon called it before anything about the key was checked: any host and port that it reaches. Change: only addresses in the member table, those that left included; else the members are asked who holds the fence, and the answer is unknown. Before: execute_forged_key_reaches_no_stranger failed, 'the stranger was called'. After: all of once pass.

--- a/crates/daemon/src/node/execute.rs
+++ b/crates/daemon/src/node/execute.rs
@@ -303,7 +303,12 @@
         key: Key,
         send: Option<u32>,
     ) -> Sent {
-        let sent = self.send_to(fence.member, &call, &key, send).await;
+        // Only a member, be it one that has left: the address comes from the caller, and a made-up
+        // one would have this daemon call any host and port that it can reach.
+        let sent = match self.control.start(fence.member).await {
+            Some(_) => self.send_to(fence.member, &call, &key, send).await,
+            None => None,
+        };
         match sent {
             Some(Sent::Refused(Refusal::Moved(to))) => {
                 let sent = self.send_to(to.member, &call, &key, send).await;
--- a/crates/experiment/tests/processes/once.rs
+++ b/crates/experiment/tests/processes/once.rs
@@ -5,6 +5,7 @@
 use monsoonring_experiment::caller::Answer;
 use monsoonring_experiment::sample::Outcome;
 use monsoonring_fakes::backend_server::{Distribution, Fault};
+use std::net::{Ipv4Addr, TcpListener};
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
@@ -117,3 +118,19 @@
     }
     assert_eq!(begun(&cluster), 1);
 }
+
+// Symptom: a daemon opens connections to whatever address a caller names.
+// Events: a caller sends a made-up key that names a host and port inside the operators' network.
+// Cause: a key's incarnation is called without looking whether it is a member.
+#[tokio::test(flavor = "multi_thread")]
+async fn execute_forged_key_reaches_no_stranger() {
+    let cluster = cluster(Duration::ZERO).await;
+    let stranger = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    stranger.set_nonblocking(true).expect("a listening socket");
+    let port = stranger.local_addr().expect("a bound address").port();
+    let forged = format!("m1.127.0.0.1~{port}.1.0.999999999.{}", "0".repeat(32));
+    let answer = send(&cluster, 0, &forged).await.expect("an answer");
+    assert_eq!(answer.outcome, Outcome::Unknown, "{}", answer.why);
+    assert!(stranger.accept().is_err(), "the stranger was called");
+    assert_eq!(begun(&cluster), 0);
+}
