Survive a handover whose times are beyond all bounds

Cause: times of another daemon were added without a look; a handover with endless ones ended the receiver with 'overflow when adding durations'. Only a holder of the key between daemons can send one. Before: inherit_endless_times_is_survived panicked so. After: it passes, as do the ledger's tests and the exploration.

--- a/crates/decision/src/idempotency/estate.rs
+++ b/crates/decision/src/idempotency/estate.rs
@@ -93,7 +93,7 @@
     }
 
     pub(super) fn clock(&self, now: Time) -> Time {
-        self.theirs + now.saturating_sub(self.ours)
+        self.theirs.saturating_add(now.saturating_sub(self.ours))
     }
 
     pub(super) fn inherited(bequest: Bequest, now: Time) -> Self {
@@ -104,7 +104,7 @@
                 .map(|(serial, e)| (serial, e.into_record(now)))
                 .collect(),
             keys: bequest.keys,
-            until: now + bequest.left,
+            until: now.saturating_add(bequest.left),
             theirs: bequest.clock,
             ours: now,
         }
@@ -121,6 +121,10 @@
     }
 
     pub(super) fn into_record(self, now: Time) -> Record {
-        Record::done(self.fingerprint, now + self.left, self.outcome)
+        Record::done(
+            self.fingerprint,
+            now.saturating_add(self.left),
+            self.outcome,
+        )
     }
 }
--- a/crates/decision/src/idempotency/ledger.rs
+++ b/crates/decision/src/idempotency/ledger.rs
@@ -209,9 +209,11 @@
         if let Phase::Closed { to, acknowledged } = self.phase {
             return Decision::Refuse(moved(to, acknowledged));
         }
-        let (record, decision) = self
-            .phase
-            .take(Slot::fenced(key), request, now + left + slack);
+        let (record, decision) = self.phase.take(
+            Slot::fenced(key),
+            request,
+            now.saturating_add(left.saturating_add(slack)),
+        );
         estate.records.insert(key.serial, record);
         decision
     }
--- a/crates/decision/tests/idempotency.rs
+++ b/crates/decision/tests/idempotency.rs
@@ -273,3 +273,36 @@
         assert_eq!(heir.inherit(handover, at(0)).is_ok(), taken);
     }
 }
+
+// Symptom: a daemon ends with "overflow when adding durations".
+// Events: a handover arrives whose times are beyond all bounds; its sender holds the key between daemons.
+// Cause: times of another daemon were added without looking at them.
+#[test]
+fn inherit_endless_times_is_survived() {
+    let mut old = ledger(1);
+    let key = mint(&mut old, at(0));
+    let _running = permit(old.begin(&key, &request(1), at(0)));
+    let handover = old.hand_over(fence(2), at(0)).expect("the first");
+    let mut text = serde_json::to_value(&handover).expect("a handover is plain data");
+    lengthen(&mut text);
+    let handover: Handover = serde_json::from_value(text).expect("the same shape");
+    let mut successor = ledger(2);
+    let taken = successor.inherit(handover, at(1));
+    assert!(taken.is_ok(), "{taken:?}");
+    successor.tick(at(2));
+    let decision = successor.begin(&key, &request(2), at(3));
+    assert!(!matches!(decision, Decision::Run(_)), "{decision:?}");
+}
+
+/// Sets every duration to the longest.
+fn lengthen(value: &mut serde_json::Value) {
+    if let Some(seconds) = value.get_mut("secs") {
+        *seconds = u64::MAX.into();
+    }
+    let values: Vec<&mut serde_json::Value> = match value {
+        serde_json::Value::Object(members) => members.values_mut().collect(),
+        serde_json::Value::Array(values) => values.iter_mut().collect(),
+        _ => Vec::new(),
+    };
+    values.into_iter().for_each(lengthen);
+}
