Replace all daemons under load in one place

The two tests of a rolling replacement had the same load, replacement and check of every answer; both call one function now, with the outcome that they expect. Their assertions are the same.

--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -53,14 +53,12 @@
         self.lock().retain(|peer, _| keep(peer));
     }
 
-    /// A peer that has ended, as in each planned stop, leaves a closed connection here. A call on it
+    /// A peer that has ended, as in each planned stop, or was idle leaves a closed connection here. A call on it
     /// fails just like one that the peer took and never answered: a non-idempotent request that was
     /// not even sent would be `unknown`. So a closed one is replaced before the call.
     fn slot(&self, peer: SocketAddr) -> Slot {
         let mut slots = self.lock();
         let slot = slots.entry(peer).or_default();
-        // A stream that the peer has closed, because it restarted or was idle, would fail the next
-        // call on it, though a new one is as good as any.
         if slot.get().is_some_and(Line::has_ended) {
             *slot = Slot::default();
         }
--- a/crates/experiment/tests/processes/rolling.rs
+++ b/crates/experiment/tests/processes/rolling.rs
@@ -140,21 +140,24 @@
     shape.settings.connections = 4 * (SLOTS + 1);
     let mut cluster = Cluster::start(vec![shape], &FOUR).await;
     let balancer = Balancer::start(&cluster, false);
+    replace_all_under_load(&mut cluster, &balancer, Outcome::Complete).await;
+}
+
+/// Replaces all daemons while the balancer sends, checks that every answer is as expected, and returns
+/// their number.
+async fn replace_all_under_load(
+    cluster: &mut Cluster,
+    balancer: &Arc<Balancer>,
+    expected: Outcome,
+) -> usize {
     let load = tokio::spawn(balancer.clone().run());
-    replace_all(&mut cluster).await;
+    replace_all(cluster).await;
     balancer.ended.store(true, Ordering::SeqCst);
     let answers = load.await.expect("the load ends");
-    let lost: Vec<_> = answers
-        .iter()
-        .filter(|a| a.outcome != Outcome::Complete)
-        .collect();
-    assert!(
-        lost.is_empty(),
-        "{} of {}: {:?}",
-        lost.len(),
-        answers.len(),
-        lost
-    );
+    let lost: Vec<_> = answers.iter().filter(|a| a.outcome != expected).collect();
+    let (count, all) = (lost.len(), answers.len());
+    assert!(lost.is_empty(), "{count} of {all}: {lost:?}");
+    all
 }
 
 // Symptom: tickets are lost or doubled when the fleet is replaced.
@@ -165,21 +168,7 @@
 async fn replace_all_under_load_runs_each_request_once() {
     let mut cluster = Cluster::start(vec![execute(2)], &FOUR).await;
     let balancer = Balancer::start(&cluster, true);
-    let load = tokio::spawn(balancer.clone().run());
-    replace_all(&mut cluster).await;
-    balancer.ended.store(true, Ordering::SeqCst);
-    let answers = load.await.expect("the load ends");
-    let lost: Vec<_> = answers
-        .iter()
-        .filter(|a| a.outcome != Outcome::Executed)
-        .collect();
-    assert!(
-        lost.is_empty(),
-        "{} of {}: {:?}",
-        lost.len(),
-        answers.len(),
-        lost
-    );
+    let answers = replace_all_under_load(&mut cluster, &balancer, Outcome::Executed).await;
     let executed = balancer.executed.lock().expect("no panic before").clone();
     for (number, (key, body)) in executed.into_iter().enumerate() {
         let daemon = balancer.daemons[number % balancer.daemons.len()];
@@ -193,7 +182,7 @@
         .flat_map(|server| server.runs().into_values())
         .collect();
     assert!(runs.iter().all(|run| run.begun == 1), "doubled");
-    assert_eq!(runs.len(), answers.len(), "each has run");
+    assert_eq!(runs.len(), answers, "each has run");
 }
 
 // Symptom: an operator can't end a process whose stop takes too long, or can't tell that it was cut.
