--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -245,6 +245,7 @@
             fingerprint: call.fingerprint,
             body: call.body.clone(),
             execute_key,
+            terms: None,
         }
     }
 
--- a/crates/decision/examples/instructions.rs
+++ b/crates/decision/examples/instructions.rs
@@ -203,6 +203,7 @@
         fingerprint: u64::from(number),
         body: "{\"near\":[1,2]}".into(),
         execute_key: None,
+        terms: None,
     }
 }
 
--- a/crates/decision/src/attempt.rs
+++ b/crates/decision/src/attempt.rs
@@ -40,6 +40,13 @@
     },
 }
 
+impl Failure {
+    /// Tells whether the failure proves that the attempt did not run.
+    pub fn is_unrun(&self) -> bool {
+        matches!(self, Self::Refused { .. } | Self::NotSent)
+    }
+}
+
 /// Why a backend server refused to run a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -5,10 +5,11 @@
 use super::leaving::Marks;
 use super::ramp::Ramp;
 use super::server::Server;
+use crate::Time;
 use crate::attempt::AttemptId;
+use crate::placement::Division;
 use crate::policy::Policy;
 use crate::why::Least;
-use crate::{Time, placement};
 use monsoonring_configuration::document::{Capacity, Route};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use rand::Rng;
@@ -49,7 +50,7 @@
     pub(super) attempts: FxHashMap<AttemptId, Attempt>,
     pub(super) marks: Marks,
     pub(super) capacity: Capacity,
-    pub(super) homes: usize,
+    pub(super) division: Division,
     pub(super) deadline: Duration,
     pub(super) policy: Policy,
 }
@@ -80,8 +81,8 @@
 }
 
 impl Fleet {
-    /// Makes the fleet of a route that has `homes` homes.
-    pub fn new(route: &Route, homes: usize, now: Time) -> Self {
+    /// Makes the fleet of a route at a home that takes its part of the `division`.
+    pub fn new(route: &Route, division: impl Into<Division>, now: Time) -> Self {
         let mut fleet = Self {
             servers: FxHashMap::default(),
             groups: Vec::new(),
@@ -89,7 +90,7 @@
             attempts: FxHashMap::default(),
             marks: Marks::default(),
             capacity: route.capacity,
-            homes: homes.max(1),
+            division: division.into(),
             deadline: Duration::from_millis(route.deadline_ms),
             policy: Policy::default(),
         };
@@ -113,7 +114,7 @@
 
     /// Takes over the number of homes of the route.
     pub fn set_homes(&mut self, homes: usize, _now: Time) {
-        self.homes = homes.max(1);
+        self.division.homes = homes.max(1);
     }
 
     /// Takes over from the pool whether a server can be reached.
@@ -194,7 +195,7 @@
     }
 
     pub(super) fn share(&self) -> usize {
-        placement::share(self.capacity.connections, self.homes) as usize
+        self.division.connections(self.capacity.connections)
     }
 
     pub(super) fn slots(&self) -> f64 {
--- a/crates/decision/src/backend/pool/mod.rs
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -14,8 +14,9 @@
 
 pub use silence::Look;
 
+use crate::Time;
 use crate::attempt::ConnectionId;
-use crate::{Time, placement};
+use crate::placement::Division;
 use connection::{Connection, State};
 use line::Line;
 use monsoonring_configuration::document::{Capacity, Route};
@@ -53,7 +54,7 @@
     next: ConnectionId,
     share: usize,
     capacity: Capacity,
-    homes: usize,
+    division: Division,
     /// Servers that something has happened to since the last [`Pool::want`].
     changed: BTreeSet<BackendServerId>,
     closing: Vec<ConnectionId>,
@@ -62,15 +63,22 @@
 }
 
 impl Pool {
-    /// Makes the empty pool of a route that has `homes` homes; connection ids count from `first`.
-    pub fn new(route: &Route, homes: usize, first: ConnectionId, now: Time) -> Self {
+    /// Makes the empty pool of a route at a home that takes its part of the `division`; connection
+    /// ids count from `first`.
+    pub fn new(
+        route: &Route,
+        division: impl Into<Division>,
+        first: ConnectionId,
+        now: Time,
+    ) -> Self {
+        let division = division.into();
         let mut pool = Self {
             lines: FxHashMap::default(),
             connections: FxHashMap::default(),
             next: first,
-            share: placement::share(route.capacity.connections, homes) as usize,
+            share: division.connections(route.capacity.connections),
             capacity: route.capacity,
-            homes,
+            division,
             changed: BTreeSet::new(),
             closing: Vec::new(),
             due: None,
@@ -83,13 +91,13 @@
     pub fn reconfigure(&mut self, route: &Route, now: Time) {
         self.capacity = route.capacity;
         self.adopt(route, now);
-        self.set_homes(self.homes, now);
+        self.set_homes(self.division.homes, now);
     }
 
     /// Takes over the number of homes of the route.
     pub fn set_homes(&mut self, homes: usize, _now: Time) {
-        self.homes = homes;
-        self.share = placement::share(self.capacity.connections, homes) as usize;
+        self.division.homes = homes.max(1);
+        self.share = self.division.connections(self.capacity.connections);
         self.changed.extend(self.lines.keys());
     }
 
--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -10,6 +10,7 @@
 //! in a hundred of the first attempts.
 
 use crate::Time;
+use monsoonring_configuration::document::Route;
 
 /// What the fraction is multiplied by at each failure.
 const SHRINK: f64 = 0.9;
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     percent: f64,
+    /// Most tokens that are kept, whatever the percentage.
+    burst: f64,
     factor: f64,
     tokens: f64,
     /// Part of the tokens that only [`Self::take`] may use.
@@ -47,12 +50,21 @@
     pub fn new(percent: f64) -> Self {
         Self {
             percent,
+            burst: f64::INFINITY,
             factor: 1.0,
             reserve: 0.0,
             tokens: if percent > 0.0 { Self::INITIAL } else { 0.0 },
         }
     }
 
+    /// Keeps at most `burst` tokens. What several homes have saved could otherwise be spent in the
+    /// same moment, beyond what the backend servers' owners allow in any one window.
+    #[must_use]
+    pub fn bounded(mut self, burst: f64) -> Self {
+        self.burst = burst.max(Self::INITIAL);
+        self
+    }
+
     /// Takes over a new percentage.
     pub fn set_percent(&mut self, percent: f64) {
         self.percent = percent;
@@ -116,6 +128,96 @@
         if self.percent <= 0.0 {
             return 0.0;
         }
-        (self.percent / 100.0 * self.factor * KEPT).max(Self::INITIAL)
+        let kept = self.percent / 100.0 * self.factor * KEPT;
+        kept.min(self.burst).max(Self::INITIAL)
+    }
+}
+
+/// What may be sent beyond the first attempts, to one group of backend servers or to all of them.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    /// Second attempts beside a slow one.
+    pub hedges: Budget,
+    /// Further attempts after a failed one.
+    pub retries: Budget,
+}
+
+impl Budgets {
+    fn new(route: &Route, burst: f64) -> Self {
+        Self {
+            hedges: Budget::new(route.hedge.budget_percent).bounded(burst),
+            retries: Budget::new(route.retry.budget_percent).bounded(burst),
+        }
+    }
+
+    fn reconfigure(&mut self, route: &Route) {
+        self.hedges.set_percent(route.hedge.budget_percent);
+        self.retries.set_percent(route.retry.budget_percent);
+    }
+
+    /// Records a first attempt.
+    pub fn deposit(&mut self, now: Time) {
+        self.hedges.deposit(now);
+        self.retries.deposit(now);
+    }
+
+    /// Records that an attempt succeeded.
+    pub fn succeeded(&mut self, now: Time) {
+        self.hedges.succeeded(now);
+        self.retries.succeeded(now);
+    }
+
+    /// Records that an attempt failed.
+    pub fn failed(&mut self, now: Time) {
+        self.hedges.failed(now);
+        self.retries.failed(now);
+    }
+}
+
+/// The budgets of a home: one pair for the whole route, or one for each group.
+///
+/// Where the owners of the backend servers bound the extra attempts at each group, a common budget
+/// would not do: one slow group out of ten would be sent what all ten have earned, as many extra
+/// attempts as it has first ones.
+#[derive(Clone, Debug)]
+pub struct Purse {
+    budgets: Vec<Budgets>,
+    burst: Option<f64>,
+}
+
+impl Purse {
+    /// Makes the budgets of a route: one pair for each group that saves up at most `burst`, or a
+    /// common one without such a bound.
+    pub fn new(route: &Route, burst: Option<f64>) -> Self {
+        let mut purse = Self {
+            budgets: Vec::new(),
+            burst,
+        };
+        purse.reconfigure(route);
+        purse
+    }
+
+    /// Takes over a new configuration.
+    pub fn reconfigure(&mut self, route: &Route) {
+        let count = match self.burst {
+            Some(_) => route.groups.len().max(1),
+            None => 1,
+        };
+        let burst = self.burst.unwrap_or(f64::INFINITY);
+        self.budgets
+            .resize_with(count, || Budgets::new(route, burst));
+        for budgets in &mut self.budgets {
+            budgets.reconfigure(route);
+        }
+    }
+
+    /// Returns the budgets for one group.
+    ///
+    /// # Panics
+    ///
+    /// Never: there is always one pair at least.
+    pub fn of(&mut self, group: usize) -> &mut Budgets {
+        let last = self.budgets.len() - 1;
+        &mut self.budgets[group.min(last)]
     }
 }
--- a/crates/decision/src/home/action.rs
+++ b/crates/decision/src/home/action.rs
@@ -1,6 +1,7 @@
 //! What a home wants done.
 
 use crate::attempt::{AttemptId, ConnectionId};
+use crate::content::{Content, Json};
 use crate::outcome::Outcome;
 use crate::why::Why;
 use crate::{Fingerprint, RequestId, Time};
@@ -11,18 +12,18 @@
 
 /// Something that the daemon does for a home.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Action {
+pub enum Action<C: Content = Json> {
     /// Open a connection; answered by `Opened` or `Closed`.
     Open(ConnectionId, BackendServerId),
     /// Close a connection. An attempt on it ends without a further event.
     Close(ConnectionId),
     /// Send an attempt on an idle connection.
-    Send(Send),
+    Send(Send<C>),
     /// Tell the backend server, on another connection, to cancel an attempt. The attempt's own
     /// connection stays in use until its reply arrives.
     Cancel(AttemptId, BackendServerId),
     /// The one final result of a request.
-    Finish(RequestId, Outcome),
+    Finish(RequestId, Outcome<C::Value>),
     /// Tell the other homes that a backend server is leaving.
     TellLeaving(BackendServerId, Option<Incarnation>),
     /// Tell the other homes that requests with this fingerprint crash backend servers.
@@ -36,7 +37,7 @@
 
 /// One attempt on its way to a backend server.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Send {
+pub struct Send<C: Content = Json> {
     /// The attempt.
     pub attempt: AttemptId,
     /// The idle connection it goes out on.
@@ -52,8 +53,8 @@
     /// Time after which the reply is of no use. A driver that comes to send later than this must
     /// not send, and reports `Failure::NotSent`.
     pub deadline: Time,
-    /// JSON text of the request.
-    pub body: Arc<str>,
+    /// What the request asks.
+    pub body: C::Query,
     /// Idempotency key of a non-idempotent request; `None` for a search.
     pub execute_key: Option<Arc<str>>,
 }
--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -14,9 +14,9 @@
 use crate::Time;
 use crate::attempt::{AttemptId, ConnectionId};
 use crate::backend::pool::Command;
+use crate::content::Content;
 use crate::query::coverage::Set;
 use crate::query::run::{Cause, Waiter};
-use monsoonring_configuration::document::Kind;
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 use std::time::Duration;
 
@@ -37,18 +37,18 @@
 const MISSES_AT_MOST: usize = 4;
 
 /// What a new attempt is about.
-pub(super) struct Task<'a> {
+pub(super) struct Task<'a, C: Content> {
     pub(super) owner: Owner,
-    pub(super) request: &'a super::event::Request,
+    pub(super) request: &'a Request<C>,
     pub(super) server: BackendServerId,
     pub(super) asked: Set,
     pub(super) version: Option<IndexVersion>,
     pub(super) cause: Cause,
 }
 
-impl Home {
+impl<C: Content> Home<C> {
     /// Makes an attempt and puts it into the queue of its server.
-    pub(super) fn enqueue(&mut self, task: Task<'_>, now: Time) -> AttemptId {
+    pub(super) fn enqueue(&mut self, task: Task<'_, C>, now: Time) -> AttemptId {
         let id = self.next_attempt;
         self.next_attempt += 1;
         let server = task.server;
@@ -76,11 +76,11 @@
         id
     }
 
-    fn hedge_delay(&self, task: &Task<'_>, now: Time) -> Option<Duration> {
+    fn hedge_delay(&self, task: &Task<'_, C>, now: Time) -> Option<Duration> {
         let hedge = self.route.hedge;
         let may = hedge.budget_percent > 0.0
             && !task.cause.is_second()
-            && self.route.kind == Kind::Search;
+            && matches!(task.owner, Owner::Part(..));
         may.then(|| self.fleet.hedge_delay(task.server, hedge.quantile, now))
     }
 
@@ -99,14 +99,14 @@
         let Some(id) = self.flights.first(server) else {
             return;
         };
-        let connection = match self.route.kind {
-            Kind::Search => self.pool.acquire(server, now),
-            Kind::Execute => self.pool.acquire_fresh(server, now),
+        let owner = self.flights.get(id).map(|flight| flight.owner);
+        let connection = match owner {
+            Some(Owner::Execution(_)) => self.pool.acquire_fresh(server, now),
+            _ => self.pool.acquire(server, now),
         };
         let Some(connection) = connection else {
             return;
         };
-        let owner = self.flights.get(id).map(|flight| flight.owner);
         if self.may_send(id, now) {
             self.send(id, connection, now);
             return;
@@ -182,7 +182,7 @@
     }
 
     /// Tells the owner that its attempt may be running from now on.
-    fn depart(&mut self, flight: &Flight) -> Option<Request> {
+    fn depart(&mut self, flight: &Flight) -> Option<Request<C>> {
         match flight.owner {
             Owner::Part(request, _) => {
                 let run = self.runs.get_mut(&request)?;
@@ -206,11 +206,15 @@
         let mut why = format!("attempt {id} had not left");
         match flight.cause {
             Cause::Hedge | Cause::LateHedge => {
-                self.hedges.give_back();
+                if let Some(budgets) = self.budgets_of(flight.server) {
+                    budgets.hedges.give_back();
+                }
                 why.push_str(", hedge given back");
             }
             Cause::Overdue => {
-                self.retries.give_back();
+                if let Some(budgets) = self.budgets_of(flight.server) {
+                    budgets.retries.give_back();
+                }
                 why.push_str(", retry given back");
             }
             _ => {}
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{AttemptId, ConnectionId, Failure, Refusal};
 use crate::backend::Verdict;
 use crate::backend::pool::Look;
+use crate::content::Content;
 use crate::query::merge;
 use crate::query::run::{self, Cause, PartId, Run};
 use crate::reply::{Reply, Report};
@@ -23,9 +24,9 @@
 /// Longest time until an attempt is looked at: what its server usually takes may not be known yet.
 pub(super) const LOOK_AT_MOST: Duration = Duration::from_millis(50);
 
-impl Home {
+impl<C: Content> Home<C> {
     /// Takes in a reply to an attempt of a search.
-    pub(super) fn replied(&mut self, id: AttemptId, reply: Reply, now: Time) {
+    pub(super) fn replied(&mut self, id: AttemptId, reply: Reply<C::Value>, now: Time) {
         let owner = self.flights.get(id).map(|flight| flight.owner);
         let is_other = matches!(owner, Some(Owner::Execution(_)));
         if is_other || merge::check(&reply).is_err() {
@@ -44,7 +45,7 @@
     }
 
     /// Takes in the result of a non-idempotent request.
-    pub(super) fn executed(&mut self, id: AttemptId, value: Box<str>, report: &Report, now: Time) {
+    pub(super) fn executed(&mut self, id: AttemptId, value: C::Value, report: &Report, now: Time) {
         let owner = self.flights.get(id).map(|flight| flight.owner);
         if matches!(owner, Some(Owner::Part(..))) {
             self.failed(id, &Failure::Mismatched, now);
@@ -72,8 +73,9 @@
         let news = self.fleet.replied(flight.id, report, now);
         let replicas = self.placement.replicas(flight.server);
         self.suspects.succeeded(flight.id, replicas, now);
-        self.retries.succeeded(now);
-        self.hedges.succeeded(now);
+        if let Some(budgets) = self.budgets_of(flight.server) {
+            budgets.succeeded(now);
+        }
         if let Some(connection) = flight.connection {
             self.free(connection, flight, now);
         }
@@ -89,10 +91,10 @@
 
     fn take_reply(
         &mut self,
-        run: &mut Run,
+        run: &mut Run<C>,
         part: PartId,
         flight: &Flight,
-        reply: Reply,
+        reply: Reply<C::Value>,
         now: Time,
     ) {
         run.land(part, flight.id);
@@ -121,7 +123,7 @@
 
     /// Asks for what a part still lacks, of the groups that hold it now, unless another attempt
     /// for it is in progress.
-    fn again(&mut self, run: &mut Run, id: PartId, cause: Cause, now: Time) {
+    fn again(&mut self, run: &mut Run<C>, id: PartId, cause: Cause, now: Time) {
         let idle = run.parts.get(&id).is_some_and(|part| part.live.is_empty());
         if !idle {
             return;
@@ -154,8 +156,9 @@
             self.back_off(flight.server, until);
         }
         if !matches!(failure, Failure::Cancelled { .. }) {
-            self.retries.failed(now);
-            self.hedges.failed(now);
+            if let Some(budgets) = self.budgets_of(flight.server) {
+                budgets.failed(now);
+            }
         }
         self.heed(flight.server, verdict.news, now);
         if !verdict.crash_evidence {
--- a/crates/decision/src/home/event.rs
+++ b/crates/decision/src/home/event.rs
@@ -1,6 +1,8 @@
 //! What happens to a home.
 
+use super::terms::Terms;
 use crate::attempt::{AttemptId, ConnectionId, Failure};
+use crate::content::{Content, Json};
 use crate::reply::{Reply, Report};
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::document::{Class, Route};
@@ -9,7 +11,7 @@
 
 /// A request that reached its home.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Request {
+pub struct Request<C: Content = Json> {
     /// Its id.
     pub id: RequestId,
     /// Who sent it.
@@ -20,17 +22,19 @@
     pub deadline: Time,
     /// Hash of route and body.
     pub fingerprint: Fingerprint,
-    /// JSON text that goes to the backend servers.
-    pub body: Arc<str>,
+    /// What goes to the backend servers.
+    pub body: C::Query,
     /// Idempotency key of a non-idempotent request; `None` for a search.
     pub execute_key: Option<Arc<str>>,
+    /// What holds for this request; `None` for what the home's route says.
+    pub terms: Option<Terms>,
 }
 
 /// Something that a home has to react to.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Event {
+pub enum Event<C: Content = Json> {
     /// A request arrived.
-    Request(Request),
+    Request(Request<C>),
     /// The caller of a request went away.
     Abandoned(RequestId),
     /// A connection asked for by an action is ready.
@@ -38,9 +42,9 @@
     /// A connection asked for could not be made, or an idle one has ended.
     Closed(ConnectionId),
     /// An attempt was answered; its connection is idle again.
-    Reply(AttemptId, Reply),
-    /// An attempt of a non-idempotent request was answered with its result, JSON text.
-    Executed(AttemptId, Box<str>, Report),
+    Reply(AttemptId, Reply<C::Value>),
+    /// An attempt of a non-idempotent request was answered with its result.
+    Executed(AttemptId, C::Value, Report),
     /// An attempt ended otherwise.
     Failed(AttemptId, Failure),
     /// The configuration of the route changed.
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -8,6 +8,7 @@
 use super::flight::{Flight, Owner};
 use super::state::Home;
 use crate::attempt::Failure;
+use crate::content::Content;
 use crate::outcome::{Outcome, Reason};
 use crate::query::attempt::Ended;
 use crate::query::coverage::Set;
@@ -17,15 +18,18 @@
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::id::BackendServerId;
 
-impl Home {
+/// The only group of a route whose requests run at one server.
+const EXECUTE_GROUP: usize = 0;
+
+impl<C: Content> Home<C> {
     /// Starts a non-idempotent request.
-    pub(super) fn execute(&mut self, request: Request, now: Time) {
+    pub(super) fn execute(&mut self, request: Request<C>, now: Time) {
         self.place(Execution::new(request, now), now);
     }
 
     /// Finds the one server for a request of which nothing has run; without one it waits, or ends
     /// as not run.
-    fn place(&mut self, execution: Execution, now: Time) {
+    fn place(&mut self, execution: Execution<C>, now: Time) {
         if !execution.is_waiting() {
             self.executions.insert(execution.request.id, execution);
             return;
@@ -40,7 +44,7 @@
             return;
         }
         match self.pick_for_execution(&execution, now) {
-            Some((server, why)) if self.afford(cause, now) => {
+            Some((server, why)) if self.afford(EXECUTE_GROUP, cause, now) => {
                 self.log(Some(execution.request.id), "execute", Some(server), why);
                 self.queue_execution(execution, server, now);
             }
@@ -51,7 +55,7 @@
 
     fn pick_for_execution(
         &mut self,
-        execution: &Execution,
+        execution: &Execution<C>,
         now: Time,
     ) -> Option<(BackendServerId, Least)> {
         let candidates = self.placement.servers();
@@ -67,7 +71,7 @@
         choice.map(|choice| (choice.server, choice.why))
     }
 
-    fn queue_execution(&mut self, execution: Execution, server: BackendServerId, now: Time) {
+    fn queue_execution(&mut self, execution: Execution<C>, server: BackendServerId, now: Time) {
         let task = Task {
             owner: Owner::Execution(execution.request.id),
             request: &execution.request,
@@ -81,14 +85,14 @@
             .insert(execution.request.id, execution.queue(id));
     }
 
-    fn hold_execution(&mut self, execution: Execution) {
+    fn hold_execution(&mut self, execution: Execution<C>) {
         let request = &execution.request;
         let held = self.held.entry(request.fingerprint).or_default();
         held.insert(execution.waiter());
         self.executions.insert(request.id, execution);
     }
 
-    fn park_execution(&mut self, execution: Execution, now: Time) {
+    fn park_execution(&mut self, execution: Execution<C>, now: Time) {
         let request = &execution.request;
         let deadline = request.deadline;
         let servers = self.placement.servers();
@@ -104,7 +108,7 @@
         self.executions.insert(request.id, execution);
     }
 
-    fn end_unplaced(&mut self, execution: Execution, now: Time) {
+    fn end_unplaced(&mut self, execution: Execution<C>, now: Time) {
         let reason = execution.reason;
         self.finish_execution(execution, reason, now);
     }
@@ -125,7 +129,7 @@
     }
 
     /// Marks the attempt as possibly running, and returns the request.
-    pub(super) fn depart_execution(&mut self, id: RequestId) -> Option<Request> {
+    pub(super) fn depart_execution(&mut self, id: RequestId) -> Option<Request<C>> {
         let execution = self.executions.remove(&id)?;
         let request = execution.request.clone();
         self.executions.insert(id, execution.send());
@@ -175,7 +179,7 @@
         }
     }
 
-    fn place_again(&mut self, mut execution: Execution, failure: &Failure, now: Time) {
+    fn place_again(&mut self, mut execution: Execution<C>, failure: &Failure, now: Time) {
         if run::is_final(failure) {
             self.end_unplaced(execution, now);
             return;
@@ -188,7 +192,7 @@
     }
 
     /// Takes in the result of the one attempt.
-    pub(super) fn execution_succeeded(&mut self, id: RequestId, value: Box<str>, now: Time) {
+    pub(super) fn execution_succeeded(&mut self, id: RequestId, value: C::Value, now: Time) {
         if let Some(execution) = self.executions.remove(&id) {
             let outcome = Outcome::Executed(value);
             self.end(&execution.request, execution.started, outcome, now);
@@ -224,7 +228,7 @@
     }
 
     /// Ends a request without a result: not run where that is proved, unknown otherwise.
-    pub(super) fn finish_execution(&mut self, execution: Execution, reason: Reason, now: Time) {
+    pub(super) fn finish_execution(&mut self, execution: Execution<C>, reason: Reason, now: Time) {
         if let Some(attempt) = execution.attempt() {
             self.disown(attempt, now);
         }
@@ -247,13 +251,13 @@
         }
     }
 
-    fn end(&mut self, request: &Request, began: Time, outcome: Outcome, now: Time) {
+    fn end(&mut self, request: &Request<C>, began: Time, outcome: Outcome<C::Value>, now: Time) {
         self.log(Some(request.id), "finish", None, summary(&outcome));
         self.finish(request, began, outcome, now);
     }
 }
 
-fn summary(outcome: &Outcome) -> String {
+fn summary<V>(outcome: &Outcome<V>) -> String {
     match outcome {
         Outcome::NotRun { reason, .. } => format!("not run: {reason}"),
         Outcome::Failed { reason, .. } => format!("failed: {reason}"),
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -23,6 +23,7 @@
 mod search;
 mod server;
 mod state;
+pub mod terms;
 mod timer;
 
 pub use action::Action;
@@ -30,3 +31,4 @@
 pub use counts::Counts;
 pub use event::Event;
 pub use state::Home;
+pub use terms::Terms;
--- a/crates/decision/src/home/reroute.rs
+++ b/crates/decision/src/home/reroute.rs
@@ -4,25 +4,26 @@
 //! calls itself complete by a placement that no longer holds. What was merged stays merged, as it
 //! is counted in keys; only what is missing is dealt out by the new placement.
 
+use super::flight::Flight;
 use super::placement::Placement;
 use super::state::Home;
 use crate::Time;
 use crate::attempt::AttemptId;
+use crate::content::Content;
 use crate::query::coverage::Set;
 use crate::query::run::{Cause, Part, Run};
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::BackendServerId;
 use std::sync::Arc;
 
-impl Home {
+impl<C: Content> Home<C> {
     /// Takes over a new configuration of the route. Queries in progress keep what they have merged;
     /// what they lack is asked of the servers that hold it now.
     pub(super) fn reroute(&mut self, route: Arc<Route>, now: Time) {
         self.fleet.reconfigure(&route, now);
         self.pool.reconfigure(&route, now);
         self.gate.reconfigure(&route);
-        self.hedges.set_percent(route.hedge.budget_percent);
-        self.retries.set_percent(route.retry.budget_percent);
+        self.budgets.reconfigure(&route);
         let gone = self.replace(route);
         for server in gone {
             self.evacuate(server, now);
@@ -50,7 +51,7 @@
     /// Deals the missing keys of a run out again by the new placement. A part that its servers
     /// still hold as a whole stays as it is. Of the others, attempts that were sent may still bring
     /// what they were asked for, and what they bring first is not asked again.
-    fn redeal(&mut self, run: &mut Run, now: Time) {
+    fn redeal(&mut self, run: &mut Run<C>, now: Time) {
         let mut lacking = Set::default();
         for (id, part) in std::mem::take(&mut run.parts) {
             match self.home_of(&part) {
@@ -69,26 +70,29 @@
         }
     }
 
-    /// Returns the group that holds a part as a whole and has all servers that work on it. A part
-    /// on which nobody works has none: it is dealt out again.
+    /// Returns the group that holds a part as a whole and has all servers that work on it, or that
+    /// has kept just the part's keys while one of its servers, gone from the route, still works on
+    /// them. A part on which nobody works has none: it is dealt out again.
+    ///
+    /// A server that left a group finishes what it has. Asking another one for each attempt that it
+    /// still works on would send a burst of extra attempts whenever servers are replaced.
     fn home_of(&self, part: &Part) -> Option<usize> {
-        let servers: Vec<BackendServerId> = part
-            .live
-            .iter()
-            .filter_map(|id| self.flights.get(*id))
-            .map(|flight| flight.server)
-            .collect();
-        if servers.is_empty() {
+        let flights = part.live.iter().filter_map(|id| self.flights.get(*id));
+        let flights: Vec<&Flight> = flights.collect();
+        if flights.is_empty() {
             return None;
         }
+        let is_sent = flights.iter().any(|flight| flight.connection.is_some());
         self.route.groups.iter().position(|group| {
-            let holds = part.wanted.difference(&Set::from(group.keys)).is_empty();
-            holds && servers.iter().all(|s| group.backend_servers.contains(s))
+            let keys = Set::from(group.keys);
+            let works = |flight: &&Flight| group.backend_servers.contains(&flight.server);
+            let holds = part.wanted.difference(&keys).is_empty();
+            holds && (flights.iter().all(works) || is_sent && part.wanted == keys)
         })
     }
 
     /// Leaves attempts without a part: those not yet sent are taken back.
-    fn detach(&mut self, run: &mut Run, live: &[AttemptId], now: Time) {
+    fn detach(&mut self, run: &mut Run<C>, live: &[AttemptId], now: Time) {
         for id in live {
             if self.withdraw(*id, now).is_none() {
                 run.detached.push(*id);
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -7,6 +7,7 @@
 use super::timer::Timer;
 use crate::attempt::AttemptId;
 use crate::backend::suspect::Standing;
+use crate::content::Content;
 use crate::outcome::{Outcome, Reason};
 use crate::query::run::{Cause, Part, PartId, Run};
 use crate::why::Least;
@@ -19,12 +20,12 @@
 /// at a newer version.
 const RESTART_QUANTILE: f64 = 0.5;
 
-impl Home {
+impl<C: Content> Home<C> {
     /// Starts a search: every group is asked at once.
-    pub(super) fn search(&mut self, request: Request, now: Time) {
+    pub(super) fn search(&mut self, request: Request<C>, now: Time) {
         let id = request.id;
         let run = Run::new(request, self.pin.version(), &self.route, now);
-        if let Some(soft) = self.route.soft_deadline {
+        if let Some(soft) = self.terms(&run.request).soft_deadline {
             let at = now + Duration::from_millis(soft.after_ms);
             self.timers.set(at, Timer::Soft(id));
         }
@@ -37,7 +38,7 @@
         &mut self,
         id: RequestId,
         now: Time,
-        act: impl FnOnce(&mut Self, &mut Run),
+        act: impl FnOnce(&mut Self, &mut Run<C>),
     ) {
         let Some(mut run) = self.runs.remove(&id) else {
             return;
@@ -47,7 +48,7 @@
     }
 
     /// Ends a run as soon as nothing but the deadline would.
-    fn settle(&mut self, mut run: Run, now: Time) {
+    fn settle(&mut self, mut run: Run<C>, now: Time) {
         if let Some(version) = self.restart_version(&run, now) {
             self.restart(&mut run, version, now);
         }
@@ -64,8 +65,8 @@
     }
 
     /// Tells whether waiting on is no longer worth it.
-    fn is_enough(&self, run: &Run, now: Time) -> bool {
-        self.route.soft_deadline.is_some_and(|soft| {
+    fn is_enough(&self, run: &Run<C>, now: Time) -> bool {
+        self.terms(&run.request).soft_deadline.is_some_and(|soft| {
             let at = run.started + Duration::from_millis(soft.after_ms);
             now >= at && run.coverage(&self.route) >= soft.coverage
         })
@@ -73,7 +74,7 @@
 
     /// Returns the version at which a run begins again: once, if its own has vanished and there is
     /// time for a reply at a newer one.
-    fn restart_version(&self, run: &Run, now: Time) -> Option<IndexVersion> {
+    fn restart_version(&self, run: &Run<C>, now: Time) -> Option<IndexVersion> {
         let pinned = run.pin?;
         let newer = self.pin.version().filter(|version| *version > pinned)?;
         let is_low = pinned < self.route.minimum_index_version;
@@ -85,7 +86,7 @@
         (!run.restarted && in_time).then_some(newer)
     }
 
-    fn restart(&mut self, run: &mut Run, version: IndexVersion, now: Time) {
+    fn restart(&mut self, run: &mut Run<C>, version: IndexVersion, now: Time) {
         let why = format!(
             "version {} vanished, again at {version}",
             run.pin.unwrap_or(0)
@@ -97,7 +98,7 @@
         self.assign_all(run, Cause::First, now);
     }
 
-    pub(super) fn assign_all(&mut self, run: &mut Run, cause: Cause, now: Time) {
+    pub(super) fn assign_all(&mut self, run: &mut Run<C>, cause: Cause, now: Time) {
         for part in run.parts.keys().copied().collect::<Vec<_>>() {
             self.assign(run, part, cause, now);
         }
@@ -120,17 +121,22 @@
 
     /// Finds a server for a part. Without one the part waits if one is expected to have room before
     /// the deadline, and is given up otherwise.
-    pub(super) fn assign(&mut self, run: &mut Run, id: PartId, cause: Cause, now: Time) {
+    pub(super) fn assign(&mut self, run: &mut Run<C>, id: PartId, cause: Cause, now: Time) {
+        let terms = self.terms(&run.request);
         let Some(part) = run.parts.get_mut(&id) else {
             return;
         };
         if !cause.is_second() {
             part.cause = cause;
         }
-        if cause == Cause::Retry && part.attempts >= self.route.retry.attempts {
-            part.give_up();
+        let many = cause == Cause::Retry && part.attempts >= self.route.retry.attempts;
+        if many || part.may_have_run() >= terms.runs_at_most {
+            if part.live.is_empty() {
+                part.give_up();
+            }
             return;
         }
+        let group = part.group;
         if !self.suspects.may_send(run.request.fingerprint, now) {
             if part.live.is_empty() {
                 let held = self.held.entry(run.request.fingerprint).or_default();
@@ -139,7 +145,7 @@
             return;
         }
         match self.pick(run, id, now) {
-            Some((server, why)) if self.afford(cause, now) => {
+            Some((server, why)) if self.afford(group, cause, now) => {
                 self.log(Some(run.request.id), cause.what(), Some(server), why);
                 self.ask(run, id, server, cause, now);
             }
@@ -149,7 +155,7 @@
     }
 
     /// Chooses a server that was not tried for the part; if there is none, one that was.
-    fn pick(&mut self, run: &Run, id: PartId, now: Time) -> Option<(BackendServerId, Least)> {
+    fn pick(&mut self, run: &Run<C>, id: PartId, now: Time) -> Option<(BackendServerId, Least)> {
         let part = run.parts.get(&id)?;
         let candidates = self.candidates(part);
         let version = run.pin;
@@ -171,33 +177,33 @@
     }
 
     /// Takes what an attempt costs out of the budgets. Returns whether it may be made.
-    pub(super) fn afford(&mut self, cause: Cause, now: Time) -> bool {
+    pub(super) fn afford(&mut self, group: usize, cause: Cause, now: Time) -> bool {
+        let budgets = self.budgets.of(group);
         match cause {
             Cause::First => {
-                self.hedges.deposit(now);
-                self.retries.deposit(now);
+                budgets.deposit(now);
                 true
             }
             Cause::Rest => true,
             Cause::Retry | Cause::Overdue => {
-                let may = self.retries.take(now);
+                let may = budgets.retries.take(now);
                 self.counts.retries_denied += u64::from(!may);
                 may
             }
             Cause::Hedge => {
-                let may = self.hedges.take_spare(now);
+                let may = budgets.hedges.take_spare(now);
                 self.counts.hedges_denied += u64::from(!may);
                 may
             }
             Cause::LateHedge => {
-                let may = self.hedges.take(now);
+                let may = budgets.hedges.take(now);
                 self.counts.hedges_denied += u64::from(!may);
                 may
             }
         }
     }
 
-    fn deny(&mut self, run: &mut Run, id: PartId, server: BackendServerId, cause: Cause) {
+    fn deny(&mut self, run: &mut Run<C>, id: PartId, server: BackendServerId, cause: Cause) {
         let Some(part) = run.parts.get_mut(&id) else {
             return;
         };
@@ -208,7 +214,14 @@
         self.log(Some(run.request.id), "deny", Some(server), why);
     }
 
-    fn ask(&mut self, run: &mut Run, id: PartId, server: BackendServerId, cause: Cause, now: Time) {
+    fn ask(
+        &mut self,
+        run: &mut Run<C>,
+        id: PartId,
+        server: BackendServerId,
+        cause: Cause,
+        now: Time,
+    ) {
         let Some(part) = run.parts.get_mut(&id) else {
             return;
         };
@@ -228,7 +241,7 @@
     /// Lets a part wait for room. Where none is to be expected in time it counts as given up, so
     /// that the answer waits for nothing; but as long as other parts are in progress, a server that
     /// comes back is asked.
-    fn park(&mut self, run: &mut Run, id: PartId) {
+    fn park(&mut self, run: &mut Run<C>, id: PartId) {
         let (version, deadline) = (run.pin, run.request.deadline);
         let waiter = run.waiter(id);
         let Some(part) = run.parts.get_mut(&id) else {
@@ -275,11 +288,11 @@
     }
 
     /// Ends a search with what it has, and cancels what is still being asked for.
-    pub(super) fn finish_search(&mut self, run: Run, reason: Reason, now: Time) {
+    pub(super) fn finish_search(&mut self, run: Run<C>, reason: Reason, now: Time) {
         for attempt in run.live() {
             self.cancel(attempt, now);
         }
-        if let Some(soft) = self.route.soft_deadline {
+        if let Some(soft) = self.terms(&run.request).soft_deadline {
             let at = run.started + Duration::from_millis(soft.after_ms);
             self.timers.clear(at, Timer::Soft(run.request.id));
         }
@@ -292,7 +305,8 @@
         }
         let request = run.request.clone();
         let began = run.started;
-        let outcome = run.finish(&self.route, reason);
+        let least = self.terms(&request).least_coverage;
+        let outcome = run.finish(&self.route, least, reason);
         let why = summary(&outcome, reason);
         self.log(Some(request.id), "finish", None, why);
         self.finish(&request, began, outcome, now);
@@ -313,7 +327,7 @@
     }
 }
 
-fn summary(outcome: &Outcome, reason: Reason) -> String {
+fn summary<V>(outcome: &Outcome<V>, reason: Reason) -> String {
     match outcome {
         Outcome::Answered(answer) if answer.missing.is_empty() => {
             format!("complete at version {}", answer.index_version)
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -5,13 +5,14 @@
 use super::state::Home;
 use crate::attempt::{ConnectionId, Failure};
 use crate::backend::News;
+use crate::content::Content;
 use crate::query::pin;
 use crate::query::run::{Cause, Part, PartId};
 use crate::reply::Report;
 use crate::{RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 
-impl Home {
+impl<C: Content> Home<C> {
     /// Lets those who wait for a server of the same groups look again.
     pub(super) fn touch(&mut self, server: BackendServerId) {
         let groups = self.placement.groups(server);
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -5,14 +5,17 @@
 use super::event::{Event, Request};
 use super::flight;
 use super::placement::Placement;
+use super::terms::Terms;
 use super::timer::{self, Timer};
 use crate::admission::{Admission, Gate};
 use crate::attempt::AttemptId;
 use crate::backend::pool::Pool;
 use crate::backend::suspect::{Standing, Table};
 use crate::backend::{Fleet, Room};
-use crate::budget::Budget;
+use crate::budget::{Budgets, Purse};
+use crate::content::{Content, Json};
 use crate::outcome::{Outcome, Reason};
+use crate::placement::Division;
 use crate::policy::Policy;
 use crate::query::attempt::Unrun;
 use crate::query::execution::Execution;
@@ -35,7 +38,7 @@
 pub(super) type Waiting = BTreeSet<Waiter>;
 
 /// One route at one of its homes.
-pub struct Home {
+pub struct Home<C: Content = Json> {
     pub(super) route: Arc<Route>,
     pub(super) policy: Policy,
     pub(super) rng: ChaCha8Rng,
@@ -43,12 +46,11 @@
     pub(super) pool: Pool,
     pub(super) gate: Gate,
     pub(super) suspects: Table,
-    pub(super) hedges: Budget,
-    pub(super) retries: Budget,
+    pub(super) budgets: Purse,
     pub(super) pin: Pin,
     pub(super) placement: Placement,
-    pub(super) runs: BTreeMap<RequestId, Run>,
-    pub(super) executions: BTreeMap<RequestId, Execution>,
+    pub(super) runs: BTreeMap<RequestId, Run<C>>,
+    pub(super) executions: BTreeMap<RequestId, Execution<C>>,
     pub(super) flights: flight::Table,
     /// By group: what waits for room at one of its servers.
     pub(super) waiting: BTreeMap<usize, Waiting>,
@@ -72,33 +74,39 @@
     pub(super) next_attempt: AttemptId,
     pub(super) stopping: bool,
     pub(super) counts: Counts,
-    pub(super) actions: Vec<Action>,
+    pub(super) actions: Vec<Action<C>>,
 }
 
-impl Home {
-    /// Makes the home of a route that has `homes` homes, and returns what is to be done at once.
+impl<C: Content> Home<C> {
+    /// Makes a home of a route, and returns what is to be done at once. `division` says what it
+    /// may take of the backend servers beside other homes.
     /// `seed` decides every random choice.
-    pub fn new(route: Arc<Route>, homes: usize, seed: u64, now: Time) -> (Self, Vec<Action>) {
-        Self::with_policy(route, homes, seed, Policy::default(), now)
+    pub fn new(
+        route: Arc<Route>,
+        division: impl Into<Division>,
+        seed: u64,
+        now: Time,
+    ) -> (Self, Vec<Action<C>>) {
+        Self::with_policy(route, division, seed, Policy::default(), now)
     }
 
     /// Makes the home of a route, as [`Self::new`] does, with some decisions replaced.
     pub fn with_policy(
         route: Arc<Route>,
-        homes: usize,
+        division: impl Into<Division>,
         seed: u64,
         policy: Policy,
         now: Time,
-    ) -> (Self, Vec<Action>) {
+    ) -> (Self, Vec<Action<C>>) {
+        let division = division.into();
         let mut home = Self {
             policy,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            fleet: Fleet::new(&route, homes, now),
-            pool: Pool::new(&route, homes, FIRST_CONNECTION, now),
+            fleet: Fleet::new(&route, division, now),
+            pool: Pool::new(&route, division, FIRST_CONNECTION, now),
             gate: Gate::new(&route),
             suspects: Table::new(),
-            hedges: Budget::new(route.hedge.budget_percent),
-            retries: Budget::new(route.retry.budget_percent),
+            budgets: Purse::new(&route, division.burst()),
             pin: Pin::default(),
             placement: Placement::new(&route),
             runs: BTreeMap::new(),
@@ -129,7 +137,7 @@
     ///
     /// What came due before is handled first: a process that was paused finds that a deadline has
     /// passed before it finds the reply that waited.
-    pub fn on(&mut self, event: Event, now: Time) -> Vec<Action> {
+    pub fn on(&mut self, event: Event<C>, now: Time) -> Vec<Action<C>> {
         self.fire(now);
         self.handle(event, now);
         self.conclude(now)
@@ -166,7 +174,7 @@
         self.fleet.room(now)
     }
 
-    fn handle(&mut self, event: Event, now: Time) {
+    fn handle(&mut self, event: Event<C>, now: Time) {
         match event {
             Event::Request(request) => self.arrived(request, now),
             Event::Abandoned(id) => self.abandoned(id, now),
@@ -196,7 +204,7 @@
         }
     }
 
-    fn arrived(&mut self, request: Request, now: Time) {
+    fn arrived(&mut self, request: Request<C>, now: Time) {
         let known = self.runs.contains_key(&request.id);
         if known || self.executions.contains_key(&request.id) {
             return;
@@ -210,15 +218,26 @@
         }
         self.timers
             .set(request.deadline, Timer::Deadline(request.id));
-        match self.route.kind {
+        match self.terms(&request).kind {
             Kind::Search => self.search(request, now),
             Kind::Execute => self.execute(request, now),
         }
     }
 
+    /// Returns what holds for a request.
+    pub(super) fn terms(&self, request: &Request<C>) -> Terms {
+        request.terms.unwrap_or_else(|| Terms::from(&*self.route))
+    }
+
+    /// Returns the budgets of the first group that a server is in, if it is still in one.
+    pub(super) fn budgets_of(&mut self, server: BackendServerId) -> Option<&mut Budgets> {
+        let group = self.placement.groups(server).first()?;
+        Some(self.budgets.of(*group))
+    }
+
     /// Returns why a new request is not taken on. Admission comes last, as it counts those that it
     /// admits.
-    fn refusal(&mut self, request: &Request, now: Time) -> Option<(Reason, Option<Duration>)> {
+    fn refusal(&mut self, request: &Request<C>, now: Time) -> Option<(Reason, Option<Duration>)> {
         if self.stopping {
             return Some((Reason::Stopping, Some(Duration::ZERO)));
         }
@@ -260,7 +279,13 @@
     }
 
     /// Records the one final result of a request.
-    pub(super) fn finish(&mut self, request: &Request, began: Time, outcome: Outcome, now: Time) {
+    pub(super) fn finish(
+        &mut self,
+        request: &Request<C>,
+        began: Time,
+        outcome: Outcome<C::Value>,
+        now: Time,
+    ) {
         self.timers
             .clear(request.deadline, Timer::Deadline(request.id));
         let took = now.saturating_sub(began);
@@ -311,7 +336,7 @@
     }
 
     /// Serves those who wait, brings attempts onto connections, and returns what is to be done.
-    fn conclude(&mut self, now: Time) -> Vec<Action> {
+    fn conclude(&mut self, now: Time) -> Vec<Action<C>> {
         while self.has_work() {
             self.serve(now);
             self.transmit(now);
--- /dev/null
+++ b/crates/decision/src/home/terms.rs
@@ -0,0 +1,32 @@
+//! What holds for one request, where requests of several routes share a home.
+//!
+//! A home owns the connections, the loads and the budgets of a set of backend servers. Where several
+//! routes lead to the same set, one home for each would divide the servers' connections further and
+//! know less of their load, so that they share one, and each request brings what its route says.
+
+use monsoonring_configuration::document::{Kind, Route, SoftDeadline};
+
+/// What holds for one request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Whether the request may run more than once.
+    pub kind: Kind,
+    /// Backend servers that may come to run one part of it, hedges included. A server that proves
+    /// that it did not run it does not count.
+    pub runs_at_most: u32,
+    /// When and at which coverage waiting on is no longer worth it.
+    pub soft_deadline: Option<SoftDeadline>,
+    /// Share of the data, from 0 to 1, below which an answer is of no use to the caller.
+    pub least_coverage: f64,
+}
+
+impl From<&Route> for Terms {
+    fn from(route: &Route) -> Self {
+        Self {
+            kind: route.kind,
+            runs_at_most: u32::MAX,
+            soft_deadline: route.soft_deadline,
+            least_coverage: 0.0,
+        }
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -11,6 +11,7 @@
 mod broadcast;
 pub mod budget;
 pub mod configuration;
+pub mod content;
 pub mod fact;
 pub mod home;
 pub mod idempotency;
--- a/crates/decision/src/outcome.rs
+++ b/crates/decision/src/outcome.rs
@@ -9,11 +9,11 @@
 
 /// The one final result of a request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Outcome {
+pub enum Outcome<V = Box<str>> {
     /// A search was answered, completely or in part.
-    Answered(Answer),
-    /// A non-idempotent request ran; the value is JSON text.
-    Executed(Box<str>),
+    Answered(Answer<V>),
+    /// A non-idempotent request ran; the value is its result.
+    Executed(V),
     /// Nothing of the request ran anywhere.
     NotRun {
         /// Why it did not run.
@@ -37,7 +37,7 @@
 
 /// Answer to a search.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Answer {
+pub struct Answer<V = Box<str>> {
     /// The one version that every item was taken from.
     pub index_version: IndexVersion,
     /// Share of the data that was looked through, by published weight, from 0 to 1.
@@ -45,7 +45,7 @@
     /// The keys that were not looked through, disjoint and in order.
     pub missing: Vec<Range>,
     /// The items, in key order.
-    pub items: Vec<Item>,
+    pub items: Vec<Item<V>>,
 }
 
 /// Why a request was refused, failed or is in doubt.
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -34,6 +34,59 @@
 /// Outstanding queries by which a home in another data centre counts as busier than it is.
 pub const DISTANCE: u32 = 4;
 
+/// How much of the backend servers one home may take beside the others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Division {
+    /// Homes that share the backend servers.
+    pub homes: usize,
+    views: u32,
+    control: u32,
+    burst: Option<f64>,
+}
+
+impl Division {
+    /// Divides among the homes of a route, which two views of the members may choose differently.
+    pub fn among(homes: usize) -> Self {
+        Self {
+            homes: homes.max(1),
+            views: VIEWS,
+            control: CONTROL,
+            burst: None,
+        }
+    }
+
+    /// Divides among all `hosts`, none of which makes calls beside its attempts. Views can't choose
+    /// different homes where everyone is one. `slack` is the number of extra attempts that all
+    /// hosts together may have in hand for each group.
+    pub fn everyone(hosts: usize, slack: f64) -> Self {
+        let hosts = hosts.max(1);
+        Self {
+            homes: hosts,
+            views: 1,
+            control: 0,
+            burst: Some(slack / hosts as f64),
+        }
+    }
+
+    /// Returns the connections that a home may hold to a backend server which takes `limit`.
+    pub fn connections(&self, limit: u32) -> usize {
+        let homes = u32::try_from(self.homes).unwrap_or(u32::MAX);
+        let own = limit / self.views / homes;
+        own.saturating_sub(self.control).max(1) as usize
+    }
+
+    /// Returns the extra attempts that a home may save up for one group, where that is bounded.
+    pub fn burst(&self) -> Option<f64> {
+        self.burst
+    }
+}
+
+impl From<usize> for Division {
+    fn from(homes: usize) -> Self {
+        Self::among(homes)
+    }
+}
+
 /// A serving member, as far as placement is concerned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -81,8 +134,7 @@
 /// limit below `VIEWS * (1 + CONTROL)` can't be shared so: then the one home has one connection for
 /// attempts all the same.
 pub fn share(limit: u32, homes: usize) -> u32 {
-    let homes = u32::try_from(homes).unwrap_or(u32::MAX).max(1);
-    (limit / VIEWS / homes).saturating_sub(CONTROL).max(1)
+    Division::among(homes).connections(limit) as u32
 }
 
 /// Returns the homes of a route, best first: `count` members by rendezvous hashing, at most
--- a/crates/decision/src/query/attempt.rs
+++ b/crates/decision/src/query/attempt.rs
@@ -21,7 +21,7 @@
     }
 
     /// Ends the request as not run.
-    pub fn outcome(self, reason: Reason, retry_after: Option<Duration>) -> Outcome {
+    pub fn outcome<V>(self, reason: Reason, retry_after: Option<Duration>) -> Outcome<V> {
         Outcome::NotRun {
             reason,
             retry_after: come_back(reason, retry_after),
@@ -108,7 +108,7 @@
     }
 
     /// Gives the attempt up while it may be running.
-    pub fn doubt(self, reason: Reason) -> Outcome {
+    pub fn doubt<V>(self, reason: Reason) -> Outcome<V> {
         Outcome::Unknown { reason }
     }
 }
@@ -128,7 +128,7 @@
 
     /// Counts the end of an attempt; called once per attempt.
     pub fn fail(&mut self, failure: &Failure) {
-        if matches!(failure, Failure::Refused { .. } | Failure::NotSent) {
+        if failure.is_unrun() {
             self.unrun += 1;
         }
     }
--- a/crates/decision/src/query/execution.rs
+++ b/crates/decision/src/query/execution.rs
@@ -8,6 +8,7 @@
 use super::run::{self, Cause, Waiter};
 use crate::Time;
 use crate::attempt::{AttemptId, Failure};
+use crate::content::Content;
 use crate::home::event::Request;
 use crate::outcome::{Outcome, Reason};
 use monsoonring_configuration::id::BackendServerId;
@@ -26,8 +27,8 @@
 
 /// A non-idempotent request in progress.
 #[derive(Debug)]
-pub(crate) struct Execution {
-    pub(crate) request: Request,
+pub(crate) struct Execution<C: Content> {
+    pub(crate) request: Request<C>,
     pub(crate) started: Time,
     pub(crate) state: State,
     /// Servers that provably did not run it.
@@ -42,8 +43,8 @@
     pub(crate) cause: Cause,
 }
 
-impl Execution {
-    pub(crate) fn new(request: Request, now: Time) -> Self {
+impl<C: Content> Execution<C> {
+    pub(crate) fn new(request: Request<C>, now: Time) -> Self {
         Self {
             request,
             started: now,
@@ -120,7 +121,7 @@
     }
 
     /// Ends the request without a result: not run where that is proved, unknown otherwise.
-    pub(crate) fn give_up(self, reason: Reason) -> Outcome {
+    pub(crate) fn give_up(self, reason: Reason) -> Outcome<C::Value> {
         match self.state {
             State::Waiting(unrun) => unrun.outcome(reason, self.retry_after),
             State::Queued(attempt) => attempt.withdraw().outcome(reason, self.retry_after),
--- a/crates/decision/src/query/merge.rs
+++ b/crates/decision/src/query/merge.rs
@@ -25,20 +25,29 @@
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// What has been merged so far, all of it from one index version.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Merge {
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Merge<V = Box<str>> {
     covered: Set,
-    items: Vec<Item>,
+    items: Vec<Item<V>>,
 }
 
-impl Merge {
+impl<V> Default for Merge<V> {
+    fn default() -> Self {
+        Self {
+            covered: Set::default(),
+            items: Vec::new(),
+        }
+    }
+}
+
+impl<V> Merge<V> {
     /// Returns the keys that have been looked through.
     pub fn covered(&self) -> &Set {
         &self.covered
     }
 
     /// Takes what is new of a reply that passed [`check`], and returns the keys that it added.
-    pub fn accept(&mut self, asked: &Set, reply: Reply) -> Set {
+    pub fn accept(&mut self, asked: &Set, reply: Reply<V>) -> Set {
         let claimed: Set = reply.ranges.into_iter().collect();
         let new = claimed.intersection(asked).difference(&self.covered);
         let fresh = reply
@@ -51,7 +60,7 @@
     }
 
     /// Returns the items in key order; items of one key stay in the server's order.
-    pub fn into_items(self) -> Vec<Item> {
+    pub fn into_items(self) -> Vec<Item<V>> {
         let mut items = self.items;
         items.sort_by_key(|item| item.key);
         items
@@ -63,7 +72,7 @@
 /// # Errors
 ///
 /// [`Error::Outside`] where an item lies outside the claimed ranges.
-pub fn check(reply: &Reply) -> Result<()> {
+pub fn check<V>(reply: &Reply<V>) -> Result<()> {
     let claimed: Set = reply.ranges.iter().copied().collect();
     for item in &reply.items {
         snafu::ensure!(claimed.contains(item.key), OutsideSnafu { key: item.key });
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -9,6 +9,7 @@
 use super::coverage::{self, Set};
 use super::merge::Merge;
 use crate::attempt::{AttemptId, Failure, Refusal};
+use crate::content::Content;
 use crate::home::event::Request;
 use crate::outcome::{Answer, Outcome, Reason};
 use crate::reply::Reply;
@@ -85,6 +86,8 @@
     pub(crate) unable: SmallVec<[BackendServerId; 1]>,
     /// Attempts made, hedges included.
     pub(crate) attempts: u32,
+    /// Those of them that provably did not run.
+    pub(crate) unrun: u32,
     /// Why the next attempt is made.
     pub(crate) cause: Cause,
     /// How the last attempt ended.
@@ -96,6 +99,11 @@
 }
 
 impl Part {
+    /// Returns how many attempts may have run, or may still do.
+    pub(crate) fn may_have_run(&self) -> u32 {
+        self.attempts.saturating_sub(self.unrun)
+    }
+
     /// Stops asking for these keys.
     pub(crate) fn give_up(&mut self) {
         self.given_up = Some(self.last.unwrap_or(Reason::Unavailable));
@@ -113,8 +121,8 @@
 
 /// A search in progress.
 #[derive(Debug)]
-pub(crate) struct Run {
-    pub(crate) request: Request,
+pub(crate) struct Run<C: Content> {
+    pub(crate) request: Request<C>,
     pub(crate) started: Time,
     /// The one version that is merged; `None` until the first reply of an unpinned run.
     pub(crate) pin: Option<IndexVersion>,
@@ -124,15 +132,15 @@
     pub(crate) restarted: bool,
     /// Attempts whose part was dealt out again; their replies are still welcome.
     pub(crate) detached: Vec<AttemptId>,
-    merge: Merge,
-    previous: Option<(IndexVersion, Merge)>,
+    merge: Merge<C::Value>,
+    previous: Option<(IndexVersion, Merge<C::Value>)>,
     next_part: PartId,
     retry_after: Option<Duration>,
 }
 
-impl Run {
+impl<C: Content> Run<C> {
     pub(crate) fn new(
-        request: Request,
+        request: Request<C>,
         pin: Option<IndexVersion>,
         route: &Route,
         now: Time,
@@ -169,6 +177,7 @@
                 tried: origin.tried.clone(),
                 unable: origin.unable.clone(),
                 attempts: origin.attempts,
+                unrun: origin.unrun,
                 last: origin.last,
                 ..Part::default()
             };
@@ -186,7 +195,7 @@
     }
 
     /// Takes a reply of the pinned version, and says who is not needed any more.
-    pub(crate) fn accept(&mut self, part: PartId, asked: &Set, reply: Reply) -> Change {
+    pub(crate) fn accept(&mut self, part: PartId, asked: &Set, reply: Reply<C::Value>) -> Change {
         let new = self.merge.accept(asked, reply);
         let mut change = Change {
             progress: !new.is_empty(),
@@ -274,6 +283,7 @@
         self.fanout.fail(failure);
         if let Some(part) = self.parts.get_mut(&part) {
             part.last = Some(reason(failure));
+            part.unrun += u32::from(failure.is_unrun());
         }
         if let Failure::Refused { retry_after, .. } = failure {
             self.retry_after = self.retry_after.max(*retry_after);
@@ -311,8 +321,8 @@
     }
 
     /// Ends the run with what it has. After a restart the better covered of the two versions is
-    /// given, the newer one if they are equal.
-    pub(crate) fn finish(self, route: &Route, reason: Reason) -> Outcome {
+    /// given, the newer one if they are equal. An answer that covers less than `least` is none.
+    pub(crate) fn finish(self, route: &Route, least: f64, reason: Reason) -> Outcome<C::Value> {
         let here = coverage::share(self.merge.covered(), route);
         let before = self
             .previous
@@ -320,8 +330,11 @@
             .filter(|(_, merge)| coverage::share(merge.covered(), route) > here);
         let merged = before.or(self.pin.map(|version| (version, self.merge)));
         let minimum = route.minimum_index_version;
-        let may =
-            |found: &(IndexVersion, Merge)| found.0 >= minimum && !found.1.covered().is_empty();
+        let may = |found: &(IndexVersion, Merge<C::Value>)| {
+            found.0 >= minimum
+                && !found.1.covered().is_empty()
+                && coverage::share(found.1.covered(), route) >= least
+        };
         match merged.filter(may) {
             Some((version, merge)) => Outcome::Answered(answer(version, merge, route)),
             None => refusal(&self.fanout, reason, self.retry_after),
@@ -329,7 +342,7 @@
     }
 }
 
-fn answer(index_version: IndexVersion, merge: Merge, route: &Route) -> Answer {
+fn answer<V>(index_version: IndexVersion, merge: Merge<V>, route: &Route) -> Answer<V> {
     Answer {
         index_version,
         coverage: coverage::share(merge.covered(), route),
@@ -338,7 +351,7 @@
     }
 }
 
-fn refusal(fanout: &Fanout, reason: Reason, retry_after: Option<Duration>) -> Outcome {
+fn refusal<V>(fanout: &Fanout, reason: Reason, retry_after: Option<Duration>) -> Outcome<V> {
     match fanout.unrun() {
         Some(unrun) => unrun.outcome(reason, retry_after),
         None => Outcome::Failed {
--- a/crates/decision/src/reply.rs
+++ b/crates/decision/src/reply.rs
@@ -4,24 +4,24 @@
 use monsoonring_configuration::id::{Incarnation, IndexVersion, Key};
 use serde::{Deserialize, Serialize};
 
-/// One search result. The value is JSON text that nobody here looks into.
+/// One search result. Nobody here looks into the value; by default it is JSON text.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Item {
+pub struct Item<V = Box<str>> {
     /// Position in the route's key space.
     pub key: Key,
-    /// JSON text of the result.
-    pub value: Box<str>,
+    /// The result.
+    pub value: V,
 }
 
 /// A reply with status 200 to one attempt of a search.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Reply {
+pub struct Reply<V = Box<str>> {
     /// Version that the items were taken from; `None` where the server did not say.
     pub index_version: Option<IndexVersion>,
     /// The keys that the server says it looked through.
     pub ranges: Vec<Range>,
     /// The items found.
-    pub items: Vec<Item>,
+    pub items: Vec<Item<V>>,
     /// What the server says of itself.
     pub report: Report,
 }
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -102,6 +102,7 @@
         fingerprint: id as u64,
         body: "{}".into(),
         execute_key: None,
+        terms: None,
     }
 }
 
