--- a/crates/daemon/src/backend/codec/mod.rs
+++ b/crates/daemon/src/backend/codec/mod.rs
@@ -14,11 +14,13 @@
 use monsoonring_configuration::Range;
 use monsoonring_configuration::id::{IndexVersion, Key};
 use monsoonring_decision::attempt::{AttemptId, Failure, Refusal};
+use monsoonring_decision::content::{self, Content};
 use monsoonring_decision::home::action::Send;
 use monsoonring_decision::reply::{Item, Load, Reply, Report};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
-use std::fmt::Display;
+use std::fmt::{Debug, Display};
+use std::marker;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -29,13 +31,53 @@
 /// Status of the reply to a cancelled attempt; it has no name in the registry.
 const STATUS_CANCELLED: u16 = 499;
 
+/// Writes attempts as HTTP requests and reads the responses to them.
+pub trait Codec: Clone + Debug + marker::Send + Sync + 'static {
+    /// What requests ask and replies hold.
+    type Content: Content;
+
+    /// Writes the HTTP request of an attempt, whose reply is of use for the time that remains.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the attempt can't be written; nothing of it is sent.
+    fn request(&self, send: &Send<Self::Content>, remaining: Duration) -> Written;
+
+    /// Reads the response to an attempt; the body is whole.
+    fn answer(
+        &self,
+        send: &Send<Self::Content>,
+        head: &response::Parts,
+        body: Bytes,
+    ) -> Answer<Self::Content>;
+}
+
+/// An HTTP request, or why it could not be written.
+pub type Written = Result<Request<Full<Bytes>>, Box<dyn std::error::Error + marker::Send + Sync>>;
+
+/// The product's own interface to backend servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Json;
+
+impl Codec for Json {
+    type Content = content::Json;
+
+    fn request(&self, send: &Send, remaining: Duration) -> Written {
+        request(send, remaining)
+    }
+
+    fn answer(&self, send: &Send, head: &response::Parts, body: Bytes) -> Answer {
+        answer(send, head, &body)
+    }
+}
+
 /// What came of one attempt.
 #[derive(Debug)]
-pub(crate) enum Answer {
+pub enum Answer<C: Content = content::Json> {
     /// A search was answered.
-    Reply(Reply),
+    Reply(Reply<C::Value>),
     /// A non-idempotent request ran.
-    Executed(Box<str>, Report),
+    Executed(C::Value, Report),
     /// Anything else.
     Failed(Failure),
 }
@@ -73,10 +115,7 @@
 /// # Errors
 ///
 /// Fails where the request's body is no JSON or a header can't be written; neither is sent.
-pub(crate) fn request(
-    send: &Send,
-    remaining: Duration,
-) -> Result<Request<Full<Bytes>>, Box<dyn std::error::Error + std::marker::Send + Sync>> {
+pub(crate) fn request(send: &Send, remaining: Duration) -> Written {
     let query: &RawValue = serde_json::from_str(&send.body)?;
     let (path, body) = match &send.execute_key {
         None => (
--- a/crates/daemon/src/backend/connection.rs
+++ b/crates/daemon/src/backend/connection.rs
@@ -3,7 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::codec::{self, Answer};
+use super::codec::{Answer, Codec};
 use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioIo;
 use monsoonring_configuration::id::BackendServerId;
 use monsoonring_decision::attempt::{ConnectionId, Failure};
+use monsoonring_decision::content::Content;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::home::action::Send;
 use snafu::{ResultExt, Snafu};
@@ -44,48 +45,49 @@
 type Result<T, E = Error> = std::result::Result<T, E>;
 
 /// An attempt for the connection to carry out.
-pub(crate) type Job = Send;
+pub(crate) type Job<K> = Send<<K as Codec>::Content>;
 
 /// Where a connection reports what happens to it.
-pub(crate) type Report = mpsc::UnboundedSender<Event>;
+pub(crate) type Report<C> = mpsc::UnboundedSender<Event<C>>;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 type Driver<T> = http1::Connection<TokioIo<T>, Full<Bytes>>;
 
 /// Handle of a connection's task. Dropping it closes the connection at once.
 #[derive(Debug)]
-pub(crate) struct Connection {
-    jobs: mpsc::Sender<Job>,
+pub(crate) struct Connection<K: Codec> {
+    jobs: mpsc::Sender<Job<K>>,
     task: AbortHandle,
 }
 
-impl Connection {
+impl<K: Codec> Connection<K> {
     /// Puts an attempt on the connection; gives it back where the connection has ended.
-    pub(crate) fn send(&self, job: Job) -> std::result::Result<(), Box<Job>> {
+    pub(crate) fn send(&self, job: Job<K>) -> std::result::Result<(), Box<Job<K>>> {
         self.jobs
             .try_send(job)
             .map_err(|error| Box::new(error.into_inner()))
     }
 }
 
-impl Drop for Connection {
+impl<K: Codec> Drop for Connection<K> {
     fn drop(&mut self) {
         self.task.abort();
     }
 }
 
 /// Starts a connection; it reports `Opened`, or `Closed` where it can't be made.
-pub(crate) fn spawn(
+pub(crate) fn spawn<K: Codec>(
     id: ConnectionId,
     backend_server: BackendServerId,
     clock: Clock,
-    report: Report,
-) -> Connection {
+    codec: K,
+    report: Report<K::Content>,
+) -> Connection<K> {
     let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
     let task = tokio::spawn(async move {
         if let Ok((sender, driver)) = open(backend_server).await {
             let _ = report.send(Event::Opened(id));
-            serve(sender, driver, queue, clock, &report).await;
+            serve(sender, driver, queue, clock, &codec, &report).await;
         }
         let _ = report.send(Event::Closed(id));
     });
@@ -107,12 +109,13 @@
 
 /// Carries out one attempt after the other until the connection ends. An attempt that was put on it
 /// after that is reported as not sent.
-async fn serve<T: AsyncRead + AsyncWrite + Unpin>(
+async fn serve<T: AsyncRead + AsyncWrite + Unpin, K: Codec>(
     mut sender: Sender,
     driver: Driver<T>,
-    mut queue: mpsc::Receiver<Job>,
+    mut queue: mpsc::Receiver<Job<K>>,
     clock: Clock,
-    report: &Report,
+    codec: &K,
+    report: &Report<K::Content>,
 ) {
     let mut driver = std::pin::pin!(driver);
     loop {
@@ -123,7 +126,7 @@
         };
         let Some(job) = job else { return };
         let attempt = job.attempt;
-        let exchange = exchange(&mut sender, &job, clock);
+        let exchange = exchange(&mut sender, &job, clock, codec);
         tokio::pin!(exchange);
         let (answer, open) = tokio::select! {
             biased;
@@ -138,7 +141,7 @@
             break;
         }
     }
-    refuse(&mut queue, report).await;
+    refuse::<K::Content>(&mut queue, report).await;
 }
 
 /// Reports attempts that were put on a connection which had ended: none of their bytes left.
@@ -146,18 +149,18 @@
 /// The home puts the next attempt on a connection as soon as it sees the reply, which may be before
 /// the connection has come to its end here. Without this, such an attempt would only be seen as
 /// lost: a repair ticket that never left would end as unknown, and the server be taken for crashed.
-async fn refuse(queue: &mut mpsc::Receiver<Job>, report: &Report) {
+async fn refuse<C: Content>(queue: &mut mpsc::Receiver<Send<C>>, report: &Report<C>) {
     queue.close();
     while let Some(job) = queue.recv().await {
         let _ = report.send(Event::Failed(job.attempt, Failure::NotSent));
     }
 }
 
-fn is_reusable(answer: &Answer) -> bool {
+fn is_reusable<C: Content>(answer: &Answer<C>) -> bool {
     !matches!(answer, Answer::Failed(Failure::Lost | Failure::Mismatched))
 }
 
-fn event(attempt: u64, answer: Answer) -> Event {
+fn event<C: Content>(attempt: u64, answer: Answer<C>) -> Event<C> {
     match answer {
         Answer::Reply(reply) => Event::Reply(attempt, reply),
         Answer::Executed(value, report) => Event::Executed(attempt, value, report),
@@ -165,7 +168,12 @@
     }
 }
 
-async fn exchange(sender: &mut Sender, job: &Job, clock: Clock) -> Answer {
+async fn exchange<K: Codec>(
+    sender: &mut Sender,
+    job: &Job<K>,
+    clock: Clock,
+    codec: &K,
+) -> Answer<K::Content> {
     if sender.ready().await.is_err() {
         return Answer::Failed(Failure::NotSent);
     }
@@ -174,7 +182,7 @@
     let Some(remaining) = job.deadline.checked_sub(clock.now()) else {
         return Answer::Failed(Failure::NotSent);
     };
-    let Ok(request) = codec::request(job, remaining) else {
+    let Ok(request) = codec.request(job, remaining) else {
         return Answer::Failed(Failure::NotSent);
     };
     let response = match sender.try_send_request(request).await {
@@ -185,7 +193,7 @@
     };
     let (head, body) = response.into_parts();
     match Limited::new(body, MAX_REPLY_BYTES).collect().await {
-        Ok(body) => codec::answer(job, &head, &body.to_bytes()),
+        Ok(body) => codec.answer(job, &head, body.to_bytes()),
         Err(_) => Answer::Failed(Failure::Mismatched),
     }
 }
--- a/crates/daemon/src/backend/connection/tests.rs
+++ b/crates/daemon/src/backend/connection/tests.rs
@@ -1,6 +1,7 @@
 //! What is reported of an attempt on a connection that ends.
 
-use super::{Event, Failure, Job, QUEUED_JOBS, serve};
+use super::{Event, Failure, Job, QUEUED_JOBS, Send, serve};
+use crate::backend::Json;
 use crate::clock::Clock;
 use bytes::Bytes;
 use futures::FutureExt;
@@ -58,8 +59,8 @@
     }
 }
 
-fn job(attempt: u64) -> Job {
-    Job {
+fn job(attempt: u64) -> Job<Json> {
+    Send {
         attempt,
         connection: 1,
         backend_server: ([127, 0, 0, 1], 9000).into(),
@@ -73,13 +74,13 @@
 }
 
 /// Serves a connection until it ends, and returns what was reported.
-fn ended(stream: Closing, after: Option<Job>) -> Vec<Event> {
+fn ended(stream: Closing, after: Option<Job<Json>>) -> Vec<Event> {
     let opening = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream));
     let (sender, driver) = opening.now_or_never().expect("no wait").expect("opened");
     let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
     let (report, mut reports) = mpsc::unbounded_channel();
     jobs.try_send(job(ATTEMPT)).expect("an empty queue");
-    let mut serving = pin!(serve(sender, driver, queue, Clock::start(), &report));
+    let mut serving = pin!(serve(sender, driver, queue, Clock::start(), &Json, &report));
     let mut context = Context::from_waker(Waker::noop());
     let mut is_over = serving.as_mut().poll(&mut context).is_ready();
     if let Some(job) = after {
--- /dev/null
+++ b/crates/daemon/src/gateway/control.rs
@@ -0,0 +1,202 @@
+//! Keeps the homes in step with the configuration and the registered backend servers.
+//!
+//! One task takes all news in order, so that no version of either can overtake a newer one. A set
+//! of shards that the configuration names gets a home, and the home of one that it does not name
+//! any more ends when its last request has: until then those requests keep their snapshot.
+
+use super::News;
+use super::content::Opaque;
+use super::state::{Instances, State, View};
+use crate::backend::Codec;
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::node::recent::Recent;
+use crate::route::{self, Facts, Side};
+use monsoonring_configuration::document;
+use monsoonring_decision::gateway::{Registry, Shards, Table, registry, shards};
+use monsoonring_decision::home::Event;
+use monsoonring_decision::placement::Division;
+use monsoonring_decision::policy::Policy;
+use slog::{Logger, info, warn};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+
+/// Longest time between two looks at what time alone may have changed.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// What the control task is started with.
+pub(super) struct Settings<K> {
+    pub(super) codec: Box<dyn Fn(Instances) -> K + Send>,
+    pub(super) division: Division,
+    pub(super) seed: u64,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) facts: Facts,
+}
+
+/// One home, and what it was told last.
+struct Home {
+    handle: route::Handle<Opaque>,
+    route: Arc<document::Route>,
+    instances: Instances,
+}
+
+struct Controller<K> {
+    settings: Settings<K>,
+    state: Arc<State>,
+    registry: Registry,
+    table: Option<Arc<Table>>,
+    homes: HashMap<Shards, Home>,
+    recent: Recent,
+}
+
+/// Takes news until their sender is gone.
+pub(super) async fn run<K: Codec<Content = Opaque>>(
+    settings: Settings<K>,
+    state: Arc<State>,
+    mut news: mpsc::UnboundedReceiver<News>,
+) {
+    let mut controller = Controller {
+        settings,
+        state,
+        registry: Registry::default(),
+        table: None,
+        homes: HashMap::new(),
+        recent: Recent::default(),
+    };
+    loop {
+        let clock = controller.settings.clock;
+        let wake = controller.registry.next_wake();
+        let wake = wake.map_or_else(|| Instant::now() + IDLE, |at| clock.instant(at));
+        let first = tokio::select! {
+            first = news.recv() => match first {
+                Some(first) => first,
+                None => return,
+            },
+            () = sleep_until(wake.into()) => News::Registry(registry::Event::Tick),
+        };
+        let mut changed = controller.take(first);
+        // What came meanwhile is taken in before the homes are told: servers come in batches.
+        while let Ok(next) = news.try_recv() {
+            changed |= controller.take(next);
+        }
+        if changed {
+            controller.apply();
+        }
+    }
+}
+
+impl<K: Codec<Content = Opaque>> Controller<K> {
+    /// Takes in one piece of news. Returns whether the homes have to hear of it.
+    fn take(&mut self, news: News) -> bool {
+        match news {
+            News::Configuration(table) => self.configure(table),
+            News::Registry(event) => {
+                let changed = self.registry.on(event, self.settings.clock.now());
+                if changed {
+                    let (entries, doubted) = self.registry.counts();
+                    info!(self.settings.log, "backend servers"; "registered" => entries,
+                        "doubted" => doubted, "usable" => self.registry.usable().len());
+                }
+                changed
+            }
+        }
+    }
+
+    /// Puts a version in force unless a newer one, or the same, is.
+    fn configure(&mut self, table: Table) -> bool {
+        let old = self.table.as_ref().map(|table| table.version);
+        if old.is_some_and(|old| table.version <= old) {
+            if old > Some(table.version) {
+                warn!(self.settings.log, "configuration"; "what" => "older one ignored",
+                    "version" => table.version, "in_force" => old);
+            }
+            return false;
+        }
+        info!(self.settings.log, "configuration"; "what" => "in force",
+            "version" => table.version, "before" => old, "routes" => table.routes().count());
+        let revision = table.version;
+        self.settings.metrics.control.set_revision(revision);
+        self.table = Some(Arc::new(table));
+        true
+    }
+
+    /// Brings the homes in step, and requests to them.
+    fn apply(&mut self) {
+        let Some(table) = self.table.clone().filter(|_| self.registry.is_known()) else {
+            return;
+        };
+        let mut old = std::mem::take(&mut self.homes);
+        for route in table.routes() {
+            for set in route.sets() {
+                if self.homes.contains_key(set) {
+                    continue;
+                }
+                let home = self.follow(set, &table, old.remove(set));
+                self.homes.insert(set.clone(), home);
+            }
+        }
+        for set in old.keys() {
+            info!(self.settings.log, "shards"; "what" => "not in use any more",
+                "set" => shards::name(set));
+        }
+        let handles = self.homes.iter();
+        let handles = handles.map(|(set, home)| (set.clone(), home.handle.clone()));
+        self.state.put(View {
+            table,
+            homes: Arc::new(handles.collect()),
+        });
+    }
+
+    /// Starts the home of a set, or tells it what changed.
+    fn follow(&self, set: &Shards, table: &Table, home: Option<Home>) -> Home {
+        let route = shards::route(set, table, &self.registry);
+        let expected = shards::instances(set, &self.registry);
+        let Some(home) = home else {
+            return self.begin(set, route, expected);
+        };
+        home.instances.replace(expected);
+        if *home.route == route {
+            return home;
+        }
+        let route = Arc::new(route);
+        home.handle.tell(Event::Route(route.clone()));
+        Home { route, ..home }
+    }
+
+    fn begin(
+        &self,
+        set: &Shards,
+        route: document::Route,
+        expected: std::collections::BTreeMap<std::net::SocketAddr, Arc<str>>,
+    ) -> Home {
+        let settings = &self.settings;
+        info!(settings.log, "shards"; "what" => "in use", "set" => shards::name(set),
+            "shards" => set.len(), "backend_servers" => expected.len());
+        let instances = Instances::default();
+        instances.replace(expected);
+        let route = Arc::new(route);
+        let handle = route::spawn(route::Settings {
+            codec: (settings.codec)(instances.clone()),
+            side: Side::None,
+            route: route.clone(),
+            division: settings.division,
+            policy: Policy::default(),
+            seed: settings.seed,
+            clock: settings.clock,
+            log: settings.log.clone(),
+            metrics: settings.metrics.clone(),
+            facts: settings.facts.clone(),
+            recent: self.recent.clone(),
+        });
+        Home {
+            handle,
+            route,
+            instances,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/front.rs
@@ -0,0 +1,267 @@
+//! A client's request from its head to its answer.
+
+use super::content::{Forward, Opaque, Whole};
+use super::state::State;
+use super::{Ask, Ingress};
+use crate::clock::Clock;
+use crate::metrics::Metrics;
+use crate::metrics::label::Ended;
+use crate::server::{Handler, Standing};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::RETRY_AFTER;
+use hyper::{Request, Response, StatusCode};
+use monsoonring_decision::content::Content;
+use monsoonring_decision::gateway::Table;
+use monsoonring_decision::gateway::table::{Route, Target};
+use monsoonring_decision::home::event;
+use monsoonring_decision::outcome::{Answer, Outcome, Reason};
+use monsoonring_decision::query::greatest::greatest;
+use monsoonring_decision::{Fingerprint, RequestId};
+use rand::Rng;
+use slog::{Logger, info};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+use xxhash_rust::xxh3::Xxh3;
+
+/// When to come back to a host that has no configuration yet: about the time that it takes to read
+/// one.
+const NO_CONFIGURATION: Duration = Duration::from_millis(300);
+
+/// When to come back where nothing was learned of when it would help.
+const COME_BACK: Duration = Duration::from_millis(200);
+
+/// Time that a request's body may take where no deadline is given.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+type Opened = Outcome<<Opaque as Content>::Value>;
+
+/// A response, and what the log says of how it came about.
+struct Reply {
+    response: Response<Full<Bytes>>,
+    ended: Ended,
+    why: String,
+}
+
+/// Forwards clients' requests.
+pub(super) struct Front<I> {
+    pub(super) ingress: I,
+    pub(super) state: Arc<State>,
+    pub(super) clock: Clock,
+    pub(super) log: Logger,
+    pub(super) metrics: Arc<Metrics>,
+}
+
+impl<I: Ingress> Handler for Front<I> {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        standing: Standing,
+    ) -> Response<Full<Bytes>> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let ask = match self.ingress.ask(&head) {
+            Ok(ask) => ask,
+            Err(why) => return self.malformed(why),
+        };
+        if standing == Standing::Excess {
+            return self.not_run(&ask, "too many connections", COME_BACK);
+        }
+        let Some(view) = self.state.view() else {
+            return self.not_run(&ask, "no configuration yet", NO_CONFIGURATION);
+        };
+        let Some(route) = view.table.find(&ask.host, head.uri.path()).cloned() else {
+            return self.unknown(&ask, &view.table, head.uri.path());
+        };
+        let body = match self.read(body, &view.table, &ask).await {
+            Ok(body) => body,
+            Err(status) => return self.unread(&ask, &route, status),
+        };
+        let shards = self.state.splits.next(&route);
+        let Some(home) = shards.as_ref().and_then(|shards| view.homes.get(shards)) else {
+            return self.not_run(&ask, "route without a service", COME_BACK);
+        };
+        let id: RequestId = rand::rng().random();
+        let forward = Forward {
+            is_merged: matches!(route.target, Target::Gather(_)),
+            ..self.ingress.forward(head, &ask, body)
+        };
+        let asked = self.asked(id, &ask, &route, forward, arrived);
+        let outcome = home.run(asked).await;
+        let reply = self.reply(outcome, &route);
+        self.note(id, &ask, &route, view.table.version, &reply, arrived);
+        reply.response
+    }
+}
+
+impl<I: Ingress> Front<I> {
+    /// Reads a body whole, within the limits in force.
+    async fn read(&self, body: Incoming, table: &Table, ask: &Ask) -> Result<Bytes, StatusCode> {
+        let limit = ask.patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+        let whole = Limited::new(body, table.limits.body_bytes).collect();
+        match timeout(limit, whole).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+            Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+            Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+        }
+    }
+
+    fn asked(
+        &self,
+        id: RequestId,
+        ask: &Ask,
+        route: &Route,
+        forward: Forward,
+        arrived: Instant,
+    ) -> event::Request<Opaque> {
+        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        event::Request {
+            id,
+            caller: route.host.clone().into(),
+            class: route.class(),
+            deadline: self.clock.time(arrived + patience),
+            fingerprint: fingerprint(&forward),
+            body: Arc::new(forward),
+            execute_key: None,
+            terms: Some(route.terms()),
+        }
+    }
+
+    /// Writes how a request ended.
+    fn reply(&self, outcome: Opened, route: &Route) -> Reply {
+        match outcome {
+            Outcome::Answered(answer) => self.answered(answer, route),
+            Outcome::Executed(whole) => Reply {
+                why: format!("status {}", whole.status.as_u16()),
+                response: self.ingress.whole(whole),
+                ended: Ended::Complete,
+            },
+            Outcome::NotRun {
+                reason,
+                retry_after,
+            } => Reply {
+                response: self.come_back(retry_after.unwrap_or(COME_BACK)),
+                ended: Ended::NotRun,
+                why: reason.to_string(),
+            },
+            Outcome::Failed { reason, .. } => Reply {
+                response: plain(failed(reason)),
+                ended: Ended::Failed,
+                why: reason.to_string(),
+            },
+            Outcome::Unknown { reason } => Reply {
+                response: plain(failed(reason)),
+                ended: Ended::Unknown,
+                why: reason.to_string(),
+            },
+        }
+    }
+
+    fn answered(&self, answer: Answer<Whole>, route: &Route) -> Reply {
+        let missing = answer.missing.iter().map(|range| range.end - range.start);
+        let missing = missing.sum::<u64>() as usize;
+        let version = answer.index_version;
+        let ended = match missing {
+            0 => Ended::Complete,
+            _ => Ended::Partial,
+        };
+        let mut parts: Vec<Whole> = answer.items.into_iter().map(|item| item.value).collect();
+        let (response, why) = match &route.target {
+            Target::Gather(gather) => {
+                let bodies = parts.iter().map(|part| &part.body[..]);
+                let records = greatest(bodies, self.ingress.record_bytes(), gather.top);
+                let why = format!("{} parts, {missing} missing, set {version}", parts.len());
+                (self.ingress.merged(&parts, missing, records.into()), why)
+            }
+            Target::Split(_) => match parts.pop() {
+                Some(whole) => {
+                    let why = format!("status {}", whole.status.as_u16());
+                    (self.ingress.whole(whole), why)
+                }
+                None => (plain(StatusCode::BAD_GATEWAY), "no answer".to_owned()),
+            },
+        };
+        Reply {
+            response,
+            ended,
+            why,
+        }
+    }
+
+    fn come_back(&self, time: Duration) -> Response<Full<Bytes>> {
+        let mut response = plain(StatusCode::SERVICE_UNAVAILABLE);
+        let value = self.ingress.retry_after(time);
+        response.headers_mut().insert(RETRY_AFTER, value);
+        response
+    }
+
+    fn malformed(&self, why: &'static str) -> Response<Full<Bytes>> {
+        info!(self.log, "request"; "outcome" => "malformed", "why" => why);
+        plain(StatusCode::BAD_REQUEST)
+    }
+
+    fn not_run(&self, ask: &Ask, why: &'static str, come_back: Duration) -> Response<Full<Bytes>> {
+        info!(self.log, "request"; "id" => &ask.id, "outcome" => "not run", "why" => why,
+            "come_back_ms" => come_back.as_millis());
+        self.come_back(come_back)
+    }
+
+    fn unknown(&self, ask: &Ask, table: &Table, path: &str) -> Response<Full<Bytes>> {
+        info!(self.log, "request"; "id" => &ask.id, "outcome" => "no route", "host" => &ask.host,
+            "path" => path, "configuration" => table.version);
+        plain(StatusCode::NOT_FOUND)
+    }
+
+    fn unread(&self, ask: &Ask, route: &Route, status: StatusCode) -> Response<Full<Bytes>> {
+        info!(self.log, "request"; "id" => &ask.id, "route" => &*route.name,
+            "outcome" => "body not read", "status" => status.as_u16());
+        plain(status)
+    }
+
+    fn note(
+        &self,
+        id: RequestId,
+        ask: &Ask,
+        route: &Route,
+        version: u64,
+        reply: &Reply,
+        arrived: Instant,
+    ) {
+        let took = arrived.elapsed();
+        let front = &self.metrics.front;
+        front.ended(Some(&route.name), Some(route.class()), reply.ended, took);
+        info!(self.log, "request"; "id" => &ask.id, "request" => format!("{id:032x}"),
+            "route" => &*route.name, "configuration" => version,
+            "patience_ms" => ask.patience.map(|patience| patience.as_millis()),
+            "took_us" => took.as_micros(), "outcome" => reply.ended.to_string(),
+            "status" => reply.response.status().as_u16(), "why" => &reply.why);
+    }
+}
+
+/// The status of a request that may have run.
+fn failed(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn plain(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Hash of what a request asks, the same whoever sends it and however often.
+fn fingerprint(forward: &Forward) -> Fingerprint {
+    let mut hash = Xxh3::new();
+    hash.update(forward.method.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(forward.target.as_str().as_bytes());
+    hash.update(&[0]);
+    hash.update(&forward.body);
+    hash.digest()
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/ready.rs
@@ -0,0 +1,59 @@
+//! What the balancer and monitoring ask: readiness and metrics.
+
+use super::state::State;
+use crate::metrics::Metrics;
+use crate::server::stop::{Stage, Watch};
+use crate::server::{Handler, Standing};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::sync::Arc;
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// Answers the balancer and monitoring.
+pub(super) struct Front {
+    pub(super) state: Arc<State>,
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) stop: Watch,
+    /// Path on which readiness is asked for.
+    pub(super) path: &'static str,
+}
+
+impl Front {
+    /// Ready is who can serve: with a configuration and servers, and no stop begun.
+    fn ready(&self) -> (StatusCode, &'static str) {
+        if self.stop.stage() > Stage::Serving {
+            return (StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        }
+        match self.state.view() {
+            Some(_) => (StatusCode::OK, "ready"),
+            None => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+        }
+    }
+
+    fn metrics(&self) -> (StatusCode, String) {
+        match self.metrics.text() {
+            Ok(text) => (StatusCode::OK, text),
+            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
+        }
+    }
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request<Incoming>, _: Standing) -> Response<Full<Bytes>> {
+        let (status, text) = match request.uri().path() {
+            METRICS => self.metrics(),
+            path if path == self.path => {
+                let (status, text) = self.ready();
+                (status, text.to_owned())
+            }
+            _ => (StatusCode::NOT_FOUND, "no such page".to_owned()),
+        };
+        let mut response = Response::new(Full::new(text.into()));
+        *response.status_mut() = status;
+        response
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/gateway/state.rs
@@ -0,0 +1,54 @@
+//! What requests find: the configuration in force and the homes of its sets of shards.
+
+use super::content::Opaque;
+use super::split::Splits;
+use crate::route;
+use monsoonring_configuration::id::BackendServerId;
+use monsoonring_decision::gateway::{InstanceId, Shards, Table};
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, PoisonError, RwLock};
+
+/// Which start of a backend server is expected at each address of a set of shards. The home's
+/// connections read it when they send, the control task replaces it.
+#[derive(Clone, Debug, Default)]
+pub struct Instances(Arc<RwLock<BTreeMap<BackendServerId, InstanceId>>>);
+
+impl Instances {
+    /// Returns the start that is expected at an address, `None` where none is any more: sending
+    /// there could reach a server of another service.
+    pub fn at(&self, server: BackendServerId) -> Option<InstanceId> {
+        let instances = self.0.read().unwrap_or_else(PoisonError::into_inner);
+        instances.get(&server).cloned()
+    }
+
+    pub(super) fn replace(&self, instances: BTreeMap<BackendServerId, InstanceId>) {
+        *self.0.write().unwrap_or_else(PoisonError::into_inner) = instances;
+    }
+}
+
+/// What is in force.
+#[derive(Clone, Debug)]
+pub(super) struct View {
+    pub(super) table: Arc<Table>,
+    pub(super) homes: Arc<HashMap<Shards, route::Handle<Opaque>>>,
+}
+
+/// What requests find.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    view: RwLock<Option<View>>,
+    pub(super) splits: Splits,
+}
+
+impl State {
+    /// Returns what is in force, `None` before the first configuration and the first list of
+    /// backend servers.
+    pub(super) fn view(&self) -> Option<View> {
+        let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
+        view.clone()
+    }
+
+    pub(super) fn put(&self, view: View) {
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = Some(view);
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,10 +5,11 @@
 //! drive the decisions of `monsoonring-decision`. The two meet in [`service::Service`] alone, so
 //! that each can be tested without the other.
 
-mod backend;
+pub mod backend;
 mod caller;
 pub mod clock;
 mod control;
+pub mod gateway;
 pub mod launch;
 pub mod log;
 pub mod metrics;
--- a/crates/daemon/src/metrics/home.rs
+++ b/crates/daemon/src/metrics/home.rs
@@ -255,5 +255,6 @@
         Failure::Lost => "lost",
         Failure::Mismatched => "mismatched",
         Failure::Cancelled { .. } => "cancelled",
+        Failure::Dropped => "dropped",
     }
 }
--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -1,5 +1,6 @@
 //! Which routes this daemon is a home of, kept in step with configuration and members.
 
+use crate::backend::Json;
 use crate::control::View;
 use crate::route::{self, Handle};
 use monsoonring_configuration::document::Route;
@@ -184,7 +185,7 @@
 
 /// Makes the function that starts routes.
 pub(super) fn spawner(
-    settings: impl Fn(Arc<Route>, usize) -> route::Settings + Send + Sync + 'static,
+    settings: impl Fn(Arc<Route>, usize) -> route::Settings<Json> + Send + Sync + 'static,
 ) -> Spawn {
     Box::new(move |route, homes| route::spawn(settings(route, homes)))
 }
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -5,6 +5,7 @@
 use super::recent::Recent;
 use super::routes::{Routes, spawner};
 use super::{Front, Node, stop};
+use crate::backend::Json;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::peer::{self, Pool};
@@ -15,7 +16,7 @@
 use monsoonring_configuration::id::Incarnation;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::idempotency::{Fence, Ledger, Limits, Secret};
-use monsoonring_decision::placement::Member;
+use monsoonring_decision::placement::{Division, Member};
 use monsoonring_decision::{fact, member};
 use monsoonring_wire::channel::Endpoint;
 use monsoonring_wire::key::Ring;
@@ -144,8 +145,10 @@
     let route_log = log.clone();
     let policy = baseline.policy();
     let spawn = spawner(move |route, homes| route::Settings {
+        codec: Json,
+        side: route::Side::Endpoints,
         route,
-        homes,
+        division: Division::among(homes),
         policy,
         seed,
         clock,
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -2,8 +2,8 @@
 
 use super::gauges::Gauges;
 use super::handle::{Handle, Input};
-use super::poll;
-use crate::backend::{self, Connection, Endpoint};
+use super::side::{self, Side};
+use crate::backend::{self, Codec, Connection};
 use crate::clock::Clock;
 use crate::log;
 use crate::metrics::Metrics;
@@ -11,9 +11,11 @@
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, RouteId};
 use monsoonring_decision::attempt::{ConnectionId, Failure};
+use monsoonring_decision::content::Content;
 use monsoonring_decision::home::action::{Decision, Send};
 use monsoonring_decision::home::{Action, Alarm, Event, Home};
 use monsoonring_decision::outcome::Outcome;
+use monsoonring_decision::placement::Division;
 use monsoonring_decision::policy::Policy;
 use monsoonring_decision::{Fingerprint, RequestId};
 use slog::Logger;
@@ -35,10 +37,15 @@
 /// Where facts go.
 pub(crate) type Facts = mpsc::UnboundedSender<Fact>;
 
+/// How a request of an interface ended.
+type Ended<C> = Outcome<<C as Content>::Value>;
+
 /// What a route's task is started with.
-pub(crate) struct Settings {
+pub(crate) struct Settings<K> {
+    pub(crate) codec: K,
+    pub(crate) side: Side,
     pub(crate) route: Arc<Route>,
-    pub(crate) homes: usize,
+    pub(crate) division: Division,
     pub(crate) policy: Policy,
     pub(crate) seed: u64,
     pub(crate) clock: Clock,
@@ -49,27 +56,27 @@
 }
 
 /// Starts the task of a route. It ends when the last handle is gone and nothing is in flight.
-pub(crate) fn spawn(settings: Settings) -> Handle {
+pub(crate) fn spawn<K: Codec>(settings: Settings<K>) -> Handle<K::Content> {
     let (inputs, queue) = mpsc::unbounded_channel();
     tokio::spawn(run(settings, queue));
     Handle::new(inputs)
 }
 
-async fn run(settings: Settings, mut queue: mpsc::UnboundedReceiver<Input>) {
+async fn run<K: Codec>(
+    settings: Settings<K>,
+    mut queue: mpsc::UnboundedReceiver<Input<K::Content>>,
+) {
     let (report, mut reports) = mpsc::unbounded_channel();
     let now = settings.clock.now();
     let (home, actions) = Home::with_policy(
         settings.route.clone(),
-        settings.homes,
+        settings.division,
         settings.seed,
         settings.policy,
         now,
     );
-    let servers = poll::Servers::of(&settings.route);
-    let endpoint = Endpoint::default();
-    let first = usize::try_from(settings.seed).unwrap_or_default();
-    let poller = poll::spawn(servers.clone(), endpoint.clone(), report.clone(), first);
-    let mut controller = Controller::new(settings, home, report, endpoint, servers);
+    let side = settings.side.start(&settings, &report);
+    let mut controller = Controller::new(settings, home, report, side);
     controller.perform(actions);
     let mut open = true;
     while open || controller.home.in_progress() > 0 {
@@ -88,36 +95,34 @@
             () = sleep_until(wake.into()) => controller.event(Event::Tick),
         }
     }
-    poller.abort();
 }
 
 /// Longest time without a tick.
 const IDLE: Duration = Duration::from_millis(200);
 
-struct Controller {
-    home: Home,
+struct Controller<K: Codec> {
+    home: Home<K::Content>,
+    codec: K,
     clock: Clock,
     log: Logger,
     metrics: Arc<Metrics>,
     facts: Facts,
     recent: Recent,
     route: RouteId,
-    report: backend::Report,
-    endpoint: Endpoint,
-    servers: poll::Servers,
-    connections: HashMap<ConnectionId, Connection>,
-    waiting: HashMap<RequestId, oneshot::Sender<Outcome>>,
+    report: backend::Report<K::Content>,
+    side: side::Line,
+    connections: HashMap<ConnectionId, Connection<K>>,
+    waiting: HashMap<RequestId, oneshot::Sender<Ended<K::Content>>>,
     alarm: Alarm,
     gauges: Gauges,
 }
 
-impl Controller {
+impl<K: Codec> Controller<K> {
     fn new(
-        settings: Settings,
-        home: Home,
-        report: backend::Report,
-        endpoint: Endpoint,
-        servers: poll::Servers,
+        settings: Settings<K>,
+        home: Home<K::Content>,
+        report: backend::Report<K::Content>,
+        side: side::Line,
     ) -> Self {
         let gauges = Gauges::new(settings.metrics.clone(), settings.route.name.clone());
         Self {
@@ -129,8 +134,8 @@
             recent: settings.recent,
             route: settings.route.name.clone(),
             report,
-            endpoint,
-            servers,
+            codec: settings.codec,
+            side,
             connections: HashMap::new(),
             waiting: HashMap::new(),
             alarm: Alarm::default(),
@@ -138,7 +143,7 @@
         }
     }
 
-    fn input(&mut self, input: Input) {
+    fn input(&mut self, input: Input<K::Content>) {
         match input {
             Input::Request(request, sender) => {
                 self.waiting.insert(request.id, sender);
@@ -151,13 +156,13 @@
         }
     }
 
-    fn event(&mut self, event: Event) {
+    fn event(&mut self, event: Event<K::Content>) {
         match &event {
             Event::Abandoned(request) => drop(self.waiting.remove(request)),
             Event::Closed(connection) => drop(self.connections.remove(connection)),
             Event::Opened(_) => self.metrics.home.opened(&self.route),
             Event::Failed(_, failure) => self.metrics.home.failed(&self.route, failure),
-            Event::Route(route) => self.servers.replace(route),
+            Event::Route(route) => self.side.follow(route),
             _ => {}
         }
         let now = self.clock.now();
@@ -167,25 +172,25 @@
         self.gauges.follow(&self.home, self.connections.len(), now);
     }
 
-    fn perform(&mut self, actions: Vec<Action>) {
+    fn perform(&mut self, actions: Vec<Action<K::Content>>) {
         for action in actions {
             self.carry_out(action);
         }
     }
 
-    fn carry_out(&mut self, action: Action) {
+    fn carry_out(&mut self, action: Action<K::Content>) {
         match action {
             Action::Open(id, backend_server) => {
                 let report = self.report.clone();
-                let connection = backend::spawn(id, backend_server, self.clock, report);
+                let connection =
+                    backend::spawn(id, backend_server, self.clock, self.codec.clone(), report);
                 self.connections.insert(id, connection);
             }
             Action::Close(id) => drop(self.connections.remove(&id)),
             Action::Send(send) => self.send(send),
             Action::Cancel(attempt, backend_server) => {
-                let endpoint = self.endpoint.clone();
                 self.metrics.home.cancelled(&self.route);
-                tokio::spawn(async move { endpoint.cancel(backend_server, attempt).await });
+                self.side.cancel(attempt, backend_server, &self.report);
             }
             Action::Finish(request, outcome) => self.finish(request, outcome),
             Action::TellLeaving(backend_server, start) => {
@@ -239,7 +244,7 @@
         })
     }
 
-    fn send(&mut self, send: Send) {
+    fn send(&mut self, send: Send<K::Content>) {
         let unsent = match self.connections.get(&send.connection) {
             Some(connection) => connection.send(send).err().map(|send| send.attempt),
             None => Some(send.attempt),
@@ -250,7 +255,7 @@
         }
     }
 
-    fn finish(&mut self, request: RequestId, outcome: Outcome) {
+    fn finish(&mut self, request: RequestId, outcome: Ended<K::Content>) {
         if let Some(sender) = self.waiting.remove(&request) {
             let _ = sender.send(outcome);
         }
--- a/crates/daemon/src/route/gauges.rs
+++ b/crates/daemon/src/route/gauges.rs
@@ -4,6 +4,7 @@
 use crate::metrics::{Metrics, gauge_value};
 use monsoonring_configuration::id::RouteId;
 use monsoonring_decision::Time;
+use monsoonring_decision::content::Content;
 use monsoonring_decision::home::{Counts, Home};
 use prometheus_client::metrics::gauge::Gauge;
 use std::sync::Arc;
@@ -37,7 +38,7 @@
     }
 
     /// Takes over what has changed; called after each event.
-    pub(super) fn follow(&mut self, home: &Home, connections: usize, now: Time) {
+    pub(super) fn follow(&mut self, home: &Home<impl Content>, connections: usize, now: Time) {
         let counts = home.counts();
         self.metrics.home.counted(&self.route, self.counted, counts);
         self.counted = counts;
--- a/crates/daemon/src/route/handle.rs
+++ b/crates/daemon/src/route/handle.rs
@@ -1,6 +1,7 @@
 //! The other end of a route's queue.
 
 use monsoonring_decision::RequestId;
+use monsoonring_decision::content::{Content, Json};
 use monsoonring_decision::home::Event;
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::outcome::{Outcome, Reason};
@@ -8,28 +9,28 @@
 use tokio::sync::{mpsc, oneshot};
 
 /// Something for the route's task.
-pub(crate) enum Input {
+pub(crate) enum Input<C: Content = Json> {
     /// A request and where its outcome goes.
-    Request(Request, oneshot::Sender<Outcome>),
+    Request(Request<C>, oneshot::Sender<Outcome<C::Value>>),
     /// Anything else that happened.
-    Event(Event),
+    Event(Event<C>),
     /// Somebody wants to see the state.
     State(oneshot::Sender<Value>),
 }
 
 /// Gives a route's task its work.
 #[derive(Clone, Debug)]
-pub(crate) struct Handle {
-    inputs: mpsc::UnboundedSender<Input>,
+pub(crate) struct Handle<C: Content = Json> {
+    inputs: mpsc::UnboundedSender<Input<C>>,
 }
 
-impl Handle {
-    pub(crate) fn new(inputs: mpsc::UnboundedSender<Input>) -> Self {
+impl<C: Content> Handle<C> {
+    pub(crate) fn new(inputs: mpsc::UnboundedSender<Input<C>>) -> Self {
         Self { inputs }
     }
 
     /// Runs a request. Dropping the future tells the home that the caller went away.
-    pub(crate) async fn run(&self, request: Request) -> Outcome {
+    pub(crate) async fn run(&self, request: Request<C>) -> Outcome<C::Value> {
         let (sender, receiver) = oneshot::channel();
         let mut guard = Guard {
             handle: self,
@@ -50,7 +51,7 @@
     }
 
     /// Tells the home of an event. A home that has ended does not need it any more.
-    pub(crate) fn tell(&self, event: Event) {
+    pub(crate) fn tell(&self, event: Event<C>) {
         let _ = self.inputs.send(Input::Event(event));
     }
 
@@ -63,12 +64,12 @@
 }
 
 /// Reports a request as abandoned if the future that waits for it is dropped.
-struct Guard<'a> {
-    handle: &'a Handle,
+struct Guard<'a, C: Content> {
+    handle: &'a Handle<C>,
     request: Option<RequestId>,
 }
 
-impl Drop for Guard<'_> {
+impl<C: Content> Drop for Guard<'_, C> {
     fn drop(&mut self) {
         if let Some(request) = self.request {
             self.handle.tell(Event::Abandoned(request));
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -10,6 +10,8 @@
 mod gauges;
 mod handle;
 mod poll;
+mod side;
 
 pub(crate) use controller::{Fact, Facts, Settings, spawn};
 pub(crate) use handle::Handle;
+pub(crate) use side::Side;
--- a/crates/daemon/src/route/poll.rs
+++ b/crates/daemon/src/route/poll.rs
@@ -3,12 +3,13 @@
 use crate::backend::{Endpoint, Report};
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::BackendServerId;
+use monsoonring_decision::content::Content;
 use monsoonring_decision::home::Event;
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::task::AbortHandle;
 use tokio::time::{MissedTickBehavior, interval};
+use tokio_util::task::AbortOnDropHandle;
 
 /// Time between two readings of one backend server.
 const PERIOD: Duration = Duration::from_secs(1);
@@ -74,12 +75,12 @@
 
 /// Starts the task that reads the endpoints of the servers in turn. Homes should begin at different
 /// places, `first`.
-pub(crate) fn spawn(
+pub(crate) fn spawn<C: Content>(
     servers: Servers,
     endpoint: Endpoint,
-    report: Report,
+    report: Report<C>,
     first: usize,
-) -> AbortHandle {
+) -> AbortOnDropHandle<()> {
     let task = tokio::spawn(async move {
         let mut turn = Turn {
             next: first,
@@ -100,5 +101,5 @@
             }
         }
     });
-    task.abort_handle()
+    AbortOnDropHandle::new(task)
 }
--- a/crates/decision/src/attempt.rs
+++ b/crates/decision/src/attempt.rs
@@ -31,6 +31,8 @@
     },
     /// The connection ended after the request had left and before the whole reply arrived.
     Lost,
+    /// The attempt was cancelled by closing its connection.
+    Dropped,
     /// The reply was truncated, undecodable or belongs to another attempt.
     Mismatched,
     /// The server gave up in the middle: the attempt was cancelled, or its deadline passed there.
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -124,7 +124,7 @@
                 ..Verdict::default()
             },
             Failure::Lost => self.lost(server),
-            Failure::Mismatched => Verdict {
+            Failure::Dropped | Failure::Mismatched => Verdict {
                 discard_connection: true,
                 ..Verdict::default()
             },
--- /dev/null
+++ b/crates/decision/src/gateway/shards.rs
@@ -0,0 +1,128 @@
+//! What a home works on: a set of shards as a route of the core.
+//!
+//! The key space of a set of `n` shards is `0..n`, and shard `i` holds key `i`: coverage then is the
+//! share of the shards that are in, all of them weigh the same, and what is missing in an answer is
+//! a list of shards. The same core so counts coverage for both interfaces.
+
+use super::registry::{Entry, Registry};
+use super::table::Table;
+use super::{InstanceId, ServiceId, Shards};
+use crate::Time;
+use monsoonring_configuration::Range;
+use monsoonring_configuration::document::{Capacity, Group, Hedge, Kind, Retry, Route};
+use monsoonring_configuration::id::BackendServerId;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Extra attempts, in per cent of the first ones. The owners of the backend servers allow 20 in all
+/// over any ten seconds; the rest is for requests that end within another window than they began.
+const HEDGE_PERCENT: f64 = 10.0;
+const RETRY_PERCENT: f64 = 8.0;
+
+/// Quantile of a shard's latency after which an attempt is hedged. About one attempt in 25 meets a
+/// pause of its server, so that the budget pays for these and as many ordinary stragglers.
+const HEDGE_QUANTILE: f64 = 0.92;
+
+/// Attempts for one shard that servers may refuse before the shard is given up. What may run is
+/// bounded for each request.
+const ATTEMPTS: u32 = 6;
+
+/// Longest objective that is assumed where no route names one.
+const OBJECTIVE: Duration = Duration::from_secs(1);
+
+/// Deadline of the set as a multiple of the longest objective of its routes: admission aims at half
+/// of the deadline.
+const DEADLINE_IN_OBJECTIVES: u32 = 2;
+
+/// Slots and connections that are assumed of a server that says nothing of them.
+const SLOTS: u32 = 1;
+const CONNECTIONS: u32 = 16;
+
+/// Returns the name of a set, for logs and metrics.
+pub fn name(shards: &Shards) -> String {
+    match &**shards {
+        [one] => one.to_string(),
+        [first, .., last] => format!("{first}..{last}"),
+        [] => String::new(),
+    }
+}
+
+/// Makes the route of the core for a set of shards. A server is in the group of its service, in the
+/// order of the addresses.
+pub fn route(shards: &Shards, table: &Table, registry: &Registry) -> Route {
+    let usable = registry.usable();
+    let servers = |service: &ServiceId| -> Vec<&Entry> {
+        let of_service = usable.values().filter(|entry| entry.service == *service);
+        of_service.copied().collect()
+    };
+    let groups: Vec<(&ServiceId, Vec<&Entry>)> = shards
+        .iter()
+        .map(|service| (service, servers(service)))
+        .collect();
+    let slots = groups.iter().flat_map(|(_, servers)| servers.iter());
+    let slots = slots.map(|entry| entry.slots).min().unwrap_or(SLOTS);
+    let limits = shards.iter().filter_map(|one| table.connections.get(one));
+    let objective = objective(shards, table);
+    Route {
+        name: name(shards).into(),
+        kind: Kind::Search,
+        callers: Vec::new(),
+        deadline_ms: (objective * DEADLINE_IN_OBJECTIVES).as_millis() as u64,
+        soft_deadline: None,
+        hedge: Hedge {
+            budget_percent: HEDGE_PERCENT,
+            quantile: HEDGE_QUANTILE,
+        },
+        retry: Retry {
+            budget_percent: RETRY_PERCENT,
+            attempts: ATTEMPTS,
+        },
+        capacity: Capacity {
+            slots,
+            connections: limits.min().copied().unwrap_or(CONNECTIONS),
+            connect_ms: 0,
+        },
+        max_body_bytes: table.limits.body_bytes as u64,
+        minimum_index_version: 0,
+        keys: keys(0, groups.len()),
+        groups: groups.iter().enumerate().map(group).collect(),
+    }
+}
+
+/// Returns which start of a server is expected at each address of a set.
+pub fn instances(shards: &Shards, registry: &Registry) -> BTreeMap<BackendServerId, InstanceId> {
+    let usable = registry.usable().into_iter();
+    usable
+        .filter(|(_, entry)| shards.contains(&entry.service))
+        .map(|(address, entry)| (address, entry.instance.clone()))
+        .collect()
+}
+
+/// Returns the keys that the shard with this index holds.
+pub fn shard(index: usize) -> Range {
+    keys(index, index + 1)
+}
+
+fn group((index, (service, servers)): (usize, &(&ServiceId, Vec<&Entry>))) -> Group {
+    Group {
+        name: (*service).clone(),
+        keys: shard(index),
+        weight: 1.0,
+        backend_servers: servers.iter().map(|entry| entry.address).collect(),
+    }
+}
+
+fn keys(start: usize, end: usize) -> Range {
+    Range {
+        start: start as u64,
+        end: end as u64,
+    }
+}
+
+/// Returns the longest objective of the routes that lead to a set.
+fn objective(shards: &Shards, table: &Table) -> Duration {
+    let leads = |route: &&std::sync::Arc<super::table::Route>| route.sets().contains(&shards);
+    let routes = table.routes().filter(leads);
+    let longest = routes.map(|route| route.objective).max();
+    longest.unwrap_or(OBJECTIVE).max(Time::from_millis(1))
+}
--- /dev/null
+++ b/crates/decision/src/gateway/table.rs
@@ -0,0 +1,171 @@
+//! The routes of one version of the configuration, and which of them a request takes.
+
+use super::{ServiceId, Shards};
+use crate::home::Terms;
+use monsoonring_configuration::document::{Class, Kind, SoftDeadline};
+use monsoonring_configuration::id::RouteId;
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time before the objective at which a partial answer has to leave to be in time: 1 ms to the
+/// caller, and a few for writing it on a quarter of a core.
+const ON_THE_WAY: Duration = Duration::from_millis(6);
+
+/// Lowest and highest ranks of the middle class: rank 0 and 1 wait for nobody, as searches do
+/// that somebody needs in the field.
+const URGENT_AT_MOST: u32 = 1;
+const NORMAL_AT_MOST: u32 = 2;
+
+/// Version of a configuration; a higher one is newer.
+pub type Version = u64;
+
+/// What a request on a route is sent to.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Target {
+    /// One server of one of the services, chosen by weight.
+    Split(Vec<Weighted>),
+    /// One server of each service.
+    Gather(Gather),
+}
+
+/// A service and its share of a route's requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Weighted {
+    /// The service, alone.
+    pub shards: Shards,
+    /// Its share, relative to the others.
+    pub weight: f64,
+}
+
+/// How a request is answered from many shards.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Gather {
+    /// The shards.
+    pub shards: Shards,
+    /// Records in an answer at most.
+    pub top: usize,
+    /// Share of the shards, from 0 to 1, that an answer must hold.
+    pub least: f64,
+}
+
+/// One route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Its name, for logs and metrics.
+    pub name: RouteId,
+    /// Host that requests name, in lower case.
+    pub host: Box<str>,
+    /// Beginning of the paths that take this route; it begins and ends with a slash.
+    pub prefix: Box<str>,
+    /// Whether a request may run more than once.
+    pub kind: Kind,
+    /// Longest time that a request may be kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth most.
+    pub objective: Duration,
+    /// Backend servers that may come to run one request, in each shard.
+    pub attempts: u32,
+    /// Rank of its requests; 0 comes first.
+    pub priority: u32,
+    /// Where requests go.
+    pub target: Target,
+}
+
+impl Route {
+    /// Returns all sets of shards that requests may go to.
+    pub fn sets(&self) -> Vec<&Shards> {
+        match &self.target {
+            Target::Split(parts) => parts.iter().map(|part| &part.shards).collect(),
+            Target::Gather(gather) => vec![&gather.shards],
+        }
+    }
+
+    /// Returns what holds for its requests at a home.
+    pub fn terms(&self) -> Terms {
+        let soft = match &self.target {
+            Target::Gather(gather) => Some(SoftDeadline {
+                after_ms: self.objective.saturating_sub(ON_THE_WAY).as_millis() as u64,
+                coverage: gather.least,
+            }),
+            Target::Split(_) => None,
+        };
+        Terms {
+            kind: self.kind,
+            runs_at_most: self.attempts,
+            soft_deadline: soft,
+            least_coverage: soft.map_or(0.0, |soft| soft.coverage),
+        }
+    }
+
+    /// Returns how much its requests count when there is not room for all.
+    pub fn class(&self) -> Class {
+        match self.priority {
+            0..=URGENT_AT_MOST => Class::Urgent,
+            0..=NORMAL_AT_MOST => Class::Normal,
+            _ => Class::Background,
+        }
+    }
+}
+
+/// What a client may send, and how long it may stay idle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time that a connection may stay open without a request.
+    pub idle: Duration,
+}
+
+/// A version of the configuration.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Table {
+    /// Its version.
+    pub version: Version,
+    /// What clients may take.
+    pub limits: Limits,
+    /// By service: connections that each of its servers accepts.
+    pub connections: FxHashMap<ServiceId, u32>,
+    routes: FxHashMap<Box<str>, Vec<Arc<Route>>>,
+}
+
+impl Table {
+    /// Makes the table of one version.
+    pub fn new(
+        version: Version,
+        limits: Limits,
+        connections: FxHashMap<ServiceId, u32>,
+        routes: Vec<Route>,
+    ) -> Self {
+        let mut by_host: FxHashMap<Box<str>, Vec<Arc<Route>>> = FxHashMap::default();
+        for route in routes {
+            let host = route.host.clone();
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        Self {
+            version,
+            limits,
+            connections,
+            routes: by_host,
+        }
+    }
+
+    /// Returns the route of a request: of those of its host, the one with the longest prefix that
+    /// its path begins with. A port in `host` is of no account, and neither is its case.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.split_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.routes.get(name) {
+            Some(routes) => routes,
+            None => self.routes.get(&*name.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&*route.prefix))
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.routes.values().flatten()
+    }
+}
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -155,7 +155,7 @@
         if let Some(until) = verdict.back_off {
             self.back_off(flight.server, until);
         }
-        if !matches!(failure, Failure::Cancelled { .. }) {
+        if !matches!(failure, Failure::Cancelled { .. } | Failure::Dropped) {
             if let Some(budgets) = self.budgets_of(flight.server) {
                 budgets.failed(now);
             }
@@ -187,7 +187,9 @@
         }
         match failure {
             Failure::Lost => self.ended(connection, now),
-            Failure::Mismatched | Failure::NotSent => self.scrap(connection, flight, now),
+            Failure::Mismatched | Failure::NotSent | Failure::Dropped => {
+                self.scrap(connection, flight, now);
+            }
             _ if verdict.discard_connection => self.scrap(connection, flight, now),
             _ => self.free(connection, flight, now),
         }
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod configuration;
 pub mod content;
 pub mod fact;
+pub mod gateway;
 pub mod home;
 pub mod idempotency;
 pub mod member;
--- a/crates/decision/src/query/attempt.rs
+++ b/crates/decision/src/query/attempt.rs
@@ -103,7 +103,9 @@
         match failure {
             Failure::Refused { .. } | Failure::NotSent => Ended::Unrun(Unrun(())),
             Failure::Ran { .. } => Ended::Ran,
-            Failure::Lost | Failure::Mismatched | Failure::Cancelled { .. } => Ended::Doubt,
+            Failure::Lost | Failure::Dropped | Failure::Mismatched | Failure::Cancelled { .. } => {
+                Ended::Doubt
+            }
         }
     }
 
--- a/crates/decision/src/query/mod.rs
+++ b/crates/decision/src/query/mod.rs
@@ -8,6 +8,7 @@
 pub mod attempt;
 pub mod coverage;
 pub mod execution;
+pub mod greatest;
 pub mod merge;
 pub mod pin;
 pub mod run;
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -367,7 +367,9 @@
         Failure::Refused { refusal, .. } => refused(refusal),
         Failure::NotSent => Reason::Unavailable,
         Failure::Ran { .. } => Reason::BackendServer,
-        Failure::Lost | Failure::Mismatched | Failure::Cancelled { .. } => Reason::Lost,
+        Failure::Lost | Failure::Dropped | Failure::Mismatched | Failure::Cancelled { .. } => {
+            Reason::Lost
+        }
     }
 }
 
