Let hedges and retries take from one budget that failures do not shrink

Each refusal shrank the budget by a tenth, to a hundredth in the end, and what hedges had to spare was not there for retries: shards were given up although their owners allow one extra attempt in five.

Test: retries_go_on_while_many_attempts_fail.

Conclusion: kept where everyone is a home and owners bound extra attempts; the product's own budgets are as they were.

--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -35,6 +35,8 @@
     percent: f64,
     /// Most tokens that are kept, whatever the percentage.
     burst: f64,
+    /// Whether failures change nothing.
+    steady: bool,
     factor: f64,
     tokens: f64,
     /// Part of the tokens that only [`Self::take`] may use.
@@ -51,17 +53,23 @@
         Self {
             percent,
             burst: f64::INFINITY,
+            steady: false,
             factor: 1.0,
             reserve: 0.0,
             tokens: if percent > 0.0 { Self::INITIAL } else { 0.0 },
         }
     }
 
-    /// Keeps at most `burst` tokens. What several homes have saved could otherwise be spent in the
-    /// same moment, beyond what the backend servers' owners allow in any one window.
+    /// Keeps at most `burst` tokens, and does not shrink with failures.
+    ///
+    /// What several homes have saved could otherwise be spent in the same moment, beyond what the
+    /// backend servers' owners allow in any one window. Their bound holds whatever fails, so that
+    /// shrinking below it would spare the servers little and cost answers: while servers turned away
+    /// half of what they got, the budget fell to a hundredth.
     #[must_use]
     pub fn bounded(mut self, burst: f64) -> Self {
         self.burst = burst.max(Self::INITIAL);
+        self.steady = true;
         self
     }
 
@@ -109,6 +117,9 @@
 
     /// Records that an attempt failed, which shrinks the budget.
     pub fn failed(&mut self, _now: Time) {
+        if self.steady {
+            return;
+        }
         self.factor = (self.factor * SHRINK).max(FACTOR_AT_LEAST);
         self.tokens = self.tokens.min(self.most());
         self.reserve = self.reserve.min(self.tokens);
@@ -140,14 +151,38 @@
     pub hedges: Budget,
     /// Further attempts after a failed one.
     pub retries: Budget,
+    /// Whether each of the two takes from the other what it lacks. A bound on all extra attempts
+    /// asks for no share of either.
+    lends: bool,
 }
 
 impl Budgets {
-    fn new(route: &Route, burst: f64) -> Self {
-        Self {
-            hedges: Budget::new(route.hedge.budget_percent).bounded(burst),
-            retries: Budget::new(route.retry.budget_percent).bounded(burst),
+    fn new(route: &Route, burst: Option<f64>) -> Self {
+        let mut budgets = Self {
+            hedges: Budget::new(route.hedge.budget_percent),
+            retries: Budget::new(route.retry.budget_percent),
+            lends: burst.is_some(),
+        };
+        if let Some(burst) = burst {
+            budgets.hedges = budgets.hedges.bounded(burst / 2.0);
+            budgets.retries = budgets.retries.bounded(burst / 2.0);
         }
+        budgets
+    }
+
+    /// Takes a further attempt after a failed one. Returns whether there was one.
+    pub fn take_retry(&mut self, now: Time) -> bool {
+        self.retries.take(now) || self.lends && self.hedges.take(now)
+    }
+
+    /// Takes a hedge that can wait. Returns whether there was one.
+    pub fn take_hedge(&mut self, now: Time) -> bool {
+        self.hedges.take_spare(now) || self.lends && self.retries.take_spare(now)
+    }
+
+    /// Takes a hedge that can't wait. Returns whether there was one.
+    pub fn take_late_hedge(&mut self, now: Time) -> bool {
+        self.hedges.take(now) || self.lends && self.retries.take(now)
     }
 
     fn reconfigure(&mut self, route: &Route) {
@@ -203,7 +238,7 @@
             Some(_) => route.groups.len().max(1),
             None => 1,
         };
-        let burst = self.burst.unwrap_or(f64::INFINITY);
+        let burst = self.burst;
         self.budgets
             .resize_with(count, || Budgets::new(route, burst));
         for budgets in &mut self.budgets {
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -186,17 +186,17 @@
             }
             Cause::Rest => true,
             Cause::Retry | Cause::Overdue => {
-                let may = budgets.retries.take(now);
+                let may = budgets.take_retry(now);
                 self.counts.retries_denied += u64::from(!may);
                 may
             }
             Cause::Hedge => {
-                let may = budgets.hedges.take_spare(now);
+                let may = budgets.take_hedge(now);
                 self.counts.hedges_denied += u64::from(!may);
                 may
             }
             Cause::LateHedge => {
-                let may = budgets.hedges.take(now);
+                let may = budgets.take_late_hedge(now);
                 self.counts.hedges_denied += u64::from(!may);
                 may
             }
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -273,3 +273,37 @@
     session.fail(session.sends[0].attempt, Failure::Lost);
     assert!(matches!(session.outcome(1), Outcome::Unknown { .. }));
 }
+
+// Symptom: while half of the servers of a shard turn away what they get, the shard is missing in most
+//          answers, although its servers' owners allow one extra attempt in five.
+// Events:  one attempt in two is refused, for many requests on end.
+// Cause:   each failure shrank the budget, to a hundredth in the end, and what hedges did not need
+//          was not there for retries.
+#[test]
+fn retries_go_on_while_many_attempts_fail() {
+    let mut bounded = route(1, 3);
+    bounded.hedge.budget_percent = 10.0;
+    bounded.retry.budget_percent = 10.0;
+    let mut session = Session::everyone(bounded, HOSTS);
+    for id in 1..=400 {
+        let sent = session.sends.len();
+        let next = asked(&session, id, search(1.0));
+        session.on(Event::Request(next));
+        let mut at = sent;
+        while let Some(send) = session.sends.get(at).cloned() {
+            let is_refused = at == sent && id % 2 == 0;
+            match is_refused {
+                true => session.fail(
+                    send.attempt,
+                    Failure::Ran {
+                        report: report(&[VERSION]),
+                    },
+                ),
+                false => session.answer(&send),
+            }
+            at += 1;
+        }
+    }
+    let extra = session.sends.len() - 400;
+    assert!((78..=87).contains(&extra), "{extra} of 80 and a burst of 6");
+}
