Take back hedges that wait at an address which went to another shard

A hedge waited for a connection to an address while the server there ended and the address went to a server of another shard of the same set. Servers are known by their addresses, so the hedge was sent to the new one, and its part was taken for the shard that was asked for.

Ruled out: late extra answers (ids matched), a mix of two sets (one configuration in force).

Changed: on a new route what waits at a server outside the part's group is taken back; and the start that is expected at an address is bound to the shard, for the moment in which the home has yet to hear of it. Test: hedge_queued_at_an_address_that_moved_is_taken_back, which failed first.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -15,7 +15,8 @@
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
 use monsoonring_decision::backend::suspect::Proof;
-use monsoonring_decision::gateway::{InstanceId, Registry, Shards, Table, registry, shards};
+use monsoonring_decision::gateway::shards::Expected;
+use monsoonring_decision::gateway::{Registry, Shards, Table, registry, shards};
 use monsoonring_decision::home::Event;
 use monsoonring_decision::placement::Division;
 use monsoonring_decision::policy::Policy;
@@ -158,7 +159,7 @@
     /// Starts the home of a set, or tells it what changed.
     fn follow(&self, set: &Shards, table: &Table, home: Option<Home>) -> Home {
         let route = shards::route(set, table, &self.registry);
-        let expected = shards::instances(set, &self.registry);
+        let expected = shards::expected(set, &self.registry);
         let Some(home) = home else {
             return self.begin(set, route, expected);
         };
@@ -180,7 +181,7 @@
         &self,
         set: &Shards,
         route: document::Route,
-        expected: BTreeMap<BackendServerId, InstanceId>,
+        expected: BTreeMap<BackendServerId, Expected>,
     ) -> Home {
         let settings = &self.settings;
         info!(settings.log, "shards"; "what" => "in use", "set" => shards::name(set),
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -3,7 +3,9 @@
 use super::content::Opaque;
 use super::split::Splits;
 use crate::route;
+use monsoonring_configuration::Range;
 use monsoonring_configuration::id::BackendServerId;
+use monsoonring_decision::gateway::shards::Expected;
 use monsoonring_decision::gateway::{InstanceId, Shards, Table};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, PoisonError, RwLock};
@@ -11,17 +13,21 @@
 /// Which start of a backend server is expected at each address of a set of shards. The home's
 /// connections read it when they send, the control task replaces it.
 #[derive(Clone, Debug, Default)]
-pub struct Instances(Arc<RwLock<BTreeMap<BackendServerId, InstanceId>>>);
+pub struct Instances(Arc<RwLock<BTreeMap<BackendServerId, Expected>>>);
 
 impl Instances {
-    /// Returns the start that is expected at an address, `None` where none is any more: sending
-    /// there could reach a server of another service.
-    pub fn at(&self, server: BackendServerId) -> Option<InstanceId> {
+    /// Returns the start that an attempt for `ranges` expects at an address, `None` where no server
+    /// of that shard is there any more. The home may learn that a moment later, and sending would
+    /// reach a server of another service, or of another shard, whose part would be taken for this
+    /// one's.
+    pub fn at(&self, server: BackendServerId, ranges: &[Range]) -> Option<InstanceId> {
         let instances = self.0.read().unwrap_or_else(PoisonError::into_inner);
-        instances.get(&server).cloned()
+        let expected = instances.get(&server)?;
+        let is_shard = ranges.iter().all(|range| *range == expected.keys);
+        is_shard.then(|| expected.instance.clone())
     }
 
-    pub(super) fn replace(&self, instances: BTreeMap<BackendServerId, InstanceId>) {
+    pub(super) fn replace(&self, instances: BTreeMap<BackendServerId, Expected>) {
         *self.0.write().unwrap_or_else(PoisonError::into_inner) = instances;
     }
 }
--- a/crates/decision/src/gateway/shards.rs
+++ b/crates/decision/src/gateway/shards.rs
@@ -89,13 +89,27 @@
     }
 }
 
-/// Returns which start of a server is expected at each address of a set.
-pub fn instances(shards: &Shards, registry: &Registry) -> BTreeMap<BackendServerId, InstanceId> {
+/// The start of a server that is expected at an address, and the shard that it holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// The start.
+    pub instance: InstanceId,
+    /// The keys of its shard.
+    pub keys: Range,
+}
+
+/// Returns what is expected at each address of a set.
+pub fn expected(shards: &Shards, registry: &Registry) -> BTreeMap<BackendServerId, Expected> {
     let usable = registry.usable().into_iter();
-    usable
-        .filter(|(_, entry)| shards.contains(&entry.service))
-        .map(|(address, entry)| (address, entry.instance.clone()))
-        .collect()
+    let expected = usable.filter_map(|(address, entry)| {
+        let index = shards.iter().position(|one| *one == entry.service)?;
+        let expected = Expected {
+            instance: entry.instance.clone(),
+            keys: shard(index),
+        };
+        Some((address, expected))
+    });
+    expected.collect()
 }
 
 /// Returns the servers of a set that are in other data centres than `own`.
--- a/crates/decision/src/home/reroute.rs
+++ b/crates/decision/src/home/reroute.rs
@@ -53,10 +53,12 @@
     /// what they were asked for, and what they bring first is not asked again.
     fn redeal(&mut self, run: &mut Run<C>, now: Time) {
         let mut lacking = Set::default();
-        for (id, part) in std::mem::take(&mut run.parts) {
+        for (id, mut part) in std::mem::take(&mut run.parts) {
             match self.home_of(&part) {
                 Some(group) => {
-                    run.parts.insert(id, Part { group, ..part });
+                    part.group = group;
+                    self.recall(&mut part, now);
+                    run.parts.insert(id, part);
                 }
                 None => {
                     lacking.join(&part.wanted);
@@ -91,6 +93,23 @@
         })
     }
 
+    /// Takes back what waits for a connection to a server that is not in the part's group any more.
+    /// Its address may be another server's by now, which would answer from another part of the data.
+    fn recall(&mut self, part: &mut Part, now: Time) {
+        let group = &self.route.groups[part.group].backend_servers;
+        let elsewhere = |id: &AttemptId| {
+            let flight = self.flights.get(*id);
+            flight.is_some_and(|flight| !group.contains(&flight.server))
+        };
+        let moved: Vec<AttemptId> = part.live.iter().copied().filter(elsewhere).collect();
+        for id in moved {
+            if self.withdraw(id, now).is_some() {
+                part.live.retain(|live| *live != id);
+                part.attempts = part.attempts.saturating_sub(1);
+            }
+        }
+    }
+
     /// Leaves attempts without a part: those not yet sent are taken back.
     fn detach(&mut self, run: &mut Run<C>, live: &[AttemptId], now: Time) {
         for id in live {
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -4,6 +4,7 @@
 
 use monsoonring_configuration::document::{Class, Kind, Route, SoftDeadline};
 use monsoonring_decision::attempt::{Failure, Refusal, Unopened};
+use monsoonring_decision::home::action::Send;
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Event, Terms};
 use monsoonring_decision::outcome::{Outcome, Reason};
@@ -307,3 +308,48 @@
     let extra = session.sends.len() - 400;
     assert!((78..=87).contains(&extra), "{extra} of 80 and a burst of 6");
 }
+
+// Symptom: an answer holds two parts of one shard and none of another, and calls itself complete.
+// Events:  a server ends and its address goes to a server of another shard of the same set, while a
+//          hedge for the first shard waits for a connection to that address.
+// Cause:   servers are known by their addresses, and the attempt was sent to whoever has it now.
+#[test]
+fn hedge_queued_at_an_address_that_moved_is_taken_back() {
+    let whole = route(2, 2);
+    let mut session = Session::everyone(whole.clone(), HOSTS);
+    let (asked_first, moved) = (server(0, 0), server(0, 1));
+    let first = asked(&session, 1, search(1.0));
+    session.on(Event::Request(first));
+    let of_part = session.sends.iter().find(|send| send.ranges[0].start == 0);
+    let at = of_part
+        .map(|send| send.backend_server)
+        .expect("it was sent");
+    let moved = if at == moved { asked_first } else { moved };
+    // The hedge finds its server's only connection gone, and waits for another.
+    session.pending.insert(moved);
+    for (connection, server) in session.opens.clone() {
+        if server == moved {
+            session.on(Event::Closed(connection));
+        }
+    }
+    session.pass(ms(300));
+    assert!(session.logged("hedge"), "{}", session.transcript);
+    let mut swapped = whole;
+    swapped.groups[0]
+        .backend_servers
+        .retain(|one| *one != moved);
+    swapped.groups[1].backend_servers.push(moved);
+    session.on(Event::Route(Arc::new(swapped)));
+    for (connection, server) in session.opens.clone() {
+        if server == moved {
+            session.on(Event::Opened(connection));
+        }
+    }
+    let wrong = |send: &&Send| send.backend_server == moved && send.ranges[0].start == 0;
+    assert_eq!(
+        session.sends.iter().filter(wrong).count(),
+        0,
+        "{}",
+        session.transcript
+    );
+}
