Leave backend servers that fail part of what they get

Cause: servers turned away or broke off 40 to 60 % of their requests for seconds while their health was good. A success in between made each as good as any other, so that it got its third of the attempts again, and the budget for extra ones was spent on its failures.

Ruled out: back-offs (they end with the next success), load reports (an idle server reports no load).

Changed: the recent share of failed attempts counts as load in the choice between replicas; a single failure does not, and it halves in 2 s, so that real requests try a server again.

Test: servers_that_fail_often_are_left_for_one_that_does_not.

--- a/crates/decision/src/backend/choice.rs
+++ b/crates/decision/src/backend/choice.rs
@@ -28,6 +28,14 @@
 /// is idle, but none waits for one attempt there while another server is idle.
 const DISTANCE: f64 = 0.9;
 
+/// Load by which a server that fails everything counts as busier than it is. A server may turn away
+/// or break off half of what it gets for seconds while its health is good; the attempt that it fails
+/// costs an extra one elsewhere, of which only one in five is allowed.
+const FAILING: f64 = 6.0;
+
+/// Share of failed attempts that is of no account: a single one.
+const TOLERATED: f64 = 0.2;
+
 /// Scores closer than this are a tie.
 const TIE: f64 = 1e-9;
 
@@ -68,7 +76,9 @@
         return 0.0;
     }
     let distance = if server.far { DISTANCE } else { 0.0 };
-    (server.own() + 1.0) * slowness(server, usual, now) + others(server, usual, now) + distance
+    let failing = FAILING * (server.failing(now) - TOLERATED).max(0.0);
+    let own = (server.own() + 1.0) * slowness(server, usual, now);
+    own + others(server, usual, now) + distance + failing
 }
 
 /// Returns the index of the least score; among equals each is as likely.
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -99,6 +99,9 @@
             self.predicted(&record, took);
         }
         self.grow(record.server);
+        if let Some(state) = self.servers.get_mut(&record.server) {
+            state.ended(false, now);
+        }
         self.heard(record.server, report, now)
     }
 
@@ -108,6 +111,12 @@
             return Verdict::default();
         };
         let server = record.server;
+        if let Some(state) = self.servers.get_mut(&server) {
+            let is_own = !matches!(failure, Failure::NotSent | Failure::Dropped);
+            if is_own && record.cancelled.is_none() {
+                state.ended(true, now);
+            }
+        }
         let mut verdict = match failure {
             Failure::Refused {
                 refusal,
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -15,6 +15,14 @@
 /// Weight of a new latency in the recent mean.
 const RECENT_GAIN: f64 = 0.2;
 
+/// Weight of a new attempt in the share of those that failed.
+const FAILING_GAIN: f64 = 0.2;
+
+/// Time after which a share of failed attempts has halved. A server that is avoided for it is tried
+/// again by a real request about once a second, and one that has recovered is in use again as soon
+/// as a few of these succeed.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(2);
+
 /// Share of an attempt that still counts as load while it is being cancelled: most servers drop a
 /// queued attempt at once and end a running one soon.
 const CANCELLING_LOAD: f64 = 0.5;
@@ -49,6 +57,8 @@
     pub(crate) versions: Vec<IndexVersion>,
     /// A connection was lost under an attempt, and no sign of the process was seen since.
     pub(crate) lost: bool,
+    /// Share of the recent attempts that failed, and when that was last added to.
+    failing: Option<(f64, Time)>,
     /// Recent mean latency, in seconds, and when it was last added to.
     pub(crate) recent: Option<(f64, Time)>,
     /// Mean work time without waiting, in seconds.
@@ -74,6 +84,7 @@
             start: None,
             versions: Vec::new(),
             lost: false,
+            failing: None,
             recent: None,
             work: None,
         }
@@ -120,6 +131,22 @@
         self.recent = Some((blend(recent, seconds, RECENT_GAIN), now));
     }
 
+    /// Records whether an attempt failed by the server's doing.
+    pub(crate) fn ended(&mut self, failed: bool, now: Time) {
+        let value = if failed { 1.0 } else { 0.0 };
+        let share = blend(Some(self.failing(now)), value, FAILING_GAIN);
+        self.failing = Some((share, now));
+    }
+
+    /// Returns the share of the recent attempts that failed, less the longer ago they were.
+    pub(crate) fn failing(&self, now: Time) -> f64 {
+        let Some((share, at)) = self.failing else {
+            return 0.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        share * (-age / FAILING_HALF_LIFE.as_secs_f64()).exp2()
+    }
+
     /// Takes in the load that the server reports.
     pub(crate) fn take_load(&mut self, load: Load, now: Time) {
         let all = f64::from(load.busy) + f64::from(load.queued);
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -353,3 +353,43 @@
         session.transcript
     );
 }
+
+// Symptom: shards are missing in most answers while two of three servers of each turn away or break
+//          off 60 % of what they get, and the third is idle.
+// Events:  servers fail part of their requests while their health is good, for seconds.
+// Cause:   a success in between made a server as good as any other.
+#[test]
+fn servers_that_fail_often_are_left_for_one_that_does_not() {
+    let mut session = Session::everyone(without_hedges(1, 3), HOSTS);
+    let good = server(0, 2);
+    let mut met = Vec::new();
+    for id in 1..=300 {
+        let sent = session.sends.len();
+        let next = asked(&session, id, search(1.0));
+        session.on(Event::Request(next));
+        let mut at = sent;
+        while let Some(send) = session.sends.get(at).cloned() {
+            let fails = send.backend_server != good && send.attempt % 5 < 3;
+            session.pass(ms(10));
+            match fails {
+                true => session.fail(
+                    send.attempt,
+                    Failure::Ran {
+                        report: report(&[VERSION]),
+                    },
+                ),
+                false => session.answer(&send),
+            }
+            at += 1;
+        }
+        met.push(session.sends[sent].backend_server);
+    }
+    let settled = &met[20..];
+    let well = settled.iter().filter(|server| **server == good).count();
+    assert!(
+        well * 10 >= settled.len() * 9,
+        "{well} of {}",
+        settled.len()
+    );
+    assert!(well < settled.len(), "the others are tried again");
+}
