Keep requests that may run once away from servers with overdue attempts

Cause: a server that has gone dark gets the next request, to find out how it stands, and until its connections are all taken it looks little loaded. A search loses a hedge by that; a request that may not run twice waits for its deadline there and ends in doubt.

Ruled out: choice by failures (a dark server fails nothing), silence of single connections.

Test: only_attempts_avoid_servers_with_overdue_ones, which failed first.

--- a/crates/decision/src/backend/choice.rs
+++ b/crates/decision/src/backend/choice.rs
@@ -36,6 +36,11 @@
 /// Share of failed attempts that is of no account: a single one.
 const TOLERATED: f64 = 0.2;
 
+/// Load by which a server counts as busier for each attempt that is overdue there, where the choice
+/// is for the only attempt of a request. A server that has gone dark is not told from a slow one for
+/// seconds, and a request that may not run twice would wait there for its deadline.
+const OVERDUE: f64 = 8.0;
+
 /// Scores closer than this are a tie.
 const TIE: f64 = 1e-9;
 
@@ -70,15 +75,28 @@
     weight * fading(age, half_life) * (reported.others - server.trust.mean())
 }
 
+/// How much depends on the attempt that a server is chosen for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Care {
+    /// It may be followed by another one: it also serves to find out how a server stands.
+    Usual,
+    /// It is the only one.
+    Only,
+}
+
 /// Returns the load to expect at a server, in attempts.
-pub(crate) fn score(server: &Server, usual: Usual, now: Time) -> f64 {
-    if server.probe.is_wanted() {
+pub(crate) fn score(server: &Server, usual: Usual, care: Care, now: Time) -> f64 {
+    if care == Care::Usual && server.probe.is_wanted() {
         return 0.0;
     }
+    let overdue = match care {
+        Care::Usual => 0.0,
+        Care::Only => OVERDUE * server.overdue as f64,
+    };
     let distance = if server.far { DISTANCE } else { 0.0 };
     let failing = FAILING * (server.failing(now) - TOLERATED).max(0.0);
     let own = (server.own() + 1.0) * slowness(server, usual, now);
-    own + others(server, usual, now) + distance + failing
+    own + others(server, usual, now) + distance + failing + overdue
 }
 
 /// Returns the index of the least score; among equals each is as likely.
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -62,6 +62,7 @@
         let server = record.server;
         let patience = self.patience(server, now);
         if let Some(state) = self.servers.get_mut(&server) {
+            state.overdue += 1;
             state.probe.want(patience, now);
         }
     }
@@ -205,6 +206,7 @@
         let record = self.attempts.remove(&attempt)?;
         if let Some(server) = self.servers.get_mut(&record.server) {
             server.outstanding = server.outstanding.saturating_sub(1);
+            server.overdue = server.overdue.saturating_sub(usize::from(record.overdue));
             let cancelled = usize::from(record.cancelled.is_some());
             server.cancelling = server.cancelling.saturating_sub(cancelled);
             if !server.configured && server.outstanding == 0 {
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -1,6 +1,6 @@
 //! All backend servers of one route at one home.
 
-use super::choice::{self, Choice, Usual};
+use super::choice::{self, Care, Choice, Usual};
 use super::latency::Latency;
 use super::leaving::Marks;
 use super::ramp::Ramp;
@@ -145,11 +145,24 @@
         version: Option<IndexVersion>,
         now: Time,
         rng: &mut impl Rng,
+    ) -> Option<Choice> {
+        self.choose_with(candidates, tried, version, Care::Usual, now, rng)
+    }
+
+    /// Chooses a server as [`Self::choose`] does, for an attempt on which more or less depends.
+    pub fn choose_with(
+        &mut self,
+        candidates: &[BackendServerId],
+        tried: &[BackendServerId],
+        version: Option<IndexVersion>,
+        care: Care,
+        now: Time,
+        rng: &mut impl Rng,
     ) -> Option<Choice> {
         let open = self.open(candidates, tried, version, now);
         let scores = match self.policy.random_replica {
             true => smallvec![0.0; open.len()],
-            false => self.scores(&open, now),
+            false => self.scores(&open, care, now),
         };
         let index = choice::least(&scores, rng)?;
         let server = open[index];
@@ -293,12 +306,12 @@
             .collect()
     }
 
-    fn scores(&self, servers: &[BackendServerId], now: Time) -> SmallVec<[f64; FEW]> {
+    fn scores(&self, servers: &[BackendServerId], care: Care, now: Time) -> SmallVec<[f64; FEW]> {
         servers
             .iter()
             .map(|server| {
                 let state = &self.servers[server];
-                choice::score(state, self.usual(state.group), now)
+                choice::score(state, self.usual(state.group), care, now)
             })
             .collect()
     }
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -21,7 +21,7 @@
 mod trust;
 mod verdict;
 
-pub use choice::Choice;
+pub use choice::{Care, Choice};
 pub use fleet::Fleet;
 pub use room::Room;
 pub use snapshot::Snapshot;
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -45,6 +45,8 @@
     pub(crate) far: bool,
     pub(crate) outstanding: usize,
     pub(crate) cancelling: usize,
+    /// Own attempts that take far longer than is usual here.
+    pub(crate) overdue: usize,
     pub(crate) latency: Latency,
     pub(crate) trust: Trust,
     pub(crate) reported: Option<Reported>,
@@ -74,6 +76,7 @@
             far: false,
             outstanding: 0,
             cancelling: 0,
+            overdue: 0,
             latency: Latency::new(),
             trust: Trust::default(),
             reported: None,
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -8,6 +8,7 @@
 use super::flight::{Flight, Owner};
 use super::state::Home;
 use crate::attempt::Failure;
+use crate::backend::Care;
 use crate::content::Content;
 use crate::outcome::{Outcome, Reason};
 use crate::query::attempt::Ended;
@@ -60,13 +61,15 @@
     ) -> Option<(BackendServerId, Least)> {
         let candidates = self.placement.servers();
         let rng = &mut self.rng;
-        let fresh = self
-            .fleet
-            .choose(candidates, &execution.tried, None, now, rng);
+        let fresh =
+            self.fleet
+                .choose_with(candidates, &execution.tried, None, Care::Only, now, rng);
         let choice = match fresh {
             Some(choice) => Some(choice),
             None if execution.tried.is_empty() => None,
-            None => self.fleet.choose(candidates, &[], None, now, rng),
+            None => self
+                .fleet
+                .choose_with(candidates, &[], None, Care::Only, now, rng),
         };
         choice.map(|choice| (choice.server, choice.why))
     }
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -393,3 +393,44 @@
     );
     assert!(well < settled.len(), "the others are tried again");
 }
+
+// Symptom: of the repair tickets of eight seconds one after the other waits for its deadline, and
+//          ends in doubt.
+// Events:  a server goes dark: connections stay open and nothing comes back.
+// Cause:   a server with an overdue attempt was asked next, to find out how it stands, also by
+//          requests that may not run anywhere else afterwards.
+#[test]
+fn only_attempts_avoid_servers_with_overdue_ones() {
+    let mut session = Session::everyone(route(1, 3), HOSTS);
+    let terms = Terms {
+        kind: Kind::Execute,
+        runs_at_most: 2,
+        soft_deadline: None,
+        least_coverage: 0.0,
+    };
+    for id in 1..=60 {
+        let next = asked(&session, id, terms);
+        session.on(Event::Request(next));
+        let send = session.sends.last().cloned().expect("it was sent");
+        session.pass(ms(5));
+        session.on(Event::Executed(send.attempt, "{}".into(), report(&[])));
+    }
+    let next = asked(&session, 100, terms);
+    session.on(Event::Request(next));
+    let dark = session.sends.last().expect("it was sent").backend_server;
+    session.pass(ms(300));
+    let sent = session.sends.len();
+    for id in 101..=120 {
+        let next = asked(&session, id, terms);
+        session.on(Event::Request(next));
+        let send = session.sends.last().cloned().expect("it was sent");
+        session.pass(ms(5));
+        if send.backend_server != dark {
+            session.on(Event::Executed(send.attempt, "{}".into(), report(&[])));
+        }
+    }
+    let there = session.sends[sent..]
+        .iter()
+        .filter(|send| send.backend_server == dark);
+    assert_eq!(there.count(), 0);
+}
