--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -114,9 +114,14 @@
 #[derive(Debug, Args)]
 pub(crate) struct Explain {
     /// The operator address of a daemon; may be given several times.
-    #[arg(long = "daemon", value_name = "ADDR", required = true)]
+    #[arg(
+        long = "daemon",
+        value_name = "ADDR",
+        required_unless_present = "logs",
+        conflicts_with = "logs"
+    )]
     pub(crate) daemons: Vec<SocketAddr>,
-    /// Id of the request, 32 hexadecimal digits.
+    /// Id of the request, 32 hexadecimal digits; with `--log` also the id that its client gave it.
     #[arg(
         long,
         value_name = "ID",
@@ -124,6 +129,10 @@
         conflicts_with = "route"
     )]
     pub(crate) request: Option<String>,
+    /// The log of a daemon in place of the daemon, or `-` for the standard input; may be given
+    /// several times.
+    #[arg(long = "log", value_name = "FILE", requires = "request")]
+    pub(crate) logs: Vec<String>,
     /// Name of the route.
     #[arg(long, value_name = "NAME", requires = "backend_server")]
     pub(crate) route: Option<String>,
--- /dev/null
+++ b/crates/cli/src/command/story.rs
@@ -0,0 +1,250 @@
+//! `monsoonring explain --log`: the story of one request, out of the daemons' logs.
+//!
+//! Whoever is on call after a complaint has the id that the client gave its request, and the logs. The
+//! line that ends a request holds that id beside the daemon's own, under which the decisions were
+//! logged; around them stand the lines in which the host changed its mind about the servers that were
+//! asked, and the configuration and the store as it knew them then.
+
+use crate::arguments::Explain;
+use crate::command::input;
+use crate::exit::Code;
+use crate::output::Output;
+use crate::table::Table;
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+use std::collections::BTreeSet;
+use std::fmt::{self, Formatter};
+
+/// Time before the request within which what was learned of a server is part of the story.
+const BEFORE_NANOS: i128 = 5_000_000_000;
+
+/// Members of a line that are told apart from the rest.
+const SHOWN: [&str; 4] = ["msg", "level", "ts", "host"];
+
+/// One line of a log.
+#[derive(Clone, Debug, Deserialize)]
+struct Line {
+    msg: String,
+    ts: String,
+    #[serde(default)]
+    host: String,
+    request: Option<String>,
+    id: Option<String>,
+    backend_server: Option<String>,
+    #[serde(default)]
+    decision: String,
+    #[serde(flatten)]
+    rest: Map<String, Value>,
+    /// Nanoseconds since the day's start, for the order.
+    #[serde(skip)]
+    at: i128,
+}
+
+/// One line of the story.
+#[derive(Debug, Serialize)]
+struct Step {
+    /// Milliseconds since the first line that names the request.
+    after_ms: f64,
+    host: String,
+    what: String,
+    to: String,
+    why: String,
+}
+
+/// What the logs tell of a request.
+#[derive(Debug, Serialize)]
+struct Story {
+    id: String,
+    /// Lines that could not be read; logs may begin or end in the middle of one.
+    unreadable: usize,
+    steps: Vec<Step>,
+}
+
+/// Reads the logs and tells the story of the request with this id.
+pub(crate) fn run(explain: &Explain, id: &str, output: Output) -> Code {
+    let mut text = String::new();
+    for name in &explain.logs {
+        match input::file(name) {
+            Ok(bytes) => {
+                text.push_str(&String::from_utf8_lossy(&bytes));
+                text.push('\n');
+            }
+            Err(error) => {
+                output.notice(&error.to_string());
+                return Code::Usage;
+            }
+        }
+    }
+    let story = tell(&text, id);
+    if story.steps.is_empty() {
+        output.notice(&format!(
+            "explain: no line of the logs names {id}; its host may have written none, or dropped it \
+             (monsoonring_log_lines_dropped_total)"
+        ));
+        return Code::Usage;
+    }
+    output.report(&story);
+    Code::Success
+}
+
+fn tell(text: &str, id: &str) -> Story {
+    let (mut lines, unreadable) = read(text);
+    lines.sort_by_key(|line| line.at);
+    let requests: BTreeSet<&str> = lines
+        .iter()
+        .filter(|line| line.id.as_deref() == Some(id) || line.request.as_deref() == Some(id))
+        .filter_map(|line| line.request.as_deref())
+        .collect();
+    let names = |line: &&Line| {
+        let request = line.request.as_deref();
+        line.id.as_deref() == Some(id) || request.is_some_and(|one| requests.contains(one))
+    };
+    let own: Vec<&Line> = lines.iter().filter(names).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else {
+        return Story {
+            id: id.to_owned(),
+            unreadable,
+            steps: Vec::new(),
+        };
+    };
+    let start = first.at;
+    let span = Span {
+        from: start - BEFORE_NANOS,
+        start,
+        end: last.at,
+        hosts: own.iter().map(|line| &*line.host).collect(),
+        servers: own
+            .iter()
+            .filter_map(|line| line.backend_server.as_deref())
+            .collect(),
+    };
+    let told = lines
+        .iter()
+        .filter(|line| names(line) || span.concerns(line));
+    let mut told: Vec<&Line> = told.collect();
+    told.extend(span.known(&lines));
+    told.sort_by_key(|line| line.at);
+    Story {
+        id: id.to_owned(),
+        unreadable,
+        steps: told.iter().map(|line| step(line, start)).collect(),
+    }
+}
+
+/// When, where and at which servers the request was.
+struct Span<'a> {
+    from: i128,
+    start: i128,
+    end: i128,
+    hosts: BTreeSet<&'a str>,
+    servers: BTreeSet<&'a str>,
+}
+
+impl Span<'_> {
+    /// Tells whether a line is about a server that the request was sent to, by a host that sent it.
+    fn concerns(&self, line: &Line) -> bool {
+        let server = line.backend_server.as_deref();
+        let is_there = server.is_some_and(|server| self.servers.contains(server));
+        let is_then = self.from <= line.at && line.at <= self.end;
+        line.request.is_none() && is_there && is_then && self.hosts.contains(&*line.host)
+    }
+
+    /// Returns the last lines before the request in which each host learned of the configuration, its
+    /// servers and the store: what it went by, and since when.
+    fn known<'a>(&self, lines: &'a [Line]) -> Vec<&'a Line> {
+        let mut known = Vec::new();
+        for host in &self.hosts {
+            for message in ["configuration", "backend servers", "store"] {
+                let is_it = |line: &&Line| {
+                    line.msg == message && line.host == **host && line.at <= self.start
+                };
+                known.extend(lines.iter().rfind(is_it));
+            }
+        }
+        known
+    }
+}
+
+/// Reads the lines of a log; what stands before the object is of no account, as other programs put
+/// times and names there.
+fn read(text: &str) -> (Vec<Line>, usize) {
+    let mut lines = Vec::new();
+    let mut unreadable = 0;
+    for line in text.lines().filter(|line| !line.trim().is_empty()) {
+        let object = line.find('{').map(|at| &line[at..]);
+        match object.and_then(|object| serde_json::from_str::<Line>(object).ok()) {
+            Some(mut line) => {
+                line.at = nanoseconds(&line.ts);
+                lines.push(line);
+            }
+            None => unreadable += 1,
+        }
+    }
+    (lines, unreadable)
+}
+
+/// Reads the time of an RFC 3339 text in UTC as nanoseconds since the start of its month. The
+/// fraction may have any number of digits, so that the texts themselves don't sort.
+fn nanoseconds(text: &str) -> i128 {
+    let number = |at: std::ops::Range<usize>| {
+        let digits = text.get(at).and_then(|part| part.parse::<i128>().ok());
+        digits.unwrap_or(0)
+    };
+    let seconds = ((number(8..10) * 24 + number(11..13)) * 60 + number(14..16)) * 60;
+    let seconds = seconds + number(17..19);
+    let fraction: String = text
+        .split_once('.')
+        .map(|(_, rest)| rest.chars().take_while(char::is_ascii_digit).collect())
+        .unwrap_or_default();
+    let fraction = format!("{fraction:0<9}");
+    seconds * 1_000_000_000 + fraction[..9].parse::<i128>().unwrap_or(0)
+}
+
+fn step(line: &Line, start: i128) -> Step {
+    let what = match line.decision.as_str() {
+        "" => line.msg.clone(),
+        decision => decision.to_owned(),
+    };
+    let why = match line.rest.get("reason").and_then(Value::as_str) {
+        Some(reason) if line.msg == "decision" => reason.to_owned(),
+        _ => members(line),
+    };
+    Step {
+        after_ms: (line.at - start) as f64 / 1e6,
+        host: line.host.clone(),
+        what,
+        to: line
+            .backend_server
+            .clone()
+            .unwrap_or_else(|| "-".to_owned()),
+        why,
+    }
+}
+
+fn members(line: &Line) -> String {
+    let rest = line.rest.iter();
+    let rest = rest.filter(|(name, value)| !SHOWN.contains(&name.as_str()) && !value.is_null());
+    let texts: Vec<String> = rest
+        .map(|(name, value)| match value.as_str() {
+            Some(text) => format!("{name}={text}"),
+            None => format!("{name}={value}"),
+        })
+        .collect();
+    texts.join(" ")
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let mut table = Table::new(&["after", "host", "what", "to", "why"]);
+        for step in &self.steps {
+            table.row(vec![
+                format!("{:.1} ms", step.after_ms),
+                step.host.clone(),
+                step.what.clone(),
+                step.to.clone(),
+                step.why.clone(),
+            ]);
+        }
+        write!(f, "{table}")
+    }
+}
