--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -161,7 +161,7 @@
         let route = shards::route(set, table, &self.registry);
         let expected = shards::expected(set, &self.registry);
         let Some(home) = home else {
-            return self.begin(set, route, expected);
+            return self.begin(set, table, route, expected);
         };
         home.instances.replace(expected);
         if *home.route == route {
@@ -173,6 +173,16 @@
         Home { route, ..home }
     }
 
+    /// Returns what the home of a set may take: nothing without need, where a larger set has the same
+    /// servers.
+    fn division(&self, set: &Shards, table: &Table) -> Division {
+        let division = self.settings.division;
+        match shards::is_part_of_another(set, table) {
+            true => division.on_demand(),
+            false => division,
+        }
+    }
+
     fn far(&self, set: &Shards) -> BTreeSet<BackendServerId> {
         shards::far(set, &self.registry, &self.settings.data_centre)
     }
@@ -180,6 +190,7 @@
     fn begin(
         &self,
         set: &Shards,
+        table: &Table,
         route: document::Route,
         expected: BTreeMap<BackendServerId, Expected>,
     ) -> Home {
@@ -193,7 +204,7 @@
             codec: (settings.codec)(instances.clone()),
             side: Side::None,
             route: route.clone(),
-            division: settings.division,
+            division: self.division(set, table),
             // Every host has a small part of a server's requests.
             policy: Policy {
                 proof: Proof::Refusal,
--- a/crates/decision/src/backend/pool/line.rs
+++ b/crates/decision/src/backend/pool/line.rs
@@ -17,6 +17,9 @@
 const PAUSE: Duration = Duration::from_millis(100);
 const PAUSE_DOUBLINGS: u32 = 6;
 
+/// How often the pause doubles where the server ends new connections at once.
+const ENDED_DOUBLINGS: u32 = 2;
+
 /// Pause after the server said that its connection limit is reached.
 const CROWDED: Duration = Duration::from_secs(1);
 
@@ -25,6 +28,7 @@
 pub(super) struct Share {
     pub(super) most: usize,
     pub(super) spare: usize,
+    pub(super) floor: usize,
 }
 
 /// The connections to one backend server.
@@ -140,10 +144,12 @@
         self.remove(id, connection);
         if self.idle.len() + self.busy > 0 {
             self.crowded(now);
-        } else {
-            self.pause(now);
-            self.reachable = false;
+            return;
         }
+        // It is well, and has room again as soon as another home gives some up.
+        self.failures = self.failures.min(ENDED_DOUBLINGS);
+        self.pause(now);
+        self.reachable = false;
     }
 
     pub(super) fn remove(&mut self, id: ConnectionId, connection: &Connection) {
@@ -199,9 +205,8 @@
     }
 
     fn target(&self, share: Share) -> usize {
-        (self.peak.max(self.busy) + share.spare)
-            .max(1)
-            .min(share.most)
+        let need = self.peak.max(self.busy) + share.spare;
+        need.max(share.floor).min(share.most)
     }
 
     fn raise_peak(&mut self, needed: usize, now: Time) {
--- a/crates/decision/src/backend/pool/mod.rs
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -41,6 +41,7 @@
     Share {
         most: division.connections(capacity.connections),
         spare: division.spare,
+        floor: division.floor,
     }
 }
 
--- a/crates/decision/src/gateway/shards.rs
+++ b/crates/decision/src/gateway/shards.rs
@@ -121,6 +121,15 @@
         .collect()
 }
 
+/// Tells whether a larger set that some route leads to has one of the services of this one.
+pub fn is_part_of_another(shards: &Shards, table: &Table) -> bool {
+    let larger = |other: &&Shards| {
+        let shares = other.iter().any(|service| shards.contains(service));
+        shares && other.len() > shards.len()
+    };
+    table.routes().any(|route| route.sets().iter().any(larger))
+}
+
 /// Returns the keys that the shard with this index holds.
 pub fn shard(index: usize) -> Range {
     keys(index, index + 1)
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -46,6 +46,8 @@
     control: u32,
     /// Connections kept ready at each backend server beyond those lately in use at once.
     pub spare: usize,
+    /// Connections kept ready at each backend server without any need.
+    pub floor: usize,
     burst: Option<f64>,
 }
 
@@ -57,6 +59,7 @@
             views: VIEWS,
             control: CONTROL,
             spare: SPARE,
+            floor: 1,
             burst: None,
         }
     }
@@ -75,10 +78,19 @@
             views: 1,
             control: 0,
             spare: 0,
+            floor: 1,
             burst: Some(slack / hosts as f64),
         }
     }
 
+    /// Keeps no connection ready without need. Where another home here has the same backend servers,
+    /// both would hold some: servers that several routes lead to in different sets were left with
+    /// no room for hosts that came back after a loss of power, for eight seconds.
+    #[must_use]
+    pub fn on_demand(self) -> Self {
+        Self { floor: 0, ..self }
+    }
+
     /// Returns the connections that a home may hold to a backend server which takes `limit`.
     pub fn connections(&self, limit: u32) -> usize {
         let homes = u32::try_from(self.homes).unwrap_or(u32::MAX);
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -8,6 +8,7 @@
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Event, Terms};
 use monsoonring_decision::outcome::{Outcome, Reason};
+use monsoonring_decision::placement::Division;
 use session::{Session, VERSION, ms, refused, report, request, route, server};
 use std::sync::Arc;
 
@@ -434,3 +435,35 @@
         .filter(|send| send.backend_server == dark);
     assert_eq!(there.count(), 0);
 }
+
+// Symptom: after all hosts lost power, two of them had no connection to any server of one shard for
+//          eight seconds, and left it out of each answer.
+// Events:  one route leads to all shards, another to just one of them; the servers of that one are
+//          held connections to by two homes of each host, and count those of before the loss too.
+// Cause:   each home kept a connection ready without need, and the pauses between tries doubled to
+//          seconds.
+#[test]
+fn home_of_shared_servers_connects_on_demand() {
+    let division = Division::everyone(HOSTS, 58.0).on_demand();
+    let mut session = Session::divided(without_hedges(1, 2), division);
+    assert_eq!(session.opens.len(), 0);
+    let first = asked(&session, 1, search(1.0));
+    session.on(Event::Request(first));
+    session.answer_from(0);
+    assert_eq!(session.answered(1).coverage, 1.0);
+    assert_eq!(session.opens.len(), 1);
+}
+
+#[test]
+fn connection_ended_at_once_is_tried_again_within_half_a_second() {
+    let mut session = Session::everyone(without_hedges(1, 1), HOSTS);
+    session.pending.insert(server(0, 0));
+    session.on(Event::Closed(1));
+    for _ in 0..10 {
+        let (connection, _) = *session.opens.last().expect("it was opened");
+        session.on(Event::Unopened(connection, Unopened::Ended));
+        let opened = session.opens.len();
+        session.pass(ms(450));
+        assert!(session.opens.len() > opened, "{}", session.transcript);
+    }
+}
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -186,11 +186,15 @@
     /// Returns a session of a home that is one of `hosts` which all are homes, and that takes
     /// nothing but a refused connect for a sign that a server died.
     pub(crate) fn everyone(route: Route, hosts: usize) -> Self {
+        Self::divided(route, Division::everyone(hosts, 58.0))
+    }
+
+    /// Returns a session as [`Self::everyone`] does, of a home that takes its part of a division.
+    pub(crate) fn divided(route: Route, division: Division) -> Self {
         let policy = Policy {
             proof: Proof::Refusal,
             ..Policy::default()
         };
-        let division = Division::everyone(hosts, 58.0);
         let (home, actions) = Home::with_policy(Arc::new(route), division, 7, policy, Time::ZERO);
         Self::started(home, actions, &[], &[])
     }
