--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::node::recent::Recent;
-use crate::route::{self, Facts, Side};
+use crate::route::{self, Side};
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
 use monsoonring_decision::backend::suspect::Proof;
@@ -39,7 +39,6 @@
     pub(super) clock: Clock,
     pub(super) log: Logger,
     pub(super) metrics: Arc<Metrics>,
-    pub(super) facts: Facts,
 }
 
 /// One home, and what it was told last.
@@ -214,7 +213,8 @@
             clock: settings.clock,
             log: settings.log.clone(),
             metrics: settings.metrics.clone(),
-            facts: settings.facts.clone(),
+            // Hosts tell each other nothing here: what a home finds stays with it.
+            facts: mpsc::unbounded_channel().0,
             recent: self.recent.clone(),
         });
         handle.tell(Event::Far(self.far(set)));
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -8,19 +8,21 @@
 use crate::metrics::label::Side;
 use crate::run::{Telemetry, listen, signals};
 use crate::server::Server;
-use crate::server::stop::{Control, Stage, Watch};
+use crate::server::stop::{Control, Stage};
 use crate::settings::Limits;
 use futures::StreamExt;
 use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::placement::Division;
 use rand::Rng;
-use slog::{info, warn};
+use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio_util::task::TaskTracker;
 
 /// Connections of the balancer and of monitoring at the same time.
 const OPERATOR_CONNECTIONS: usize = 64;
@@ -86,84 +88,127 @@
     telemetry: Telemetry,
 ) -> Result<bool> {
     let mut signals = pin!(signals().context(Snafu)?);
-    let (fronts, address) = listen(Side::Caller, settings.addresses.front)
-        .await
-        .context(Snafu)?;
-    let (readies, _) = listen(Side::Operator, settings.addresses.ready)
-        .await
-        .context(Snafu)?;
-    let monitoring = listen(Side::Operator, settings.addresses.metrics).await;
-    let (monitoring, _) = monitoring.context(Snafu)?;
-    let clock = Clock::start();
-    let state = Arc::new(State::default());
-    let (stop, watch) = Control::new();
-    let (ready_stop, ready_watch) = Control::new();
-    let Telemetry { log, metrics } = telemetry;
-    let (facts, _found) = mpsc::unbounded_channel();
-    let controller = control::Settings {
-        codec: outside.codec,
-        division: settings.division,
-        data_centre: settings.data_centre,
-        seed: rand::rng().random(),
-        clock,
-        log: log.clone(),
-        metrics: metrics.clone(),
-        facts,
-    };
-    tokio::spawn(control::run(controller, state.clone(), outside.news));
-    let clients = Server {
-        handler: front::Front {
-            ingress: outside.ingress,
-            state: state.clone(),
+    let listeners = Listeners::bind(&settings.addresses).await?;
+    let gateway = Gateway::start(&settings, outside, &telemetry, listeners);
+    info!(telemetry.log, "start"; "clients" => %settings.addresses.front,
+        "ready" => %settings.addresses.ready, "metrics" => %settings.addresses.metrics);
+    signals.next().await;
+    Ok(gateway.stop(&settings, &telemetry.log).await)
+}
+
+/// Sockets that listen.
+struct Listeners {
+    front: TcpListener,
+    ready: TcpListener,
+    metrics: TcpListener,
+}
+
+impl Listeners {
+    async fn bind(addresses: &Addresses) -> Result<Self> {
+        Ok(Self {
+            front: bind(Side::Caller, addresses.front).await?,
+            ready: bind(Side::Operator, addresses.ready).await?,
+            metrics: bind(Side::Operator, addresses.metrics).await?,
+        })
+    }
+}
+
+async fn bind(side: Side, address: SocketAddr) -> Result<TcpListener> {
+    let (listener, _) = listen(side, address).await.context(Snafu)?;
+    Ok(listener)
+}
+
+/// A gateway that serves.
+struct Gateway {
+    clients: TaskTracker,
+    operators: Vec<TaskTracker>,
+    stop: Control,
+    operator_stop: Control,
+}
+
+impl Gateway {
+    fn start<I: Ingress, K: Codec<Content = Opaque>>(
+        settings: &Settings,
+        outside: Outside<I, K>,
+        telemetry: &Telemetry,
+        listeners: Listeners,
+    ) -> Self {
+        let (stop, watch) = Control::new();
+        let (operator_stop, operator_watch) = Control::new();
+        let state = Arc::new(State::default());
+        let clock = Clock::start();
+        let Telemetry { log, metrics } = telemetry;
+        let controller = control::Settings {
+            codec: outside.codec,
+            division: settings.division,
+            data_centre: settings.data_centre.clone(),
+            seed: rand::rng().random(),
             clock,
             log: log.clone(),
             metrics: metrics.clone(),
-        },
-        limits: settings.limits.clone(),
-        stop: watch.clone(),
-        gauge: metrics.open_connections(Side::Caller),
-        log: log.clone(),
-    };
-    let operators = |stop: Watch, ready_stop: Watch| Server {
-        handler: ready::Front {
-            state: state.clone(),
-            metrics: metrics.clone(),
+        };
+        tokio::spawn(control::run(controller, state.clone(), outside.news));
+        let clients = Server {
+            handler: front::Front {
+                ingress: outside.ingress,
+                state: state.clone(),
+                clock,
+                log: log.clone(),
+                metrics: metrics.clone(),
+            },
+            limits: settings.limits.clone(),
+            stop: watch.clone(),
+            gauge: metrics.open_connections(Side::Caller),
+            log: log.clone(),
+        };
+        let operators = || Server {
+            handler: ready::Front {
+                state: state.clone(),
+                metrics: metrics.clone(),
+                stop: watch.clone(),
+                path: settings.ready_path,
+            },
+            limits: Limits {
+                max_connections: OPERATOR_CONNECTIONS,
+                ..settings.limits.clone()
+            },
+            stop: operator_watch.clone(),
+            gauge: metrics.open_connections(Side::Operator),
+            log: log.clone(),
+        };
+        Self {
+            clients: clients.start(listeners.front),
+            operators: vec![
+                operators().start(listeners.ready),
+                operators().start(listeners.metrics),
+            ],
             stop,
-            path: settings.ready_path,
-        },
-        limits: Limits {
-            max_connections: OPERATOR_CONNECTIONS,
-            ..settings.limits.clone()
-        },
-        stop: ready_stop,
-        gauge: metrics.open_connections(Side::Operator),
-        log: log.clone(),
-    };
-    let monitors = operators(watch.clone(), ready_watch.clone());
-    let operators = operators(watch, ready_watch);
-    let clients = clients.start(fronts);
-    let operators = operators.start(readies);
-    let monitors = monitors.start(monitoring);
-    info!(log, "start"; "clients" => %address, "ready" => %settings.addresses.ready);
-    signals.next().await;
-    info!(log, "stop"; "what" => "began");
-    stop.advance(Stage::Leaving);
-    let finish = async {
-        tokio::time::sleep(settings.drain_wait).await;
-        stop.advance(Stage::Finishing);
-        clients.wait().await;
-    };
-    let whole = tokio::time::timeout(settings.stop_bound, finish)
-        .await
-        .is_ok();
-    if !whole {
-        warn!(log, "stop"; "what" => "cut short");
+            operator_stop,
+        }
+    }
+
+    /// Stops: first not ready, so that the balancer looks elsewhere, then no new connections, and in
+    /// the end, when nothing is in flight or its time is over, nothing at all. Returns whether nothing
+    /// was cut off. The balancer is answered to the last.
+    async fn stop(self, settings: &Settings, log: &Logger) -> bool {
+        info!(log, "stop"; "what" => "began");
+        self.stop.advance(Stage::Leaving);
+        let finish = async {
+            tokio::time::sleep(settings.drain_wait).await;
+            self.stop.advance(Stage::Finishing);
+            self.clients.wait().await;
+        };
+        let finished = tokio::time::timeout(settings.stop_bound, finish).await;
+        if finished.is_err() {
+            warn!(log, "stop"; "what" => "cut short");
+        }
+        self.stop.advance(Stage::Cut);
+        self.clients.wait().await;
+        self.operator_stop.advance(Stage::Cut);
+        for operators in &self.operators {
+            operators.wait().await;
+        }
+        info!(log, "stop"; "what" => "ended", "whole" => finished.is_ok());
+        finished.is_ok()
     }
-    stop.advance(Stage::Cut);
-    clients.wait().await;
-    ready_stop.advance(Stage::Cut);
-    operators.wait().await;
-    monitors.wait().await;
-    info!(log, "stop"; "what" => "ended", "whole" => whole);
-    Ok(whole)
 }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -2,7 +2,7 @@
 //! replaces a decision, to measure what it is worth.
 //!
 //! A claim such as "the choice between replicas keeps the tail short" means little without the run
-//! that chooses at random. The simple ways live here and not in the benchmark, so that both run
+//! that chooses at random. The simple ways live here and not beside a measurement, so that both run
 //! through the same daemon. In production nothing is replaced.
 
 use crate::backend::suspect::Proof;
