--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -47,6 +47,9 @@
     /// The document now in force, to show the difference to it.
     #[arg(long, value_name = "OTHER")]
     pub(crate) against: Option<String>,
+    /// Check a configuration as it is published in the store of the users' platform.
+    #[arg(long, conflicts_with = "against")]
+    pub(crate) platform: bool,
 }
 
 /// Who asks which daemon, and for how long.
--- a/crates/cli/src/command/check.rs
+++ b/crates/cli/src/command/check.rs
@@ -40,6 +40,9 @@
 }
 
 fn compare(check: &Check) -> input::Result<Report> {
+    if check.platform {
+        return published(check);
+    }
     let new = parse(&check.file)?;
     let old = check.against.as_deref().map(parse).transpose()?;
     let difference = match (&old, &new) {
@@ -62,6 +65,18 @@
     })
 }
 
+/// Checks a configuration as it is published in the platform's store.
+fn published(check: &Check) -> input::Result<Report> {
+    let faults = monsoonring_platform::document::faults(&input::file(&check.file)?);
+    Ok(Report {
+        document: check.file.clone(),
+        valid: faults.is_empty(),
+        faults,
+        against: None,
+        difference: None,
+    })
+}
+
 /// Reads a document; the inner error has all its faults.
 fn parse(name: &str) -> input::Result<Result<Document, Vec<Fault>>> {
     let bytes = input::file(name)?;
--- a/crates/configuration/src/check/fault.rs
+++ b/crates/configuration/src/check/fault.rs
@@ -17,7 +17,8 @@
 }
 
 impl Fault {
-    pub(crate) fn new(path: Path, wrong: impl Into<String>, right: impl Into<String>) -> Self {
+    /// Makes a fault at a place: what is wrong there, and what would be right.
+    pub fn new(path: Path, wrong: impl Into<String>, right: impl Into<String>) -> Self {
         Self {
             path,
             wrong: wrong.into(),
