Keep no decisions in memory where nobody can ask for them

Cause: on the platform each decision was kept for an operator's question that no port takes; the log has them.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -10,7 +10,6 @@
 use crate::backend::Codec;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::node::recent::Recent;
 use crate::route::{self, Side};
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
@@ -54,7 +53,6 @@
     registry: Registry,
     table: Option<Arc<Table>>,
     homes: HashMap<Shards, Home>,
-    recent: Recent,
 }
 
 /// Takes news until their sender is gone.
@@ -69,7 +67,6 @@
         registry: Registry::default(),
         table: None,
         homes: HashMap::new(),
-        recent: Recent::default(),
     };
     loop {
         let clock = controller.settings.clock;
@@ -215,7 +212,8 @@
             metrics: settings.metrics.clone(),
             // Hosts tell each other nothing here: what a home finds stays with it.
             facts: mpsc::unbounded_channel().0,
-            recent: self.recent.clone(),
+            // What is decided stands in the log; nobody can ask the process itself.
+            recent: None,
         });
         handle.tell(Event::Far(self.far(set)));
         Home {
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -155,7 +155,7 @@
         log: route_log.clone(),
         metrics: metrics.clone(),
         facts: facts.clone(),
-        recent: recent.clone(),
+        recent: Some(recent.clone()),
     });
     Routes::new(own.id, log, spawn, baseline.homes())
 }
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -52,7 +52,8 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) facts: Facts,
-    pub(crate) recent: Recent,
+    /// Where decisions are kept for those who ask about a request, if anybody can.
+    pub(crate) recent: Option<Recent>,
 }
 
 /// Starts the task of a route. It ends when the last handle is gone and nothing is in flight.
@@ -107,7 +108,7 @@
     log: Logger,
     metrics: Arc<Metrics>,
     facts: Facts,
-    recent: Recent,
+    recent: Option<Recent>,
     route: RouteId,
     report: backend::Report<K::Content>,
     side: side::Line,
@@ -223,10 +224,10 @@
     }
 
     fn keep(&self, decision: Decision) {
-        let Some(request) = decision.request else {
+        let (Some(request), Some(recent)) = (decision.request, &self.recent) else {
             return;
         };
-        self.recent.keep(Line {
+        recent.keep(Line {
             request,
             at: self.clock.now(),
             route: self.route.clone(),
