--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -36,7 +36,8 @@
 /// Time that a request's body may take where no deadline is given.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-type Opened = Outcome<<Opaque as Content>::Value>;
+/// How a home says that a request ended.
+type Ending = Outcome<<Opaque as Content>::Value>;
 
 /// A response, and what the log says of how it came about.
 struct Reply {
@@ -142,7 +143,7 @@
     }
 
     /// Writes how a request ended.
-    fn reply(&self, outcome: Opened, route: &Route) -> Reply {
+    fn reply(&self, outcome: Ending, route: &Route) -> Reply {
         match outcome {
             Outcome::Answered(answer) => self.answered(answer, route),
             Outcome::Executed(whole) => Reply {
@@ -210,23 +211,28 @@
     }
 
     fn malformed(&self, why: &'static str) -> Response<Full<Bytes>> {
+        self.metrics.front.refused(None, None, "malformed");
         info!(self.log, "request"; "outcome" => "malformed", "why" => why);
         plain(StatusCode::BAD_REQUEST)
     }
 
     fn not_run(&self, ask: &Ask, why: &'static str, come_back: Duration) -> Response<Full<Bytes>> {
-        info!(self.log, "request"; "id" => &ask.id, "outcome" => "not run", "why" => why,
-            "come_back_ms" => come_back.as_millis());
+        self.metrics.front.refused(None, None, why);
+        info!(self.log, "request"; "id" => &ask.id, "outcome" => Ended::NotRun.to_string(),
+            "why" => why, "come_back_ms" => come_back.as_millis());
         self.come_back(come_back)
     }
 
     fn unknown(&self, ask: &Ask, table: &Table, path: &str) -> Response<Full<Bytes>> {
+        self.metrics.front.refused(None, None, "no route");
         info!(self.log, "request"; "id" => &ask.id, "outcome" => "no route", "host" => &ask.host,
             "path" => path, "configuration" => table.version);
         plain(StatusCode::NOT_FOUND)
     }
 
     fn unread(&self, ask: &Ask, route: &Route, status: StatusCode) -> Response<Full<Bytes>> {
+        let front = &self.metrics.front;
+        front.refused(Some(&route.name), Some(route.class()), "body not read");
         info!(self.log, "request"; "id" => &ask.id, "route" => &*route.name,
             "outcome" => "body not read", "status" => status.as_u16());
         plain(status)
