Count extra attempts in a sliding window where their owners do

Cause: owners of backend servers allow a share of the requests in any ten seconds. A token bucket that keeps to that can save up next to nothing, so that after a calm it gave out no more than in the midst of a storm: while servers lost 40 % of their answers for four seconds, retries were denied that the window would have allowed.

Ruled out: the number of attempts a request may make (two; what is left after it is one shard in six), the choice of servers (all of the set were affected).

Tests: window_any_events_keep_extras_within_any_ten_seconds, window_lends_what_a_calm_left_over. The product's own budgets are as they were.

--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget/mod.rs
@@ -9,6 +9,10 @@
 //! Invariant: at any time the extra attempts taken are at most [`Budget::INITIAL`] plus `percent`
 //! in a hundred of the first attempts.
 
+mod window;
+
+pub use window::Window;
+
 use crate::Time;
 use monsoonring_configuration::document::Route;
 
@@ -33,10 +37,6 @@
 #[derive(Clone, Debug)]
 pub struct Budget {
     percent: f64,
-    /// Most tokens that are kept, whatever the percentage.
-    burst: f64,
-    /// Whether failures change nothing.
-    steady: bool,
     factor: f64,
     tokens: f64,
     /// Part of the tokens that only [`Self::take`] may use.
@@ -52,27 +52,12 @@
     pub fn new(percent: f64) -> Self {
         Self {
             percent,
-            burst: f64::INFINITY,
-            steady: false,
             factor: 1.0,
             reserve: 0.0,
             tokens: if percent > 0.0 { Self::INITIAL } else { 0.0 },
         }
     }
 
-    /// Keeps at most `burst` tokens, and does not shrink with failures.
-    ///
-    /// What several homes have saved could otherwise be spent in the same moment, beyond what the
-    /// backend servers' owners allow in any one window. Their bound holds whatever fails, so that
-    /// shrinking below it would spare the servers little and cost answers: while servers turned away
-    /// half of what they got, the budget fell to a hundredth.
-    #[must_use]
-    pub fn bounded(mut self, burst: f64) -> Self {
-        self.burst = burst.max(Self::INITIAL);
-        self.steady = true;
-        self
-    }
-
     /// Takes over a new percentage.
     pub fn set_percent(&mut self, percent: f64) {
         self.percent = percent;
@@ -117,9 +102,6 @@
 
     /// Records that an attempt failed, which shrinks the budget.
     pub fn failed(&mut self, _now: Time) {
-        if self.steady {
-            return;
-        }
         self.factor = (self.factor * SHRINK).max(FACTOR_AT_LEAST);
         self.tokens = self.tokens.min(self.most());
         self.reserve = self.reserve.min(self.tokens);
@@ -139,77 +121,123 @@
         if self.percent <= 0.0 {
             return 0.0;
         }
-        let kept = self.percent / 100.0 * self.factor * KEPT;
-        kept.min(self.burst).max(Self::INITIAL)
+        (self.percent / 100.0 * self.factor * KEPT).max(Self::INITIAL)
     }
 }
 
 /// What may be sent beyond the first attempts, to one group of backend servers or to all of them.
 #[derive(Clone, Debug)]
-pub struct Budgets {
-    /// Second attempts beside a slow one.
-    pub hedges: Budget,
-    /// Further attempts after a failed one.
-    pub retries: Budget,
-    /// Whether each of the two takes from the other what it lacks. A bound on all extra attempts
-    /// asks for no share of either.
-    lends: bool,
+pub enum Budgets {
+    /// A share of the first attempts for hedges, and another for retries.
+    Buckets {
+        /// Second attempts beside a slow one.
+        hedges: Budget,
+        /// Further attempts after a failed one.
+        retries: Budget,
+    },
+    /// One bound on all of them in a window of time.
+    Window(Window),
 }
 
 impl Budgets {
-    fn new(route: &Route, burst: Option<f64>) -> Self {
-        let mut budgets = Self {
-            hedges: Budget::new(route.hedge.budget_percent),
-            retries: Budget::new(route.retry.budget_percent),
-            lends: burst.is_some(),
-        };
-        if let Some(burst) = burst {
-            budgets.hedges = budgets.hedges.bounded(burst / 2.0);
-            budgets.retries = budgets.retries.bounded(burst / 2.0);
+    fn new(route: &Route, slack: Option<f64>) -> Self {
+        match slack {
+            Some(slack) => Self::Window(Window::new(percent(route), slack)),
+            None => Self::Buckets {
+                hedges: Budget::new(route.hedge.budget_percent),
+                retries: Budget::new(route.retry.budget_percent),
+            },
+        }
+    }
+
+    fn reconfigure(&mut self, route: &Route) {
+        match self {
+            Self::Buckets { hedges, retries } => {
+                hedges.set_percent(route.hedge.budget_percent);
+                retries.set_percent(route.retry.budget_percent);
+            }
+            Self::Window(window) => window.set_percent(percent(route)),
+        }
+    }
+
+    /// Records a first attempt.
+    pub fn deposit(&mut self, now: Time) {
+        match self {
+            Self::Buckets { hedges, retries } => {
+                hedges.deposit(now);
+                retries.deposit(now);
+            }
+            Self::Window(window) => window.first(now),
         }
-        budgets
     }
 
     /// Takes a further attempt after a failed one. Returns whether there was one.
     pub fn take_retry(&mut self, now: Time) -> bool {
-        self.retries.take(now) || self.lends && self.hedges.take(now)
+        match self {
+            Self::Buckets { retries, .. } => retries.take(now),
+            Self::Window(window) => window.take(now),
+        }
     }
 
     /// Takes a hedge that can wait. Returns whether there was one.
     pub fn take_hedge(&mut self, now: Time) -> bool {
-        self.hedges.take_spare(now) || self.lends && self.retries.take_spare(now)
+        match self {
+            Self::Buckets { hedges, .. } => hedges.take_spare(now),
+            Self::Window(window) => window.take_spare(now),
+        }
     }
 
     /// Takes a hedge that can't wait. Returns whether there was one.
     pub fn take_late_hedge(&mut self, now: Time) -> bool {
-        self.hedges.take(now) || self.lends && self.retries.take(now)
+        match self {
+            Self::Buckets { hedges, .. } => hedges.take(now),
+            Self::Window(window) => window.take(now),
+        }
     }
 
-    fn reconfigure(&mut self, route: &Route) {
-        self.hedges.set_percent(route.hedge.budget_percent);
-        self.retries.set_percent(route.retry.budget_percent);
+    /// Gives back a hedge that was taken and not sent.
+    pub fn give_back_hedge(&mut self) {
+        match self {
+            Self::Buckets { hedges, .. } => hedges.give_back(),
+            Self::Window(window) => window.give_back(),
+        }
     }
 
-    /// Records a first attempt.
-    pub fn deposit(&mut self, now: Time) {
-        self.hedges.deposit(now);
-        self.retries.deposit(now);
+    /// Gives back a retry that was taken and not sent.
+    pub fn give_back_retry(&mut self) {
+        match self {
+            Self::Buckets { retries, .. } => retries.give_back(),
+            Self::Window(window) => window.give_back(),
+        }
     }
 
     /// Records that an attempt succeeded.
     pub fn succeeded(&mut self, now: Time) {
-        self.hedges.succeeded(now);
-        self.retries.succeeded(now);
+        if let Self::Buckets { hedges, retries } = self {
+            hedges.succeeded(now);
+            retries.succeeded(now);
+        }
     }
 
     /// Records that an attempt failed.
+    ///
+    /// It shrinks no window. The owners' bound holds whatever fails, so that staying further below it
+    /// would spare their servers little and cost answers: while servers turned away half of what they
+    /// got, budgets that shrink fell to a hundredth.
     pub fn failed(&mut self, now: Time) {
-        self.hedges.failed(now);
-        self.retries.failed(now);
+        if let Self::Buckets { hedges, retries } = self {
+            hedges.failed(now);
+            retries.failed(now);
+        }
     }
 }
 
-/// The budgets of a home: one pair for the whole route, or one for each group.
+/// Extra attempts of both kinds, in per cent of the first ones.
+fn percent(route: &Route) -> f64 {
+    route.hedge.budget_percent + route.retry.budget_percent
+}
+
+/// The budgets of a home: one for the whole route, or one for each group.
 ///
 /// Where the owners of the backend servers bound the extra attempts at each group, a common budget
 /// would not do: one slow group out of ten would be sent what all ten have earned, as many extra
@@ -217,16 +245,16 @@
 #[derive(Clone, Debug)]
 pub struct Purse {
     budgets: Vec<Budgets>,
-    burst: Option<f64>,
+    slack: Option<f64>,
 }
 
 impl Purse {
-    /// Makes the budgets of a route: one pair for each group that saves up at most `burst`, or a
-    /// common one without such a bound.
-    pub fn new(route: &Route, burst: Option<f64>) -> Self {
+    /// Makes the budgets of a route: a window for each group that allows `slack` beyond the
+    /// percentages, or common ones without such a bound.
+    pub fn new(route: &Route, slack: Option<f64>) -> Self {
         let mut purse = Self {
             budgets: Vec::new(),
-            burst,
+            slack,
         };
         purse.reconfigure(route);
         purse
@@ -234,13 +262,13 @@
 
     /// Takes over a new configuration.
     pub fn reconfigure(&mut self, route: &Route) {
-        let count = match self.burst {
+        let count = match self.slack {
             Some(_) => route.groups.len().max(1),
             None => 1,
         };
-        let burst = self.burst;
+        let slack = self.slack;
         self.budgets
-            .resize_with(count, || Budgets::new(route, burst));
+            .resize_with(count, || Budgets::new(route, slack));
         for budgets in &mut self.budgets {
             budgets.reconfigure(route);
         }
@@ -250,7 +278,7 @@
     ///
     /// # Panics
     ///
-    /// Never: there is always one pair at least.
+    /// Never: there is always one at least.
     pub fn of(&mut self, group: usize) -> &mut Budgets {
         let last = self.budgets.len() - 1;
         &mut self.budgets[group.min(last)]
--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -207,13 +207,13 @@
         match flight.cause {
             Cause::Hedge | Cause::LateHedge => {
                 if let Some(budgets) = self.budgets_of(flight.server) {
-                    budgets.hedges.give_back();
+                    budgets.give_back_hedge();
                 }
                 why.push_str(", hedge given back");
             }
             Cause::Overdue => {
                 if let Some(budgets) = self.budgets_of(flight.server) {
-                    budgets.retries.give_back();
+                    budgets.give_back_retry();
                 }
                 why.push_str(", retry given back");
             }
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -106,7 +106,7 @@
             pool: Pool::new(&route, division, FIRST_CONNECTION, now),
             gate: Gate::new(&route),
             suspects: Table::with_proof(policy.proof),
-            budgets: Purse::new(&route, division.burst()),
+            budgets: Purse::new(&route, division.slack()),
             pin: Pin::default(),
             placement: Placement::new(&route),
             runs: BTreeMap::new(),
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -48,7 +48,7 @@
     pub spare: usize,
     /// Connections kept ready at each backend server without any need.
     pub floor: usize,
-    burst: Option<f64>,
+    slack: Option<f64>,
 }
 
 impl Division {
@@ -60,13 +60,13 @@
             control: CONTROL,
             spare: SPARE,
             floor: 1,
-            burst: None,
+            slack: None,
         }
     }
 
     /// Divides among all `hosts`, none of which makes calls beside its attempts. Views can't choose
     /// different homes where everyone is one. `slack` is the number of extra attempts that all
-    /// hosts together may have in hand for each group.
+    /// hosts together may make at each group beyond a share of the first ones.
     ///
     /// Nothing is kept to spare. When hosts lose power, a server goes on counting the connections
     /// that they had until it finds them idle, and they come back to a server that is half full:
@@ -79,7 +79,7 @@
             control: 0,
             spare: 0,
             floor: 1,
-            burst: Some(slack / hosts as f64),
+            slack: Some(slack / hosts as f64),
         }
     }
 
@@ -98,9 +98,10 @@
         own.saturating_sub(self.control).max(1) as usize
     }
 
-    /// Returns the extra attempts that a home may save up for one group, where that is bounded.
-    pub fn burst(&self) -> Option<f64> {
-        self.burst
+    /// Returns the extra attempts that a home may make at one group beyond its share of the first
+    /// ones, where that is bounded.
+    pub fn slack(&self) -> Option<f64> {
+        self.slack
     }
 }
 
--- a/crates/decision/tests/budget.rs
+++ b/crates/decision/tests/budget.rs
@@ -1,8 +1,9 @@
 //! Tests of the budgets for extra attempts.
 
 use monsoonring_decision::Time;
-use monsoonring_decision::budget::Budget;
+use monsoonring_decision::budget::{Budget, Window};
 use proptest::prelude::*;
+use std::time::Duration;
 use test_case::test_case;
 
 const NOW: Time = Time::ZERO;
@@ -108,3 +109,66 @@
     (0..1_000_000).for_each(|_| budget.deposit(NOW));
     assert!(budget.available() <= 100.0, "{}", budget.available());
 }
+
+/// Length of the owners' window.
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn lately(times: &[Duration], now: Duration) -> usize {
+    let from = now.saturating_sub(WINDOW);
+    times.iter().filter(|time| **time >= from).count()
+}
+
+// Symptom: owners of backend servers find more extra attempts in ten seconds than they allow.
+// Events:  any mix of first attempts, hedges and retries, some of which are given back, with pauses.
+// Cause:   what one window left over was spent in the next.
+proptest! {
+    #[test]
+    fn window_any_events_keep_extras_within_any_ten_seconds(
+        events in proptest::collection::vec((0_u8..10, 0_u64..400), 1..600),
+    ) {
+        let (percent, slack) = (18.0, 4.0);
+        let mut window = Window::new(percent, slack);
+        let (mut firsts, mut extras) = (Vec::new(), Vec::new());
+        let mut now = Duration::ZERO;
+        for (event, pause) in events {
+            now += Duration::from_millis(pause);
+            let taken = match event {
+                0..4 => {
+                    window.first(now);
+                    firsts.push(now);
+                    false
+                }
+                4..6 => window.take_spare(now),
+                6..9 => window.take(now),
+                _ => {
+                    if extras.pop().is_some() {
+                        window.give_back();
+                    }
+                    false
+                }
+            };
+            if taken {
+                extras.push(now);
+                let allowed = percent / 100.0 * lately(&firsts, now) as f64 + slack;
+                prop_assert!(lately(&extras, now) as f64 <= allowed);
+            }
+        }
+    }
+}
+
+// Symptom: for four seconds servers lose 40 % of their answers, and one shard in three is missing,
+//          though the owners' window would allow a second attempt for each.
+// Events:  six calm seconds, then a storm.
+// Cause:   a bucket that bounds a window's extra attempts can save up next to nothing.
+#[test]
+fn window_lends_what_a_calm_left_over() {
+    let mut window = Window::new(18.0, 4.0);
+    let mut answered = 0;
+    for number in 0..1_000_u64 {
+        let now = Duration::from_millis(number * 10);
+        window.first(now);
+        let fails = number >= 600 && number % 5 < 2;
+        answered += u32::from(!fails || window.take(now));
+    }
+    assert_eq!(answered, 1_000);
+}
