--- a/crates/cli/src/command/story.rs
+++ b/crates/cli/src/command/story.rs
@@ -18,8 +18,8 @@
 /// Time before the request within which what was learned of a server is part of the story.
 const BEFORE_NANOS: i128 = 5_000_000_000;
 
-/// Members of a line that are told apart from the rest.
-const SHOWN: [&str; 4] = ["msg", "level", "ts", "host"];
+/// Member of a line that says nothing of the request.
+const LEVEL: &str = "level";
 
 /// One line of a log.
 #[derive(Clone, Debug, Deserialize)]
@@ -35,7 +35,7 @@
     decision: String,
     #[serde(flatten)]
     rest: Map<String, Value>,
-    /// Nanoseconds since the day's start, for the order.
+    /// Nanoseconds since the start of the month, for the order.
     #[serde(skip)]
     at: i128,
 }
@@ -223,7 +223,7 @@
 
 fn members(line: &Line) -> String {
     let rest = line.rest.iter();
-    let rest = rest.filter(|(name, value)| !SHOWN.contains(&name.as_str()) && !value.is_null());
+    let rest = rest.filter(|(name, value)| *name != LEVEL && !value.is_null());
     let texts: Vec<String> = rest
         .map(|(name, value)| match value.as_str() {
             Some(text) => format!("{name}={text}"),
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -14,13 +14,14 @@
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
 use monsoonring_decision::backend::suspect::Proof;
+use monsoonring_decision::gateway::registry::Usable;
 use monsoonring_decision::gateway::shards::Expected;
 use monsoonring_decision::gateway::{Registry, Shards, Table, registry, shards};
 use monsoonring_decision::home::Event;
 use monsoonring_decision::placement::Division;
 use monsoonring_decision::policy::Policy;
 use slog::{Logger, info, warn};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -131,12 +132,13 @@
             return;
         };
         let mut old = std::mem::take(&mut self.homes);
+        let usable = self.registry.usable();
         for route in table.routes() {
             for set in route.sets() {
                 if self.homes.contains_key(set) {
                     continue;
                 }
-                let home = self.follow(set, &table, old.remove(set));
+                let home = self.follow(set, &table, &usable, old.remove(set));
                 self.homes.insert(set.clone(), home);
             }
         }
@@ -153,11 +155,14 @@
     }
 
     /// Starts the home of a set, or tells it what changed.
-    fn follow(&self, set: &Shards, table: &Table, home: Option<Home>) -> Home {
-        let route = shards::route(set, table, &self.registry);
-        let expected = shards::expected(set, &self.registry);
+    fn follow(&self, set: &Shards, table: &Table, usable: &Usable<'_>, home: Option<Home>) -> Home {
+        let route = shards::route(set, table, usable);
+        let expected = shards::expected(set, usable);
+        let far = shards::far(set, usable, &self.settings.data_centre);
         let Some(home) = home else {
-            return self.begin(set, table, route, expected);
+            let home = self.begin(set, table, route, expected);
+            home.handle.tell(Event::Far(far));
+            return home;
         };
         home.instances.replace(expected);
         if *home.route == route {
@@ -165,7 +170,7 @@
         }
         let route = Arc::new(route);
         home.handle.tell(Event::Route(route.clone()));
-        home.handle.tell(Event::Far(self.far(set)));
+        home.handle.tell(Event::Far(far));
         Home { route, ..home }
     }
 
@@ -179,10 +184,6 @@
         }
     }
 
-    fn far(&self, set: &Shards) -> BTreeSet<BackendServerId> {
-        shards::far(set, &self.registry, &self.settings.data_centre)
-    }
-
     fn begin(
         &self,
         set: &Shards,
@@ -215,7 +216,6 @@
             // What is decided stands in the log; nobody can ask the process itself.
             recent: None,
         });
-        handle.tell(Event::Far(self.far(set)));
         Home {
             handle,
             route,
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -2,6 +2,7 @@
 
 use super::state::State;
 use crate::metrics::Metrics;
+use crate::operator::{self, METRICS_PATH};
 use crate::server::stop::{Stage, Watch};
 use crate::server::{Handler, Standing};
 use bytes::Bytes;
@@ -10,9 +11,6 @@
 use hyper::{Request, Response, StatusCode};
 use std::sync::Arc;
 
-/// Path of the metrics.
-const METRICS: &str = "/metrics";
-
 /// Answers the balancer and monitoring.
 pub(super) struct Front {
     pub(super) state: Arc<State>,
@@ -33,27 +31,17 @@
             None => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
         }
     }
-
-    fn metrics(&self) -> (StatusCode, String) {
-        match self.metrics.text() {
-            Ok(text) => (StatusCode::OK, text),
-            Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
-        }
-    }
 }
 
 impl Handler for Front {
     async fn handle(&self, request: Request<Incoming>, _: Standing) -> Response<Full<Bytes>> {
-        let (status, text) = match request.uri().path() {
-            METRICS => self.metrics(),
+        match request.uri().path() {
+            METRICS_PATH => operator::metrics(&self.metrics),
             path if path == self.path => {
-                let (status, text) = self.ready();
-                (status, text.to_owned())
+                let (status, why) = self.ready();
+                operator::text(status, why)
             }
-            _ => (StatusCode::NOT_FOUND, "no such page".to_owned()),
-        };
-        let mut response = Response::new(Full::new(text.into()));
-        *response.status_mut() = status;
-        response
+            _ => operator::text(StatusCode::NOT_FOUND, "there is nothing at this path"),
+        }
     }
 }
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -15,6 +15,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Path of the metrics.
+pub(crate) const METRICS_PATH: &str = "/metrics";
+
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 const JSON_TYPE: &str = "application/json";
 const TEXT_TYPE: &str = "text/plain; charset=utf-8";
@@ -40,7 +43,7 @@
         }
         match request.uri().path() {
             "/health" => text(StatusCode::OK, "alive"),
-            "/metrics" => self.metrics(),
+            METRICS_PATH => metrics(&self.metrics),
             "/state" => json(&self.service.state().await),
             "/explain" => {
                 self.explain(request.uri().query().unwrap_or_default())
@@ -65,16 +68,6 @@
         }
     }
 
-    fn metrics(&self) -> Response<Full<Bytes>> {
-        match self.metrics.text() {
-            Ok(output) => respond(StatusCode::OK, METRICS_TYPE, output),
-            Err(_) => text(
-                StatusCode::INTERNAL_SERVER_ERROR,
-                "the metrics cannot be written",
-            ),
-        }
-    }
-
     async fn explain(&self, query: &str) -> Response<Full<Bytes>> {
         match query::parse(query) {
             Ok(explain) => match self.service.explain(explain).await {
@@ -86,11 +79,23 @@
     }
 }
 
+/// Writes the metrics.
+pub(crate) fn metrics(metrics: &Metrics) -> Response<Full<Bytes>> {
+    match metrics.text() {
+        Ok(output) => respond(StatusCode::OK, METRICS_TYPE, output),
+        Err(_) => text(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "the metrics cannot be written",
+        ),
+    }
+}
+
 fn json(value: &serde_json::Value) -> Response<Full<Bytes>> {
     respond(StatusCode::OK, JSON_TYPE, value.to_string())
 }
 
-fn text(status: StatusCode, body: &str) -> Response<Full<Bytes>> {
+/// Writes a line of plain text.
+pub(crate) fn text(status: StatusCode, body: &str) -> Response<Full<Bytes>> {
     respond(status, TEXT_TYPE, body.to_owned())
 }
 
--- a/crates/decision/src/gateway/registry.rs
+++ b/crates/decision/src/gateway/registry.rs
@@ -63,6 +63,9 @@
     Tick,
 }
 
+/// Servers that may be given new work, by their addresses.
+pub type Usable<'a> = BTreeMap<BackendServerId, &'a Entry>;
+
 /// The registered backend servers.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -112,8 +115,8 @@
     ///
     /// Where two starts are registered on one address, only the one that registered last can be
     /// there.
-    pub fn usable(&self) -> BTreeMap<BackendServerId, &Entry> {
-        let mut usable: BTreeMap<BackendServerId, &Entry> = BTreeMap::new();
+    pub fn usable(&self) -> Usable<'_> {
+        let mut usable = Usable::new();
         for entry in self.entries.values() {
             let other = usable.entry(entry.address).or_insert(entry);
             if other.revision < entry.revision {
--- a/crates/decision/src/gateway/shards.rs
+++ b/crates/decision/src/gateway/shards.rs
@@ -4,7 +4,7 @@
 //! share of the shards that are in, all of them weigh the same, and what is missing in an answer is
 //! a list of shards. The same core so counts coverage for both interfaces.
 
-use super::registry::{Entry, Registry};
+use super::registry::{Entry, Usable};
 use super::table::Table;
 use super::{InstanceId, ServiceId, Shards};
 use crate::Time;
@@ -49,8 +49,7 @@
 
 /// Makes the route of the core for a set of shards. A server is in the group of its service, in the
 /// order of the addresses.
-pub fn route(shards: &Shards, table: &Table, registry: &Registry) -> Route {
-    let usable = registry.usable();
+pub fn route(shards: &Shards, table: &Table, usable: &Usable<'_>) -> Route {
     let servers = |service: &ServiceId| -> Vec<&Entry> {
         let of_service = usable.values().filter(|entry| entry.service == *service);
         of_service.copied().collect()
@@ -99,25 +98,24 @@
 }
 
 /// Returns what is expected at each address of a set.
-pub fn expected(shards: &Shards, registry: &Registry) -> BTreeMap<BackendServerId, Expected> {
-    let usable = registry.usable().into_iter();
-    let expected = usable.filter_map(|(address, entry)| {
+pub fn expected(shards: &Shards, usable: &Usable<'_>) -> BTreeMap<BackendServerId, Expected> {
+    let expected = usable.iter().filter_map(|(address, entry)| {
         let index = shards.iter().position(|one| *one == entry.service)?;
         let expected = Expected {
             instance: entry.instance.clone(),
             keys: shard(index),
         };
-        Some((address, expected))
+        Some((*address, expected))
     });
     expected.collect()
 }
 
 /// Returns the servers of a set that are in other data centres than `own`.
-pub fn far(shards: &Shards, registry: &Registry, own: &DataCentreId) -> BTreeSet<BackendServerId> {
-    let usable = registry.usable().into_iter();
+pub fn far(shards: &Shards, usable: &Usable<'_>, own: &DataCentreId) -> BTreeSet<BackendServerId> {
     usable
+        .iter()
         .filter(|(_, entry)| shards.contains(&entry.service) && entry.data_centre != *own)
-        .map(|(address, _)| address)
+        .map(|(address, _)| *address)
         .collect()
 }
 
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -172,7 +172,7 @@
         leaving,
         entry("e", "other", 5, 5),
     ];
-    let route = shards::route(&set(&["s0", "s1"]), &table, &listed(&entries));
+    let route = shards::route(&set(&["s0", "s1"]), &table, &listed(&entries).usable());
     assert_eq!(route.keys, Range::new(0, 2));
     let servers = route
         .groups
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -34,6 +34,22 @@
     }
 }
 
+/// Feeds a request on these terms.
+fn begin(session: &mut Session, id: u128, terms: Terms) {
+    let request = asked(session, id, terms);
+    session.on(Event::Request(request));
+}
+
+/// Terms of a request that may run once.
+fn once() -> Terms {
+    Terms {
+        kind: Kind::Execute,
+        runs_at_most: 2,
+        soft_deadline: None,
+        least_coverage: 0.0,
+    }
+}
+
 fn without_hedges(groups: usize, replicas: usize) -> Route {
     let mut route = route(groups, replicas);
     route.hedge.budget_percent = 0.0;
@@ -48,8 +64,7 @@
 #[test]
 fn lost_connections_of_living_servers_are_no_crash() {
     let mut session = Session::everyone(without_hedges(2, 2), HOSTS);
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(1.0));
     for attempt in [session.sends[0].attempt, session.sends[1].attempt] {
         session.fail(attempt, Failure::Lost);
     }
@@ -106,10 +121,8 @@
 fn connection_ended_at_once_is_not_opened_again_at_once() {
     let mut session = Session::everyone(without_hedges(1, 1), HOSTS);
     session.pending.insert(server(0, 0));
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
-    let second = asked(&session, 2, search(1.0));
-    session.on(Event::Request(second));
+    begin(&mut session, 1, search(1.0));
+    begin(&mut session, 2, search(1.0));
     let opened = session.opens.len();
     let (connection, _) = *session.opens.last().expect("one more is wanted");
     session.on(Event::Unopened(connection, Unopened::Ended));
@@ -125,8 +138,7 @@
 #[test]
 fn runs_at_most_counts_hedges() {
     let mut session = Session::everyone(route(1, 3), HOSTS);
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(1.0));
     session.pass(ms(400));
     assert_eq!(session.sends.len(), 2, "the slow attempt was hedged");
     for attempt in [session.sends[0].attempt, session.sends[1].attempt] {
@@ -143,8 +155,7 @@
 #[test]
 fn runs_at_most_does_not_count_refusals() {
     let mut session = Session::everyone(without_hedges(1, 3), HOSTS);
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(1.0));
     for sent in 0..2 {
         let attempt = session.sends[sent].attempt;
         session.fail(attempt, refused(Refusal::Shedding));
@@ -159,8 +170,7 @@
 #[test]
 fn answer_below_the_least_coverage_is_a_failure() {
     let mut session = Session::everyone(without_hedges(2, 1), HOSTS);
-    let first = asked(&session, 1, search(0.75));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(0.75));
     let (one, other) = (session.sends[0].clone(), session.sends[1].clone());
     session.answer(&one);
     session.fail(
@@ -176,8 +186,7 @@
 #[test]
 fn answer_at_the_least_coverage_leaves_at_the_soft_deadline() {
     let mut session = Session::everyone(without_hedges(4, 1), HOSTS);
-    let first = asked(&session, 1, search(0.75));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(0.75));
     for send in session.sends.clone().iter().take(3) {
         session.answer(send);
     }
@@ -195,8 +204,7 @@
 fn part_at_a_leaving_server_is_waited_for() {
     let whole = without_hedges(2, 2);
     let mut session = Session::everyone(whole.clone(), HOSTS);
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(1.0));
     let leaving = session.sends[0].clone();
     let mut rest = whole;
     rest.groups[0]
@@ -206,8 +214,7 @@
     assert_eq!(session.sends.len(), 2, "nothing is sent again");
     session.answer_from(0);
     assert_eq!(session.answered(1).coverage, 1.0);
-    let second = asked(&session, 2, search(1.0));
-    session.on(Event::Request(second));
+    begin(&mut session, 2, search(1.0));
     let next = &session.sends[2..];
     assert!(
         next.iter()
@@ -228,8 +235,7 @@
     session.on(Event::Route(Arc::new(bounded)));
     for id in 1..=200 {
         let sent = session.sends.len();
-        let next = asked(&session, id, search(0.5));
-        session.on(Event::Request(next));
+        begin(&mut session, id, search(0.5));
         let mut at = sent;
         while let Some(send) = session.sends.get(at).cloned() {
             match send.ranges[0].start {
@@ -256,19 +262,12 @@
 #[test]
 fn kinds_share_a_home() {
     let mut session = Session::everyone(route(1, 2), HOSTS);
-    let terms = Terms {
-        kind: Kind::Execute,
-        runs_at_most: 2,
-        soft_deadline: None,
-        least_coverage: 0.0,
-    };
     let once = Request {
         class: Class::Normal,
-        ..asked(&session, 1, terms)
+        ..asked(&session, 1, once())
     };
     session.on(Event::Request(once));
-    let often = asked(&session, 2, search(1.0));
-    session.on(Event::Request(often));
+    begin(&mut session, 2, search(1.0));
     session.pass(ms(500));
     let of_first = session.sends.iter().filter(|send| send.request == 1);
     assert_eq!(of_first.count(), 1, "never hedged");
@@ -289,8 +288,7 @@
     let mut session = Session::everyone(bounded, HOSTS);
     for id in 1..=400 {
         let sent = session.sends.len();
-        let next = asked(&session, id, search(1.0));
-        session.on(Event::Request(next));
+        begin(&mut session, id, search(1.0));
         let mut at = sent;
         while let Some(send) = session.sends.get(at).cloned() {
             let is_refused = at == sent && id % 2 == 0;
@@ -319,8 +317,7 @@
     let whole = route(2, 2);
     let mut session = Session::everyone(whole.clone(), HOSTS);
     let (asked_first, moved) = (server(0, 0), server(0, 1));
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(1.0));
     let of_part = session.sends.iter().find(|send| send.ranges[0].start == 0);
     let at = of_part
         .map(|send| send.backend_server)
@@ -366,8 +363,7 @@
     let mut met = Vec::new();
     for id in 1..=300 {
         let sent = session.sends.len();
-        let next = asked(&session, id, search(1.0));
-        session.on(Event::Request(next));
+        begin(&mut session, id, search(1.0));
         let mut at = sent;
         while let Some(send) = session.sends.get(at).cloned() {
             let fails = send.backend_server != good && send.attempt % 5 < 3;
@@ -403,27 +399,18 @@
 #[test]
 fn only_attempts_avoid_servers_with_overdue_ones() {
     let mut session = Session::everyone(route(1, 3), HOSTS);
-    let terms = Terms {
-        kind: Kind::Execute,
-        runs_at_most: 2,
-        soft_deadline: None,
-        least_coverage: 0.0,
-    };
     for id in 1..=60 {
-        let next = asked(&session, id, terms);
-        session.on(Event::Request(next));
+        begin(&mut session, id, once());
         let send = session.sends.last().cloned().expect("it was sent");
         session.pass(ms(5));
         session.on(Event::Executed(send.attempt, "{}".into(), report(&[])));
     }
-    let next = asked(&session, 100, terms);
-    session.on(Event::Request(next));
+    begin(&mut session, 100, once());
     let dark = session.sends.last().expect("it was sent").backend_server;
     session.pass(ms(300));
     let sent = session.sends.len();
     for id in 101..=120 {
-        let next = asked(&session, id, terms);
-        session.on(Event::Request(next));
+        begin(&mut session, id, once());
         let send = session.sends.last().cloned().expect("it was sent");
         session.pass(ms(5));
         if send.backend_server != dark {
@@ -447,8 +434,7 @@
     let division = Division::everyone(HOSTS, 58.0).on_demand();
     let mut session = Session::divided(without_hedges(1, 2), division);
     assert_eq!(session.opens.len(), 0);
-    let first = asked(&session, 1, search(1.0));
-    session.on(Event::Request(first));
+    begin(&mut session, 1, search(1.0));
     session.answer_from(0);
     assert_eq!(session.answered(1).coverage, 1.0);
     assert_eq!(session.opens.len(), 1);
@@ -478,8 +464,7 @@
     let far = [server(0, 0), server(0, 2)].into_iter().collect();
     session.on(Event::Far(far));
     for id in 1..=3 {
-        let next = asked(&session, id, search(1.0));
-        session.on(Event::Request(next));
+        begin(&mut session, id, search(1.0));
     }
     let at: Vec<bool> = session
         .sends
