--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod report;
 pub mod sample;
 pub mod scenario;
+pub mod simulation;
 pub mod tally;
 pub mod trial;
 pub mod variant;
