Give the last further attempts to the searches that they can save

Cause: further attempts went to failures as they came. While servers fail two attempts of five, a search over ten shards loses four; the owners allow about two further attempts a search, and most went to searches that were lost all the same. A search that could not reach its least coverage any more was held until all of its parts had ended. Change: home::rescue. Once a group's budget is scarce, a failed part waits until the others of its search have ended, a third of the time to the soft deadline at most; then the search gets all that it needs or nothing, by how much it needs. A hopeless search ends at once. Parts that wait are not dealt out again by a new configuration.

--- a/crates/decision/src/budget/mod.rs
+++ b/crates/decision/src/budget/mod.rs
@@ -33,6 +33,23 @@
 const PUT_ASIDE: f64 = 0.2;
 const RESERVE: f64 = 0.5;
 
+/// Share of what is allowed that retries may use without which there is an answer all the same. At
+/// half of it, days on which servers turn away much lost 0.05 of their worth, as a whole answer is
+/// worth a fifth more than one that lacks a shard of ten; at all of it, days on which servers fail
+/// much earn 0.01 less.
+const SPARE_SHARE: f64 = 0.85;
+
+/// Share of what is allowed above which it matters who gets the rest. Earlier, failed parts would wait
+/// for others although there is enough for all.
+const SCARCE_SHARE: f64 = 0.75;
+
+/// Retries that a search may need and still use all that is allowed, the part less that it may use
+/// for each further one, and the part that it may use at least. With four of ten attempts failing and
+/// a fifth more allowed, there is enough for searches that need up to three, and not for all of those.
+const FEW_RETRIES: u32 = 2;
+const SCARCER: f64 = 0.15;
+const LEAST_SHARE: f64 = 0.4;
+
 /// Token bucket that first attempts fill and extra attempts empty.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -125,6 +142,28 @@
     }
 }
 
+/// What rests on a further attempt after a failed one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// The answer is one without it, only not a whole one.
+    Spare,
+    /// There is no answer without it, and as many retries were made for the same request before.
+    Decisive(u32),
+}
+
+impl Need {
+    /// Returns the share of what is allowed that it may use.
+    fn share(self) -> f64 {
+        match self {
+            Self::Spare => SPARE_SHARE,
+            Self::Decisive(before) => {
+                let beyond = before.saturating_sub(FEW_RETRIES);
+                (1.0 - SCARCER * f64::from(beyond)).max(LEAST_SHARE)
+            }
+        }
+    }
+}
+
 /// What may be sent beyond the first attempts, to one group of backend servers or to all of them.
 #[derive(Clone, Debug)]
 pub enum Budgets {
@@ -172,10 +211,27 @@
     }
 
     /// Takes a further attempt after a failed one. Returns whether there was one.
-    pub fn take_retry(&mut self, now: Time) -> bool {
+    pub fn take_retry(&mut self, need: Need, now: Time) -> bool {
         match self {
             Self::Buckets { retries, .. } => retries.take(now),
-            Self::Window(window) => window.take(now),
+            Self::Window(window) => window.take_of(need.share(), now),
+        }
+    }
+
+    /// Tells whether there is a further attempt for such a need.
+    pub fn has_retry(&mut self, need: Need, now: Time) -> bool {
+        match self {
+            Self::Buckets { retries, .. } => retries.available() >= 1.0,
+            Self::Window(window) => window.has_of(need.share(), now),
+        }
+    }
+
+    /// Tells whether so much is used up that it matters who gets the rest. Buckets shrink with
+    /// failures instead.
+    pub fn is_scarce(&mut self, now: Time) -> bool {
+        match self {
+            Self::Buckets { .. } => false,
+            Self::Window(window) => !window.has_of(SCARCE_SHARE, now),
         }
     }
 
--- a/crates/decision/src/budget/window.rs
+++ b/crates/decision/src/budget/window.rs
@@ -89,10 +89,9 @@
         }
     }
 
-    fn take_of(&mut self, share: f64, now: Time) -> bool {
-        self.slice(now);
-        let allowed = self.ratio * f64::from(self.firsts) + self.slack;
-        let may = f64::from(self.extras) + 1.0 <= allowed * share;
+    /// Takes an extra attempt out of a share of what is allowed. Returns whether there was one.
+    pub(super) fn take_of(&mut self, share: f64, now: Time) -> bool {
+        let may = self.has_of(share, now);
         if may {
             self.slice(now).extras += 1;
             self.extras += 1;
@@ -100,6 +99,13 @@
         may
     }
 
+    /// Tells whether there is an extra attempt in a share of what is allowed.
+    pub(super) fn has_of(&mut self, share: f64, now: Time) -> bool {
+        self.slice(now);
+        let allowed = self.ratio * f64::from(self.firsts) + self.slack;
+        f64::from(self.extras) + 1.0 <= allowed * share
+    }
+
     /// Returns the slice of the present, and drops those that count no more.
     fn slice(&mut self, now: Time) -> &mut Slice {
         let number = now.as_millis() as u64 / SLICE.as_millis() as u64;
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -20,6 +20,7 @@
 mod flight;
 mod placement;
 mod reroute;
+mod rescue;
 mod search;
 mod server;
 mod state;
--- a/crates/decision/src/home/reroute.rs
+++ b/crates/decision/src/home/reroute.rs
@@ -54,13 +54,18 @@
     fn redeal(&mut self, run: &mut Run<C>, now: Time) {
         let mut lacking = Set::default();
         for (id, mut part) in std::mem::take(&mut run.parts) {
-            match self.home_of(&part) {
+            let home = match run.deferred.contains(&id) {
+                true => self.same_keys(&part),
+                false => self.home_of(&part),
+            };
+            match home {
                 Some(group) => {
                     part.group = group;
                     self.recall(&mut part, now);
                     run.parts.insert(id, part);
                 }
                 None => {
+                    run.deferred.remove(&id);
                     lacking.join(&part.wanted);
                     self.detach(run, &part.live, now);
                 }
@@ -72,6 +77,15 @@
         }
     }
 
+    /// Returns the group that has kept just the part's keys. A failed part that waits for the others
+    /// of its search waits on: dealt out again, it would get a further attempt outside the budget.
+    fn same_keys(&self, part: &Part) -> Option<usize> {
+        let groups = &self.route.groups;
+        groups
+            .iter()
+            .position(|group| Set::from(group.keys) == part.wanted)
+    }
+
     /// Returns the group that holds a part as a whole and has all servers that work on it, or that
     /// has kept just the part's keys while one of its servers, gone from the route, still works on
     /// them. A part on which nobody works has none: it is dealt out again.
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -7,6 +7,7 @@
 use super::timer::Timer;
 use crate::attempt::AttemptId;
 use crate::backend::suspect::Standing;
+use crate::budget::Need;
 use crate::content::Content;
 use crate::outcome::{Outcome, Reason};
 use crate::query::run::{Cause, Part, PartId, Run};
@@ -44,6 +45,7 @@
             return;
         };
         act(self, &mut run);
+        self.decide_deferred(&mut run, now);
         self.settle(run, now);
     }
 
@@ -57,6 +59,11 @@
             self.finish_search(run, reason, now);
             return;
         }
+        if self.is_hopeless(&run) {
+            let reason = run.reason();
+            self.finish_search(run, reason, now);
+            return;
+        }
         if self.is_enough(&run, now) {
             self.finish_search(run, Reason::Deadline, now);
             return;
@@ -72,6 +79,24 @@
         })
     }
 
+    /// Tells whether so much was given up that no answer can come of the rest. Waiting on would hold
+    /// the caller, and the servers with it, for nothing.
+    pub(super) fn is_hopeless(&self, run: &Run<C>) -> bool {
+        let least = self.terms(&run.request).least_coverage;
+        let is_whole = || run.parts.values().all(|part| part.given_up.is_none());
+        least > 0.0 && !is_whole() && run.reachable(&self.route, None) < least
+    }
+
+    /// Returns what rests on another attempt for a part.
+    fn need(&self, run: &Run<C>, id: PartId, cause: Cause) -> Need {
+        let least = self.terms(&run.request).least_coverage;
+        let is_retry = matches!(cause, Cause::Retry | Cause::Overdue);
+        if !is_retry || least <= 0.0 || run.reachable(&self.route, Some(id)) < least {
+            return Need::Decisive(run.retries);
+        }
+        Need::Spare
+    }
+
     /// Returns the version at which a run begins again: once, if its own has vanished and there is
     /// time for a reply at a newer one.
     fn restart_version(&self, run: &Run<C>, now: Time) -> Option<IndexVersion> {
@@ -122,6 +147,21 @@
     /// Finds a server for a part. Without one the part waits if one is expected to have room before
     /// the deadline, and is given up otherwise.
     pub(super) fn assign(&mut self, run: &mut Run<C>, id: PartId, cause: Cause, now: Time) {
+        if cause != Cause::Retry || !self.defers(run, id, now) {
+            let need = self.need(run, id, cause);
+            self.assign_with(run, id, cause, need, now);
+        }
+    }
+
+    /// Does so for an attempt on which so much rests.
+    pub(super) fn assign_with(
+        &mut self,
+        run: &mut Run<C>,
+        id: PartId,
+        cause: Cause,
+        need: Need,
+        now: Time,
+    ) {
         let terms = self.terms(&run.request);
         let Some(part) = run.parts.get_mut(&id) else {
             return;
@@ -145,7 +185,8 @@
             return;
         }
         match self.pick(run, id, now) {
-            Some((server, why)) if self.afford(group, cause, now) => {
+            Some((server, why)) if self.afford(group, cause, need, now) => {
+                run.retries += u32::from(cause == Cause::Retry);
                 self.log(Some(run.request.id), cause.what(), Some(server), why);
                 self.ask(run, id, server, cause, now);
             }
@@ -177,7 +218,7 @@
     }
 
     /// Takes what an attempt costs out of the budgets. Returns whether it may be made.
-    pub(super) fn afford(&mut self, group: usize, cause: Cause, now: Time) -> bool {
+    pub(super) fn afford(&mut self, group: usize, cause: Cause, need: Need, now: Time) -> bool {
         let budgets = self.budgets.of(group);
         match cause {
             Cause::First => {
@@ -186,7 +227,7 @@
             }
             Cause::Rest => true,
             Cause::Retry | Cause::Overdue => {
-                let may = budgets.take_retry(now);
+                let may = budgets.take_retry(need, now);
                 self.counts.retries_denied += u64::from(!may);
                 may
             }
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -301,6 +301,7 @@
             match timer {
                 Timer::Deadline(id) => self.expire(id, now),
                 Timer::Soft(id) => self.with_run(id, now, |_, _| {}),
+                Timer::Rescue(id) => self.rescue_due(id, now),
                 Timer::Attempt(id) => self.overdue(id, now),
                 Timer::Fleet => self.tick_fleet(now),
             }
--- a/crates/decision/src/home/timer.rs
+++ b/crates/decision/src/home/timer.rs
@@ -11,6 +11,8 @@
     Deadline(RequestId),
     /// A partial answer to a search has become better than a later one.
     Soft(RequestId),
+    /// Failed parts of a search have waited long enough for the others.
+    Rescue(RequestId),
     /// An attempt is slow, or its connection is to be looked at, or is given up.
     Attempt(AttemptId),
     /// A back-off ends, or a cancellation was never confirmed.
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -17,7 +17,7 @@
 use monsoonring_configuration::document::{Class, Route};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 use smallvec::SmallVec;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Id of a part, unique within its run.
@@ -128,6 +128,10 @@
     pub(crate) pin: Option<IndexVersion>,
     pub(crate) parts: BTreeMap<PartId, Part>,
     pub(crate) fanout: Fanout,
+    /// Retries made, over all parts.
+    pub(crate) retries: u32,
+    /// Failed parts that wait for what becomes of the others.
+    pub(crate) deferred: BTreeSet<PartId>,
     /// Whether the run has begun again at a newer version.
     pub(crate) restarted: bool,
     /// Attempts whose part was dealt out again; their replies are still welcome.
@@ -151,6 +155,8 @@
             pin,
             parts: BTreeMap::new(),
             fanout: Fanout::default(),
+            retries: 0,
+            deferred: BTreeSet::new(),
             restarted: false,
             detached: Vec::new(),
             merge: Merge::default(),
@@ -266,6 +272,7 @@
         self.restarted = true;
         let live = self.live();
         self.parts.clear();
+        self.deferred.clear();
         self.detached.clear();
         self.deal(&Set::from(route.keys), route, &Part::default());
         live
@@ -295,6 +302,17 @@
         coverage::share(self.merge.covered(), route)
     }
 
+    /// Share of the data that the answer can still cover: without the parts that were given up, and
+    /// without `other` if one is named.
+    pub(crate) fn reachable(&self, route: &Route, other: Option<PartId>) -> f64 {
+        let lost = |id: &PartId, part: &Part| part.given_up.is_some() || Some(*id) == other;
+        let mut reachable = self.merge.covered().clone();
+        for (_, part) in self.parts.iter().filter(|(id, part)| !lost(id, part)) {
+            reachable.join(&part.wanted);
+        }
+        coverage::share(&reachable, route)
+    }
+
     /// Tells whether every key of the route has been merged.
     pub(crate) fn is_complete(&self, route: &Route) -> bool {
         coverage::is_whole(self.merge.covered(), route)
--- /dev/null
+++ b/crates/decision/tests/home_rescue.rs
@@ -0,0 +1,163 @@
+//! Which searches get the further attempts when there are not enough for all.
+
+mod session;
+
+use monsoonring_configuration::document::{Kind, SoftDeadline};
+use monsoonring_decision::attempt::Failure;
+use monsoonring_decision::home::action::Send;
+use monsoonring_decision::home::event::Request;
+use monsoonring_decision::home::{Event, Terms};
+use monsoonring_decision::outcome::Outcome;
+use monsoonring_decision::placement::Division;
+use monsoonring_decision::reply::Report;
+use session::{Session, ms, request, route};
+use std::sync::Arc;
+use test_case::test_case;
+
+const GROUPS: usize = 10;
+
+/// Searches that were answered whole before; each group then allows a tenth of them.
+const BEFORE: u128 = 100;
+
+/// Further attempts that searches took which would have had an answer without them.
+const SPENT: u128 = 8;
+
+const LEAST: f64 = 0.89;
+
+/// Time up to the soft deadline, and the longest time that a failed part waits for the others.
+const SOFT: u64 = 100;
+const WAIT: u64 = 35;
+
+fn terms() -> Terms {
+    Terms {
+        kind: Kind::Search,
+        runs_at_most: 2,
+        soft_deadline: Some(SoftDeadline {
+            after_ms: SOFT,
+            coverage: LEAST,
+        }),
+        least_coverage: LEAST,
+    }
+}
+
+/// Begins a search and returns its attempts, one for each group.
+fn begin(session: &mut Session, id: u128) -> Vec<Send> {
+    let from = session.sends.len();
+    let request = Request {
+        terms: Some(terms()),
+        ..request(id, session.now)
+    };
+    session.on(Event::Request(request));
+    session.sends[from..].to_vec()
+}
+
+fn fail(session: &mut Session, send: &Send) {
+    let report = Report::default();
+    session.fail(send.attempt, Failure::Ran { report });
+}
+
+/// Returns a home at which the further attempts of each group are nearly used up.
+fn scarce() -> Session {
+    let mut route = route(GROUPS, 3);
+    route.hedge.budget_percent = 0.0;
+    route.retry.budget_percent = 10.0;
+    let mut session = Session::divided(route, Division::everyone(1, 0.0));
+    for id in 1..=BEFORE {
+        let sends = begin(&mut session, id);
+        let sent = session.sends.len();
+        let failing = (id > BEFORE - SPENT * GROUPS as u128).then_some(id as usize % GROUPS);
+        for (number, send) in sends.iter().enumerate() {
+            match failing == Some(number) {
+                true => fail(&mut session, send),
+                false => session.answer(send),
+            }
+        }
+        session.answer_from(sent);
+        assert!(session.is_finished(id));
+    }
+    session
+}
+
+// Symptom: while servers fail two requests of five, one search in three is answered, although the
+// further attempts that their owners allow would do for more.
+// Events: most searches lose three shards or more; each takes the first attempts that it gets.
+// Cause: further attempts are handed out as failures come, most of them to searches that are lost all
+// the same.
+#[test]
+fn fail_few_parts_get_what_is_left() {
+    let mut session = scarce();
+    let sends = begin(&mut session, 1_000);
+    let sent = session.sends.len();
+    sends[..2].iter().for_each(|send| fail(&mut session, send));
+    assert_eq!(session.sends.len(), sent, "both wait for the others");
+    sends[2..].iter().for_each(|send| session.answer(send));
+    assert_eq!(session.sends.len(), sent + 2, "both are asked again");
+    session.answer_from(sent);
+    assert!((session.answered(1_000).coverage - 1.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn fail_many_parts_leaves_it_to_others() {
+    let mut session = scarce();
+    let sends = begin(&mut session, 1_000);
+    let sent = session.sends.len();
+    sends[1..].iter().for_each(|send| fail(&mut session, send));
+    session.answer(&sends[0]);
+    assert_eq!(session.sends.len(), sent, "nothing is spent on it");
+    assert!(matches!(session.outcome(1_000), Outcome::Failed { .. }));
+}
+
+// Symptom: a search is late because its failed parts wait for a server that pauses.
+// Events: two parts fail at once, the servers of two others pause for longer than the objective.
+// Cause: the wait has no end.
+#[test]
+fn fail_beside_slow_parts_waits_a_while() {
+    let mut session = scarce();
+    let sends = begin(&mut session, 1_000);
+    let sent = session.sends.len();
+    sends[..2].iter().for_each(|send| fail(&mut session, send));
+    session.pass(ms(WAIT - 1));
+    assert_eq!(session.sends.len(), sent);
+    session.pass(ms(1));
+    assert_eq!(session.sends.len(), sent + 2);
+}
+
+// Symptom: a caller is held until its deadline by a search that can't be answered any more.
+// Events: so many parts are given up that the rest can't reach the least coverage; others are slow.
+// Cause: a search ends only when nothing of it is in progress.
+#[test]
+fn give_up_too_many_parts_ends_the_search() {
+    let mut route = route(GROUPS, 3);
+    route.hedge.budget_percent = 0.0;
+    route.retry.budget_percent = 0.0;
+    let mut session = Session::divided(route, Division::everyone(1, 0.0));
+    let sends = begin(&mut session, 1);
+    sends[..2].iter().for_each(|send| fail(&mut session, send));
+    session.pass(ms(WAIT));
+    assert!(matches!(session.outcome(1), Outcome::Failed { .. }));
+    assert_eq!(
+        session.cancels.len(),
+        GROUPS - 2,
+        "the others are cancelled"
+    );
+}
+
+// Symptom: servers get more further attempts than their owners allow whenever some are replaced.
+// Events: parts wait for the others of their search; a new configuration comes.
+// Cause: what nobody works on is dealt out again, and what is dealt out costs no budget.
+#[test_case(0 ; "of its own group")]
+#[test_case(5 ; "of another group")]
+fn reroute_deferred_part_waits_on(changed: usize) {
+    let mut session = scarce();
+    let sends = begin(&mut session, 1_000);
+    let sent = session.sends.len();
+    sends[..2].iter().for_each(|send| fail(&mut session, send));
+    let mut route = route(GROUPS, 3);
+    route.hedge.budget_percent = 0.0;
+    route.retry.budget_percent = 10.0;
+    route.groups[changed].backend_servers.truncate(2);
+    session.on(Event::Route(Arc::new(route)));
+    let again = &session.sends[sent..];
+    let failed = [sends[0].ranges.clone(), sends[1].ranges.clone()];
+    assert!(again.iter().all(|send| !failed.contains(&send.ranges)));
+}
