Show the state of a gateway to operators, and what only it has in status

The port of the metrics also answers GET /state: configuration in force, its age and source, the registered, doubted and usable servers, hosts and members, each set of shards with its servers and the retries left, facts. The shape is that of the product's own daemons, so that status reads both; what only a gateway says stands in a table of its own. Members and facts are described in one place. Tests: a session against the stand-ins, and golden files of the command.

--- a/crates/cli/src/command/state.rs
+++ b/crates/cli/src/command/state.rs
@@ -28,6 +28,9 @@
     pub(crate) digest: Option<String>,
     /// Documents seen that share a revision with another.
     pub(crate) conflicts: u64,
+    /// What a gateway adds; none of a daemon with the product's own interface.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) gateway: Option<Gateway>,
     /// The daemons that this one knows.
     pub(crate) members: Vec<Member>,
     /// Homes of each route, as this daemon computes them.
@@ -44,6 +47,29 @@
     pub(crate) refused: Option<Vec<Refusal>>,
 }
 
+/// What a gateway says of what it knows and from whom.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub(crate) struct Gateway {
+    /// Milliseconds for which the configuration has been in force; none before the first.
+    pub(crate) age_ms: Option<u64>,
+    /// Where configuration and backend servers come from, and whether that can't be reached.
+    pub(crate) source: String,
+    /// The registered backend servers.
+    pub(crate) registry: Registry,
+    /// Hosts that it divides connections and retries among.
+    pub(crate) hosts: u64,
+    /// Retries that could be made now, by set of shards, at the shard that has fewest left.
+    pub(crate) retries_left: BTreeMap<String, f64>,
+}
+
+/// How many backend servers are registered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Registry {
+    pub(crate) registered: u64,
+    pub(crate) doubted: u64,
+    pub(crate) usable: u64,
+}
+
 /// A daemon as another one sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct Member {
@@ -144,6 +170,9 @@
     routes: Vec<Route>,
     #[serde(default)]
     facts: Vec<Fact>,
+    registry: Option<Registry>,
+    #[serde(default)]
+    hosts: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -154,6 +183,10 @@
     digest: Option<String>,
     #[serde(default)]
     conflicts: u64,
+    #[serde(default)]
+    age_ms: Option<u64>,
+    #[serde(default)]
+    source: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -168,6 +201,8 @@
 
 #[derive(Deserialize)]
 struct Home {
+    #[serde(default)]
+    retries_left: Option<f64>,
     #[serde(default)]
     backend_servers: Vec<BackendServer>,
 }
@@ -188,7 +223,23 @@
 }
 
 impl Document {
+    /// Returns what only a gateway says.
+    fn gateway(&self) -> Option<Gateway> {
+        let left = self.routes.iter().filter_map(|route| {
+            let left = route.home.as_ref()?.retries_left?;
+            Some((route.name.clone(), left))
+        });
+        Some(Gateway {
+            age_ms: self.configuration.age_ms,
+            source: self.configuration.source.clone()?,
+            registry: self.registry.unwrap_or_default(),
+            hosts: self.hosts.unwrap_or_default(),
+            retries_left: left.collect(),
+        })
+    }
+
     fn state(self, refused: Option<Vec<Refusal>>) -> State {
+        let gateway = self.gateway();
         let homes = self.routes.iter();
         let homes = homes.map(|route| (route.name.clone(), route.homes.clone()));
         let homes = homes.collect();
@@ -203,6 +254,7 @@
             revision: self.configuration.revision,
             digest: self.configuration.digest,
             conflicts: self.configuration.conflicts,
+            gateway,
             members: self.members,
             homes,
             served: servers.iter().map(|server| server.server).collect(),
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -2,7 +2,7 @@
 
 use crate::arguments::Status;
 use crate::command::disagreement;
-use crate::command::state::{self, Answer, State};
+use crate::command::state::{self, Answer, Gateway, Registry, State};
 use crate::exit::Code;
 use crate::output::Output;
 use crate::peer::Peer;
@@ -23,6 +23,15 @@
     "refused",
 ];
 
+const GATEWAY_HEADINGS: [&str; 6] = [
+    "gateway",
+    "configuration for",
+    "from",
+    "usable backend servers",
+    "hosts",
+    "retries left",
+];
+
 /// What all the daemons said.
 #[derive(Debug, Serialize)]
 struct Report {
@@ -92,6 +101,7 @@
                 writeln!(f, "{address} {why}")?;
             }
         }
+        write_gateways(&self.daemons, f)?;
         write_members(&self.daemons, f)?;
         write_refused(&self.daemons, f)?;
         for line in &self.disagreements {
@@ -151,6 +161,38 @@
     )
 }
 
+/// Writes a row for each gateway: how old what it knows is, from whom, and what it has left.
+fn write_gateways(daemons: &BTreeMap<SocketAddr, Answer>, f: &mut Formatter<'_>) -> fmt::Result {
+    let mut table = Table::new(&GATEWAY_HEADINGS);
+    let mut any = false;
+    for (address, answer) in daemons {
+        let gateway = answer.state().and_then(|state| state.gateway.as_ref());
+        if let Some(gateway) = gateway {
+            any = true;
+            table.row(gateway_cells(*address, gateway));
+        }
+    }
+    if any { write!(f, "\n{table}") } else { Ok(()) }
+}
+
+fn gateway_cells(address: SocketAddr, gateway: &Gateway) -> Vec<String> {
+    let seconds = |ms: u64| format!("{:.1} s", Duration::from_millis(ms).as_secs_f64());
+    let Registry {
+        registered,
+        doubted,
+        usable,
+    } = gateway.registry;
+    let left = gateway.retries_left.iter();
+    vec![
+        address.to_string(),
+        gateway.age_ms.map_or_else(|| "none".to_owned(), seconds),
+        gateway.source.clone(),
+        format!("{usable} of {registered}, {doubted} doubted"),
+        gateway.hosts.to_string(),
+        list(left.map(|(set, left)| format!("{set} {left:.1}"))),
+    ]
+}
+
 /// Writes a row for each member that some daemon doesn't take for alive: the others are no news.
 fn write_members(daemons: &BTreeMap<SocketAddr, Answer>, f: &mut Formatter<'_>) -> fmt::Result {
     let mut table = Table::new(&["member", "data centre", "state", "as seen by"]);
--- a/crates/cli/tests/command.rs
+++ b/crates/cli/tests/command.rs
@@ -185,6 +185,27 @@
     insta::assert_snapshot!("status_json", text(&["--json"]));
 }
 
+/// What a gateway says that has lost the way to what it knows from.
+const GATEWAY: &str = r#"{"address":"10.1.0.39:8224","ready":true,"not_ready_because":null,
+    "configuration":{"revision":17,"digest":"17","conflicts":0,"age_ms":41200,"source":"store, lost"},
+    "registry":{"registered":92,"doubted":3,"usable":90},"hosts":12,
+    "members":[{"address":"10.1.0.39:8224","data_centre":"north","state":"alive"},
+        {"address":"10.2.0.33:8224","data_centre":"south","state":"dead"}],
+    "routes":[{"name":"map0..map9","homes":[],"home":{"retries_left":7.25,"backend_servers":[
+        {"server":"10.3.0.1:8000","leaving":false}]}}],"facts":[]}"#;
+
+#[test]
+fn status_gateway_tells_age_source_and_what_is_left() {
+    let stub = Stub::start(vec![("/state", answer(200, GATEWAY))]);
+    let address = stub.address.to_string();
+    let text = |json: &[&str]| {
+        let arguments = [&["status", "--daemon", &address], json].concat();
+        run(&arguments).replace(&address, "127.0.0.1:DAEMON")
+    };
+    insta::assert_snapshot!("status_gateway", text(&[]));
+    insta::assert_snapshot!("status_gateway_json", text(&["--json"]));
+}
+
 #[test_case(&[SEVEN, SEVEN], false, 0 ; "agreement")]
 #[test_case(&[SEVEN, SIX], false, 8 ; "two revisions")]
 #[test_case(&[SEVEN, SEVEN_OTHERWISE], false, 8 ; "one revision of two digests")]
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -27,7 +27,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
 
 /// Longest time between two looks at what time alone may have changed.
@@ -52,6 +52,24 @@
     pub(super) outside: mpsc::UnboundedReceiver<News>,
     /// Of the other hosts.
     pub(super) hosts: mpsc::UnboundedReceiver<members::News>,
+    /// Operators who ask.
+    pub(super) asked: mpsc::UnboundedReceiver<oneshot::Sender<Shown>>,
+}
+
+/// What operators see of configuration and registry.
+pub(super) struct Shown {
+    /// Version of the configuration in force, and how long it has been.
+    pub(super) version: Option<u64>,
+    /// See `version`.
+    pub(super) age: Option<Duration>,
+    /// Whether their source can't be reached.
+    pub(super) is_lost: bool,
+    /// Entries of backend servers.
+    pub(super) registered: usize,
+    /// Those of them that are missing and not yet taken as gone.
+    pub(super) doubted: usize,
+    /// Servers that get new work.
+    pub(super) usable: usize,
 }
 
 /// One home, and what it was told last.
@@ -66,6 +84,8 @@
     state: Arc<State>,
     registry: Registry,
     table: Option<Arc<Table>>,
+    /// When it came into force.
+    adopted: Time,
     homes: HashMap<Shards, Home>,
     /// Requests that crash servers, and until when they are refused; for homes that begin.
     crashing: BTreeMap<Fingerprint, Time>,
@@ -82,6 +102,7 @@
         state,
         registry: Registry::default(),
         table: None,
+        adopted: Time::ZERO,
         homes: HashMap::new(),
         crashing: BTreeMap::new(),
     };
@@ -94,6 +115,11 @@
                 Some(first) => first,
                 None => return,
             },
+            Some(sender) = sources.asked.recv() => {
+                // Who asked may have gone.
+                let _ = sender.send(controller.shown());
+                continue;
+            }
             Some(news) = sources.hosts.recv() => {
                 controller.heard(&news);
                 continue;
@@ -128,6 +154,19 @@
         }
     }
 
+    fn shown(&self) -> Shown {
+        let (registered, doubted) = self.registry.counts();
+        let age = self.settings.clock.now().saturating_sub(self.adopted);
+        Shown {
+            version: self.table.as_ref().map(|table| table.version),
+            age: self.table.as_ref().map(|_| age),
+            is_lost: self.registry.is_lost(),
+            registered,
+            doubted,
+            usable: self.registry.usable().len(),
+        }
+    }
+
     /// Takes in what the other hosts say, and tells the homes.
     fn heard(&mut self, news: &members::News) {
         let event = match *news {
@@ -176,6 +215,7 @@
         let revision = table.version;
         self.settings.metrics.control.set_revision(revision);
         self.table = Some(Arc::new(table));
+        self.adopted = self.settings.clock.now();
         true
     }
 
--- /dev/null
+++ b/crates/daemon/src/gateway/describe.rs
@@ -0,0 +1,93 @@
+//! What operators see of a gateway: `GET /state`, in the shape that the product's own daemons give.
+
+use super::control;
+use super::members;
+use super::state::State;
+use crate::operator::shown;
+use monsoonring_configuration::id::DataCentreId;
+use monsoonring_decision::gateway::shards;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Where a task is asked for what it knows.
+pub(super) type Asking<T> = mpsc::UnboundedSender<oneshot::Sender<T>>;
+
+/// Asks the tasks of a gateway for what they know.
+#[derive(Clone)]
+pub(super) struct Describe {
+    pub(super) own: SocketAddr,
+    pub(super) data_centre: DataCentreId,
+    pub(super) state: Arc<State>,
+    pub(super) control: Asking<control::Shown>,
+    pub(super) members: Asking<members::Shown>,
+}
+
+impl Describe {
+    /// Describes the gateway; `not_ready_because` is what the balancer is told.
+    pub(super) async fn describe(&self, not_ready_because: Option<&str>) -> Value {
+        let control = ask(&self.control).await;
+        let members = ask(&self.members).await;
+        json!({
+            "address": self.own,
+            "data_centre": &*self.data_centre,
+            "ready": not_ready_because.is_none(),
+            "not_ready_because": not_ready_because,
+            "configuration": configuration(control.as_ref()),
+            "registry": control.as_ref().map(registry),
+            "hosts": members.as_ref().map(|members| members.hosts),
+            "members": members.as_ref().map_or_else(Vec::new, |members| {
+                members.changes.iter().map(shown::member).collect()
+            }),
+            "routes": self.sets().await,
+            "facts": members.map_or_else(Vec::new, |members| {
+                members.facts.iter().map(shown::fact).collect()
+            }),
+        })
+    }
+
+    /// Describes the homes, each by the name of its set of shards.
+    async fn sets(&self) -> Vec<Value> {
+        let Some(view) = self.state.view() else {
+            return Vec::new();
+        };
+        let mut sets = Vec::new();
+        for (set, home) in &*view.homes {
+            sets.push(json!({
+                "name": shards::name(set),
+                // Everyone is one, and there is nobody to agree with.
+                "homes": [],
+                "home": home.state().await,
+            }));
+        }
+        sets.sort_by_key(|set| set["name"].to_string());
+        sets
+    }
+}
+
+/// Asks a task; `None` where it has ended.
+async fn ask<T>(asking: &Asking<T>) -> Option<T> {
+    let (sender, receiver) = oneshot::channel();
+    asking.send(sender).ok()?;
+    receiver.await.ok()
+}
+
+fn configuration(shown: Option<&control::Shown>) -> Value {
+    let version = shown.and_then(|shown| shown.version);
+    json!({
+        "revision": version,
+        "digest": version.map(|version| version.to_string()),
+        "conflicts": 0,
+        "age_ms": shown.and_then(|shown| shown.age).map(|age| age.as_millis()),
+        "source": shown.map(|shown| if shown.is_lost { "store, lost" } else { "store" }),
+    })
+}
+
+fn registry(shown: &control::Shown) -> Value {
+    json!({
+        "registered": shown.registered,
+        "doubted": shown.doubted,
+        "usable": shown.usable,
+    })
+}
--- a/crates/daemon/src/gateway/members/mod.rs
+++ b/crates/daemon/src/gateway/members/mod.rs
@@ -12,14 +12,14 @@
 use monsoonring_decision::fact;
 use monsoonring_decision::gateway::Members;
 use monsoonring_decision::gateway::members::{Action, Datagram, Event};
-use monsoonring_decision::member::MemberId;
+use monsoonring_decision::member::{Change, MemberId};
 use monsoonring_wire::datagram;
 use slog::{Logger, debug, info};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
 /// Time between two ticks: less than the shortest time that the members count in, and few wake-ups,
@@ -35,6 +35,16 @@
     Fact(fact::Entry),
 }
 
+/// What operators see of the hosts.
+pub(super) struct Shown {
+    /// Number of hosts that share the backend servers.
+    pub(super) hosts: usize,
+    /// What is known of each.
+    pub(super) changes: Vec<Change>,
+    /// What hosts told each other and still holds.
+    pub(super) facts: Vec<fact::Entry>,
+}
+
 /// What the task is started with.
 pub(super) struct Settings {
     pub(super) members: Members,
@@ -44,6 +54,8 @@
     pub(super) metrics: Arc<Metrics>,
     /// What homes here found out.
     pub(super) found: mpsc::UnboundedReceiver<Fact>,
+    /// Operators who ask.
+    pub(super) asked: mpsc::UnboundedReceiver<oneshot::Sender<Shown>>,
     /// Where news for the homes go.
     pub(super) news: mpsc::UnboundedSender<News>,
 }
@@ -65,6 +77,11 @@
                 }
             },
             Some(fact) = settings.found.recv() => found(&fact),
+            Some(sender) = settings.asked.recv() => {
+                // Who asked may have gone.
+                let _ = sender.send(settings.shown());
+                None
+            }
         };
         if let Some(event) = event {
             settings.handle(event);
@@ -83,6 +100,14 @@
 }
 
 impl Settings {
+    fn shown(&self) -> Shown {
+        Shown {
+            hosts: self.members.hosts(),
+            changes: self.members.changes(),
+            facts: self.members.facts(self.clock.now()),
+        }
+    }
+
     fn read(&self, bytes: &[u8], from: SocketAddr) -> Option<Event> {
         match datagram::decode(bytes) {
             Ok(datagram) => Some(Event::Received(from, datagram)),
--- a/crates/daemon/src/gateway/members/tests.rs
+++ b/crates/daemon/src/gateway/members/tests.rs
@@ -46,6 +46,7 @@
             log: Logger::root(Discard, o!()),
             metrics: Arc::new(Metrics::default()),
             found: heard,
+            asked: mpsc::unbounded_channel().1,
             news: sender,
         }));
         Self {
--- a/crates/daemon/src/gateway/mod.rs
+++ b/crates/daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod content;
 mod control;
+mod describe;
 mod front;
 mod members;
 mod ready;
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -1,8 +1,9 @@
-//! What the balancer and monitoring ask: readiness and metrics.
+//! What the balancer, monitoring and operators ask: readiness, metrics and state.
 
+use super::describe::Describe;
 use super::state::State;
 use crate::metrics::Metrics;
-use crate::operator::{self, METRICS_PATH};
+use crate::operator::{self, METRICS_PATH, STATE_PATH};
 use crate::server::stop::{Stage, Watch};
 use crate::server::{Handler, Standing};
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 /// Answers the balancer and monitoring.
 pub(super) struct Front {
     pub(super) state: Arc<State>,
+    pub(super) describe: Describe,
     pub(super) metrics: Arc<Metrics>,
     pub(super) stop: Watch,
     /// Path on which readiness is asked for.
@@ -37,6 +39,11 @@
     async fn handle(&self, request: Request<Incoming>, _: Standing) -> Response<Full<Bytes>> {
         match request.uri().path() {
             METRICS_PATH => operator::metrics(&self.metrics),
+            STATE_PATH => {
+                let (status, why) = self.ready();
+                let reason = (!status.is_success()).then_some(why);
+                operator::json(&self.describe.describe(reason).await)
+            }
             path if path == self.path => {
                 let (status, why) = self.ready();
                 operator::text(status, why)
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -1,6 +1,7 @@
 //! The life of a gateway: start, serve, stop.
 
 use super::content::Opaque;
+use super::describe::Describe;
 use super::state::{Instances, State};
 use super::{Ingress, News, control, front, members, ready};
 use crate::backend::Codec;
@@ -165,6 +166,8 @@
         let Telemetry { log, metrics } = telemetry;
         let (facts, found) = mpsc::unbounded_channel();
         let (heard, hosts) = mpsc::unbounded_channel();
+        let (ask_members, members_asked) = mpsc::unbounded_channel();
+        let (ask_control, control_asked) = mpsc::unbounded_channel();
         tokio::spawn(members::run(members::Settings {
             members: settings.members(clock),
             socket: listeners.hosts,
@@ -172,6 +175,7 @@
             log: log.clone(),
             metrics: metrics.clone(),
             found,
+            asked: members_asked,
             news: heard,
         }));
         let controller = control::Settings {
@@ -187,6 +191,7 @@
         let sources = control::Sources {
             outside: outside.news,
             hosts,
+            asked: control_asked,
         };
         tokio::spawn(control::run(controller, state.clone(), sources));
         let clients = Server {
@@ -202,9 +207,17 @@
             gauge: metrics.open_connections(Side::Caller),
             log: log.clone(),
         };
+        let describe = Describe {
+            own: settings.addresses.hosts,
+            data_centre: settings.data_centre.clone(),
+            state: state.clone(),
+            control: ask_control,
+            members: ask_members,
+        };
         let operators = || Server {
             handler: ready::Front {
                 state: state.clone(),
+                describe: describe.clone(),
                 metrics: metrics.clone(),
                 stop: watch.clone(),
                 path: settings.ready_path,
--- a/crates/daemon/src/node/state.rs
+++ b/crates/daemon/src/node/state.rs
@@ -3,9 +3,8 @@
 use super::Node;
 use super::routes::Entry;
 use crate::control::View;
+use crate::operator::shown;
 use crate::service::Explain;
-use monsoonring_decision::fact;
-use monsoonring_decision::member::State;
 use serde_json::{Value, json};
 
 impl Node {
@@ -30,22 +29,7 @@
     async fn members(&self) -> Vec<Value> {
         let mut members = self.control.members().await;
         members.sort_by_key(|member| member.id);
-        let shown = members.iter().map(|member| {
-            let (state, successor) = match member.state {
-                State::Alive => ("alive", None),
-                State::Suspect => ("suspect", None),
-                State::Dead => ("dead", None),
-                State::Left { successor } => ("left", successor),
-            };
-            json!({
-                "address": member.id,
-                "data_centre": &*member.data_centre,
-                "state": state,
-                "start": member.incarnation.start,
-                "successor": successor,
-            })
-        });
-        shown.collect()
+        members.iter().map(shown::member).collect()
     }
 
     async fn routes_shown(&self) -> Vec<Value> {
@@ -62,7 +46,7 @@
     /// nothing wrong here.
     async fn facts(&self) -> Vec<Value> {
         let facts = self.control.facts().await;
-        facts.iter().map(fact).collect()
+        facts.iter().map(shown::fact).collect()
     }
 
     /// Explains a request or the standing of a backend server.
@@ -114,16 +98,3 @@
         "home": home,
     })
 }
-
-fn fact(entry: &fact::Entry) -> Value {
-    let (what, of) = match &entry.key {
-        fact::Key::Leaving(server) => ("leaving backend server", server.to_string()),
-        fact::Key::Suspect(fingerprint) => ("crashing request", format!("{fingerprint:016x}")),
-    };
-    json!({
-        "what": what,
-        "of": of,
-        "version": entry.stamp.version,
-        "life_ms": entry.life.as_millis(),
-    })
-}
--- a/crates/daemon/src/operator/mod.rs
+++ b/crates/daemon/src/operator/mod.rs
@@ -2,6 +2,7 @@
 
 mod console;
 mod query;
+pub(crate) mod shown;
 
 use crate::metrics::Metrics;
 use crate::server::{Handler, Standing};
@@ -18,6 +19,9 @@
 /// Path of the metrics.
 pub(crate) const METRICS_PATH: &str = "/metrics";
 
+/// Path of the state.
+pub(crate) const STATE_PATH: &str = "/state";
+
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 const JSON_TYPE: &str = "application/json";
 const TEXT_TYPE: &str = "text/plain; charset=utf-8";
@@ -44,7 +48,7 @@
         match request.uri().path() {
             "/health" => text(StatusCode::OK, "alive"),
             METRICS_PATH => metrics(&self.metrics),
-            "/state" => json(&self.service.state().await),
+            STATE_PATH => json(&self.service.state().await),
             "/explain" => {
                 self.explain(request.uri().query().unwrap_or_default())
                     .await
@@ -90,7 +94,8 @@
     }
 }
 
-fn json(value: &serde_json::Value) -> Response<Full<Bytes>> {
+/// Writes JSON.
+pub(crate) fn json(value: &serde_json::Value) -> Response<Full<Bytes>> {
     respond(StatusCode::OK, JSON_TYPE, value.to_string())
 }
 
--- /dev/null
+++ b/crates/daemon/src/operator/shown.rs
@@ -0,0 +1,36 @@
+//! Members and facts as operators see them.
+
+use monsoonring_decision::fact;
+use monsoonring_decision::member::{Change, State};
+use serde_json::{Value, json};
+
+/// Describes a member.
+pub(crate) fn member(member: &Change) -> Value {
+    let (state, successor) = match member.state {
+        State::Alive => ("alive", None),
+        State::Suspect => ("suspect", None),
+        State::Dead => ("dead", None),
+        State::Left { successor } => ("left", successor),
+    };
+    json!({
+        "address": member.id,
+        "data_centre": &*member.data_centre,
+        "state": state,
+        "start": member.incarnation.start,
+        "successor": successor,
+    })
+}
+
+/// Describes a fact.
+pub(crate) fn fact(entry: &fact::Entry) -> Value {
+    let (what, of) = match &entry.key {
+        fact::Key::Leaving(server) => ("leaving backend server", server.to_string()),
+        fact::Key::Suspect(fingerprint) => ("crashing request", format!("{fingerprint:016x}")),
+    };
+    json!({
+        "what": what,
+        "of": of,
+        "version": entry.stamp.version,
+        "life_ms": entry.life.as_millis(),
+    })
+}
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -238,12 +238,14 @@
         });
     }
 
-    fn state(&self) -> serde_json::Value {
+    fn state(&mut self) -> serde_json::Value {
+        let now = self.clock.now();
         serde_json::json!({
+            "retries_left": self.home.retries_left(now),
             "in_progress": self.home.in_progress(),
             "index_version": self.home.index_version(),
             "connections": self.connections.len(),
-            "backend_servers": self.home.fleet().snapshot(self.clock.now()),
+            "backend_servers": self.home.fleet().snapshot(now),
         })
     }
 
--- a/crates/decision/src/budget/mod.rs
+++ b/crates/decision/src/budget/mod.rs
@@ -340,6 +340,15 @@
         }
     }
 
+    /// Returns the retries that could be made now at the group that has fewest left.
+    pub fn available(&mut self, now: Time) -> f64 {
+        let available = self.budgets.iter_mut().map(|budgets| match budgets {
+            Budgets::Buckets { retries, .. } => retries.available(),
+            Budgets::Window(window) => window.available(now),
+        });
+        available.fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns the budgets for one group.
     ///
     /// # Panics
--- a/crates/decision/src/budget/window.rs
+++ b/crates/decision/src/budget/window.rs
@@ -99,6 +99,13 @@
         may
     }
 
+    /// Returns the extra attempts that could be taken now.
+    pub fn available(&mut self, now: Time) -> f64 {
+        self.slice(now);
+        let allowed = self.ratio * f64::from(self.firsts) + self.slack;
+        (allowed - f64::from(self.extras)).max(0.0)
+    }
+
     /// Tells whether there is an extra attempt in a share of what is allowed.
     pub(super) fn has_of(&mut self, share: f64, now: Time) -> bool {
         self.slice(now);
--- a/crates/decision/src/gateway/members.rs
+++ b/crates/decision/src/gateway/members.rs
@@ -13,8 +13,8 @@
 
 use crate::fact;
 use crate::member::{
-    self, Action as TableAction, Event as TableEvent, Line, MemberId, Message, Page, ProbeId, Seed,
-    Settings, Span,
+    self, Action as TableAction, Change, Event as TableEvent, Line, MemberId, Message, Page,
+    ProbeId, Seed, Settings, Span,
 };
 use crate::{Time, placement};
 use monsoonring_configuration::id::Incarnation;
@@ -175,7 +175,12 @@
         self.table.serving()
     }
 
-    /// Returns all facts that hold, for a home that begins.
+    /// Returns all that is known of members, the lately dead among them.
+    pub fn changes(&self) -> Vec<Change> {
+        self.table.iter().cloned().collect()
+    }
+
+    /// Returns all facts that hold.
     pub fn facts(&self, now: Time) -> Vec<fact::Entry> {
         self.facts.iter(now).collect()
     }
--- a/crates/decision/src/gateway/registry.rs
+++ b/crates/decision/src/gateway/registry.rs
@@ -106,6 +106,11 @@
         self.listed
     }
 
+    /// Tells whether what lists the servers can't be reached.
+    pub fn is_lost(&self) -> bool {
+        self.lost
+    }
+
     /// Returns when [`Event::Tick`] has something to do.
     pub fn next_wake(&self) -> Option<Time> {
         self.doubted.values().min().copied()
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -169,6 +169,11 @@
         &self.fleet
     }
 
+    /// Returns the retries that could be made now at the group that has fewest left.
+    pub fn retries_left(&mut self, now: Time) -> f64 {
+        self.budgets.available(now)
+    }
+
     /// Returns the room that the route's backend servers have for this home.
     pub fn room(&self, now: Time) -> Room {
         self.fleet.room(now)
