--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -143,11 +143,13 @@
         match news {
             News::Configuration(table) => self.configure(table),
             News::Registry(event) => {
+                let about = about(&event);
                 let changed = self.registry.on(event, self.settings.clock.now());
                 if changed {
                     let (entries, doubted) = self.registry.counts();
-                    info!(self.settings.log, "backend servers"; "registered" => entries,
-                        "doubted" => doubted, "usable" => self.registry.usable().len());
+                    info!(self.settings.log, "backend servers"; "what" => about,
+                        "registered" => entries, "doubted" => doubted,
+                        "usable" => self.registry.usable().len());
                 }
                 changed
             }
@@ -316,3 +318,18 @@
         }
     }
 }
+
+/// Says what was learned of the backend servers, with the one that it is about.
+fn about(event: &registry::Event) -> String {
+    match event {
+        registry::Event::Listed(entries) => format!("{} listed", entries.len()),
+        registry::Event::Written(entry) => format!(
+            "{} of {} at {} {:?}, revision {}",
+            entry.instance, entry.service, entry.address, entry.state, entry.revision
+        ),
+        registry::Event::Deleted(instance) => format!("{instance} gone"),
+        registry::Event::Lost => "source lost".to_owned(),
+        registry::Event::Regained => "source regained".to_owned(),
+        registry::Event::Tick => "doubt over".to_owned(),
+    }
+}
--- a/crates/decision/src/gateway/table.rs
+++ b/crates/decision/src/gateway/table.rs
@@ -108,13 +108,13 @@
     }
 }
 
-/// What a client may send, and how long it may stay idle.
+/// What a client may send. How long it may take over it and stay idle is bounded by the process, more
+/// widely than by any configuration: a connection would keep the bound that it began under, and a
+/// client that goes by a later, wider one would find it closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Time that a connection may stay open without a request.
-    pub idle: Duration,
 }
 
 /// A version of the configuration.
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -135,10 +135,7 @@
 }
 
 fn table(routes: Vec<Route>) -> Table {
-    let limits = Limits {
-        body_bytes: 1_000,
-        idle: Duration::from_secs(15),
-    };
+    let limits = Limits { body_bytes: 1_000 };
     let connections = [("s0".into(), 31), ("s1".into(), 31)].into_iter().collect();
     Table::new(7, limits, connections, routes)
 }
--- a/crates/experiment/src/simulation/site.rs
+++ b/crates/experiment/src/simulation/site.rs
@@ -225,10 +225,7 @@
 
     /// Returns the routes as the configuration of a gateway has them.
     pub fn table(&self) -> Table {
-        let limits = Limits {
-            body_bytes: 0,
-            idle: Duration::MAX,
-        };
+        let limits = Limits { body_bytes: 0 };
         let pools = 0..self.pools.len();
         let connections = pools.flat_map(|pool| {
             let limit = self.pools[pool].connections as u32;
