--- a/crates/daemon/src/backend/connection.rs
+++ b/crates/daemon/src/backend/connection.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use super::codec::{Answer, Codec};
+use crate::client;
 use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,11 +15,9 @@
 use monsoonring_decision::content::Content;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::home::action::Send;
-use snafu::{ResultExt, Snafu};
 use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
@@ -37,39 +36,18 @@
 /// Attempts that may wait for one connection: the home puts one at a time on it.
 const QUEUED_JOBS: usize = 1;
 
-/// Why a connection could not be made.
-#[derive(Debug, Snafu)]
-enum Error {
-    #[snafu(display("connecting to backend server {backend_server}: {source}"))]
-    Connect {
-        backend_server: BackendServerId,
-        source: std::io::Error,
-    },
-    #[snafu(display("HTTP handshake with backend server {backend_server}: {source}"))]
-    Handshake {
-        backend_server: BackendServerId,
-        source: hyper::Error,
-    },
-}
-
-impl Error {
-    /// Returns what the failure tells of the server.
-    fn unopened(&self) -> Unopened {
-        match self {
-            Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionRefused => {
-                Unopened::Refused
-            }
-            Self::Connect { source, .. } if source.kind() == ErrorKind::ConnectionReset => {
-                Unopened::Ended
-            }
-            Self::Connect { .. } => Unopened::Silent,
-            Self::Handshake { .. } => Unopened::Ended,
-        }
+/// Returns what the failure to open a connection tells of the server.
+fn unopened(error: &client::Error) -> Unopened {
+    match error {
+        client::Error::Connect { source, .. } => match source.kind() {
+            ErrorKind::ConnectionRefused => Unopened::Refused,
+            ErrorKind::ConnectionReset => Unopened::Ended,
+            _ => Unopened::Silent,
+        },
+        client::Error::Handshake { .. } => Unopened::Ended,
     }
 }
 
-type Result<T, E = Error> = std::result::Result<T, E>;
-
 /// An attempt for the connection to carry out.
 pub(crate) type Job<K> = Send<<K as Codec>::Content>;
 
@@ -111,8 +89,8 @@
 ) -> Connection<K> {
     let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
     let task = tokio::spawn(async move {
-        let ended = match open(backend_server).await {
-            Ok((sender, driver)) => match settle(driver).await {
+        let ended = match timeout(CONNECT_TIMEOUT, client::open(backend_server)).await {
+            Ok(Ok((sender, driver))) => match settle(driver).await {
                 Some(driver) => {
                     let _ = report.send(Event::Opened(id));
                     serve(sender, driver, queue, clock, &codec, &report).await;
@@ -120,7 +98,8 @@
                 }
                 None => Event::Unopened(id, Unopened::Ended),
             },
-            Err(error) => Event::Unopened(id, error.unopened()),
+            Ok(Err(error)) => Event::Unopened(id, unopened(&error)),
+            Err(_) => Event::Unopened(id, Unopened::Silent),
         };
         let _ = report.send(ended);
     });
@@ -138,17 +117,6 @@
     ended.is_err().then_some(driver)
 }
 
-async fn open(backend_server: BackendServerId) -> Result<(Sender, Driver<TcpStream>)> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(backend_server)).await;
-    let stream = stream.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()));
-    let stream = stream.context(ConnectSnafu { backend_server })?;
-    stream
-        .set_nodelay(true)
-        .context(ConnectSnafu { backend_server })?;
-    let opened = http1::handshake(TokioIo::new(stream)).await;
-    opened.context(HandshakeSnafu { backend_server })
-}
-
 /// Carries out one attempt after the other until the connection ends. An attempt that was put on it
 /// after that is reported as not sent.
 async fn serve<T: AsyncRead + AsyncWrite + Unpin, K: Codec>(
--- a/crates/daemon/src/backend/endpoint/mod.rs
+++ b/crates/daemon/src/backend/endpoint/mod.rs
@@ -7,12 +7,11 @@
 mod tests;
 
 use super::codec;
+use crate::client;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper::client::conn::http1;
 use hyper::header::HOST;
 use hyper::{Method, Request};
-use hyper_util::rt::TokioIo;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
 use monsoonring_decision::attempt::AttemptId;
 use monsoonring_decision::reply::{Load, Report};
@@ -21,7 +20,6 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
@@ -66,7 +64,7 @@
 /// An open connection; closed when dropped.
 #[derive(Debug)]
 struct Connection {
-    sender: http1::SendRequest<Empty<Bytes>>,
+    sender: client::Sender<Empty<Bytes>>,
     _driver: AbortOnDropHandle<()>,
 }
 
@@ -155,16 +153,10 @@
 
 impl Connection {
     async fn open(server: BackendServerId) -> Option<Self> {
-        let stream = TcpStream::connect(server).await.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
-        let driver = tokio::spawn(async move {
-            // An error ends the connection, which the next call finds closed.
-            let _ = driver.await;
-        });
+        let (sender, driver) = client::open(server).await.ok()?;
         Some(Self {
             sender,
-            _driver: AbortOnDropHandle::new(driver),
+            _driver: client::drive(driver),
         })
     }
 
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod backend;
 mod caller;
+pub mod client;
 pub mod clock;
 mod control;
 pub mod gateway;
