Take out the life cycle of a stop that nothing drives

decision::stop and its five tests: the daemon and the gateway stop by the stages of server::stop, and nothing outside its tests used the module.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -22,7 +22,6 @@
 pub mod policy;
 pub mod query;
 pub mod reply;
-pub mod stop;
 pub mod why;
 
 /// Monotonic time since the start of the process that decides.
