--- /dev/null
+++ b/crates/wire/tests/datagram.rs
@@ -0,0 +1,79 @@
+//! Datagrams between hosts, well-formed and not.
+
+use monsoonring_decision::fact::{Entry, Key, Stamp};
+use monsoonring_decision::gateway::members::Datagram;
+use monsoonring_decision::member::{Change, Incarnation, Page, Span, State};
+use monsoonring_wire::datagram::{MAX_BYTES, decode, encode};
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn change(address: [u8; 4], port: u16, start: u64, state: State) -> Change {
+    Change {
+        id: (address, port).into(),
+        incarnation: Incarnation {
+            start,
+            refutation: 1,
+        },
+        state,
+        data_centre: "lac-hall".into(),
+    }
+}
+
+fn any_change() -> impl Strategy<Value = Change> {
+    let state = prop_oneof![
+        Just(State::Alive),
+        Just(State::Suspect),
+        Just(State::Dead),
+        Just(State::Left { successor: None }),
+    ];
+    (any::<[u8; 4]>(), any::<u16>(), any::<u64>(), state)
+        .prop_map(|(address, port, start, state)| change(address, port, start, state))
+}
+
+fn any_datagram() -> impl Strategy<Value = Datagram> {
+    let page = prop::collection::vec(any_change(), 0..40);
+    prop_oneof![
+        (any::<u64>(), any::<[u8; 4]>(), any::<u16>())
+            .prop_map(|(probe, address, port)| Datagram::ProbeFor(probe, (address, port).into())),
+        (any::<u8>(), any::<u8>()).prop_map(|(first, last)| Datagram::Pull(Span { first, last })),
+        page.prop_map(|changes| Datagram::Page(Page {
+            changes,
+            rest: None
+        })),
+        (any::<u64>(), any::<u32>()).prop_map(|(fingerprint, life)| {
+            Datagram::Fact(Entry {
+                key: Key::Suspect(fingerprint),
+                stamp: Stamp::default(),
+                life: Duration::from_millis(life.into()),
+            })
+        }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn decode_any_datagram_is_what_was_encoded(datagram in any_datagram()) {
+        let bytes = encode(&datagram).expect("it is small enough");
+        prop_assert!(bytes.len() <= MAX_BYTES);
+        let decoded: Datagram = decode(&bytes).expect("it is one");
+        prop_assert_eq!(decoded, datagram);
+    }
+
+    // Symptom: a host runs out of memory or ends after one stray datagram.
+    // Events: bytes arrive that are no datagram, or one that was cut or changed on the way.
+    // Cause: a length in it is believed.
+    #[test]
+    fn decode_any_bytes_neither_ends_nor_fills_the_process(
+        bytes in prop::collection::vec(any::<u8>(), 0..2_000),
+    ) {
+        let _: Result<Datagram, _> = decode(&bytes);
+    }
+
+    #[test]
+    fn decode_cut_datagram_is_an_error(datagram in any_datagram(), cut in 1_usize..12) {
+        let bytes = encode(&datagram).expect("it is small enough");
+        let kept = bytes.len().saturating_sub(cut);
+        let decoded: Result<Datagram, _> = decode(&bytes[..kept]);
+        prop_assert!(decoded.is_err());
+    }
+}
