Leave out of the expected wait the groups that an answer can do without

Change: Fleet::room_without, by how many groups the request's least coverage allows to miss; one place computes that, and a tenth of ten groups is one.

--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -23,14 +23,23 @@
     /// Returns the room in the tightest group. A group none of whose servers is usable is left out:
     /// queries don't wait for it.
     pub fn room(&self, now: Time) -> Room {
-        (0..self.groups.len())
+        self.room_without(0, now)
+    }
+
+    /// Returns the room in the tightest group that is left when so many of the tightest are left
+    /// out: a query that can do without them does not wait for them.
+    pub fn room_without(&self, dispensable: usize, now: Time) -> Room {
+        let groups = 0..self.groups.len();
+        let mut rooms: Vec<Room> = groups
             .filter_map(|group| self.room_of(group, now))
-            .max_by(|one, other| {
-                one.wait
-                    .cmp(&other.wait)
-                    .then(one.busy.total_cmp(&other.busy))
-            })
-            .unwrap_or_default()
+            .collect();
+        rooms.sort_unstable_by(|one, other| {
+            let waits = other.wait.cmp(&one.wait);
+            waits.then(other.busy.total_cmp(&one.busy))
+        });
+        let last = rooms.len().saturating_sub(1);
+        let left = rooms.get(dispensable.min(last));
+        left.copied().unwrap_or_default()
     }
 
     fn room_of(&self, group: usize, now: Time) -> Option<Room> {
--- a/crates/decision/src/home/rescue.rs
+++ b/crates/decision/src/home/rescue.rs
@@ -81,9 +81,7 @@
     /// Returns what rests on further attempts for as many parts: how many of them are beyond those
     /// that the answer can do without.
     fn need_of_all(&self, run: &Run<C>, parts: usize) -> Need {
-        let least = self.terms(&run.request).least_coverage;
-        let groups = self.route.groups.len();
-        let dispensable = ((1.0 - least) * groups as f64) as usize;
+        let dispensable = self.dispensable(&run.request);
         let lost = run.parts.values().filter(|part| part.given_up.is_some());
         match (parts + lost.count()).saturating_sub(dispensable) {
             0 => Need::Spare,
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -237,6 +237,18 @@
         request.terms.unwrap_or_else(|| Terms::from(&*self.route))
     }
 
+    /// Returns how many groups an answer to a request can do without, as they weigh alike.
+    pub(super) fn dispensable(&self, request: &Request<C>) -> usize {
+        /// What rounding may take from a whole number: a tenth of ten groups is one.
+        const ROUNDING: f64 = 1e-9;
+        let least = self.terms(request).least_coverage;
+        let groups = self.route.groups.len() as f64;
+        match least > 0.0 {
+            true => ((1.0 - least) * groups + ROUNDING) as usize,
+            false => 0,
+        }
+    }
+
     /// Returns the budgets of the first group that a server is in, if it is still in one.
     pub(super) fn budgets_of(&mut self, server: BackendServerId) -> Option<&mut Budgets> {
         let group = self.placement.groups(server).first()?;
@@ -255,7 +267,8 @@
         if self.policy.admit_all {
             return None;
         }
-        let room = self.fleet.room(now);
+        let dispensable = self.dispensable(request);
+        let room = self.fleet.room_without(dispensable, now);
         match self.gate.admit(request.class, request.deadline, &room, now) {
             Admission::Admit => None,
             Admission::Refuse {
--- a/crates/decision/tests/backend.rs
+++ b/crates/decision/tests/backend.rs
@@ -359,6 +359,22 @@
     assert_eq!(room.wait.as_millis(), 277);
 }
 
+// Symptom: searches are refused although nearly all servers are idle.
+// Events: the servers of one shard are slow; answers can do without it.
+// Cause: the tightest group decides how long a search is expected to wait.
+#[test]
+fn room_without_the_busiest_group() {
+    let mut fleet = Fleet::new(&route(3, 3), 1, ms(0));
+    for attempt in 0..18 {
+        fleet.sent(server(3 + (attempt % 3) as u16), attempt, ms(0));
+    }
+    fleet.sent(server(6), 18, ms(0));
+    let room = fleet.room_without(1, ms(0));
+    assert_eq!((room.busy, room.wait), (1.0, ms(0)));
+    assert_eq!(fleet.room_without(9, ms(0)).busy, 0.0, "some group is left");
+    assert_eq!(fleet.room_without(0, ms(0)), fleet.room(ms(0)));
+}
+
 /// Returns what must hold of a choice that avoided `tried` and asked for `version`.
 fn is_allowed(
     fleet: &Fleet,
--- a/crates/decision/tests/home_rescue.rs
+++ b/crates/decision/tests/home_rescue.rs
@@ -107,6 +107,26 @@
     assert!(matches!(session.outcome(1_000), Outcome::Failed { .. }));
 }
 
+// A tenth of ten groups is one, whatever rounding makes of it.
+#[test]
+fn fail_two_parts_of_ten_needs_one() {
+    let mut session = scarce();
+    let from = session.sends.len();
+    let terms = Terms {
+        least_coverage: 0.9,
+        ..terms()
+    };
+    session.on(Event::Request(Request {
+        terms: Some(terms),
+        ..request(1_000, session.now)
+    }));
+    let sends = session.sends[from..].to_vec();
+    let sent = session.sends.len();
+    sends[..5].iter().for_each(|send| fail(&mut session, send));
+    sends[5..].iter().for_each(|send| session.answer(send));
+    assert!(session.sends.len() >= sent + 4, "four of them decide");
+}
+
 // Symptom: a search is late because its failed parts wait for a server that pauses.
 // Events: two parts fail at once, the servers of two others pause for longer than the objective.
 // Cause: the wait has no end.
