--- a/crates/daemon/src/gateway/members/mod.rs
+++ b/crates/daemon/src/gateway/members/mod.rs
@@ -1,7 +1,8 @@
 //! The socket and the clock of [`Members`].
 //!
-//! Datagrams are neither sealed nor signed: whoever can send to this address stands in the hosts' own network, and the most that a lie does is to make hosts take a
-//! smaller part, or refuse requests as crashing for a while.
+//! Datagrams are neither sealed nor signed: whoever can send to this address stands in the hosts' own
+//! network, and the most that a lie does is to make hosts take a smaller part, or refuse requests as
+//! crashing for a while.
 
 #[cfg(test)]
 mod tests;
@@ -45,8 +46,8 @@
     pub(super) facts: Vec<fact::Entry>,
 }
 
-/// What the task is started with.
-pub(super) struct Settings {
+/// This host's part, with what it speaks through.
+pub(super) struct Task {
     pub(super) members: Members,
     pub(super) socket: UdpSocket,
     pub(super) clock: Clock,
@@ -61,30 +62,30 @@
 }
 
 /// Speaks with the other hosts until nobody takes the news any more.
-pub(super) async fn run(mut settings: Settings) {
+pub(super) async fn run(mut task: Task) {
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; datagram::MAX_BYTES];
-    while !settings.news.is_closed() {
+    while !task.news.is_closed() {
         let event = tokio::select! {
             _ = ticks.tick() => Some(Event::Tick),
-            received = settings.socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => settings.read(&buffer[..length], from),
+            received = task.socket.recv_from(&mut buffer) => match received {
+                Ok((length, from)) => task.read(&buffer[..length], from),
                 Err(error) => {
                     // A datagram sent earlier found nobody; the probe fails by its time.
-                    debug!(settings.log, "member"; "what" => "unreachable", "error" => %error);
+                    debug!(task.log, "member"; "what" => "unreachable", "error" => %error);
                     None
                 }
             },
-            Some(fact) = settings.found.recv() => found(&fact),
-            Some(sender) = settings.asked.recv() => {
+            Some(fact) = task.found.recv() => found(&fact),
+            Some(sender) = task.asked.recv() => {
                 // Who asked may have gone.
-                let _ = sender.send(settings.shown());
+                let _ = sender.send(task.shown());
                 None
             }
         };
         if let Some(event) = event {
-            settings.handle(event);
+            task.handle(event);
         }
     }
 }
@@ -99,7 +100,7 @@
     }
 }
 
-impl Settings {
+impl Task {
     fn shown(&self) -> Shown {
         Shown {
             hosts: self.members.hosts(),
--- a/crates/daemon/src/gateway/members/tests.rs
+++ b/crates/daemon/src/gateway/members/tests.rs
@@ -1,6 +1,6 @@
 //! Hosts that speak over real sockets.
 
-use super::{News, Settings, run};
+use super::{News, Task, run};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::route::Fact;
@@ -39,7 +39,7 @@
         let rng = ChaCha8Rng::seed_from_u64(u64::from(address.port()));
         let (found, heard) = mpsc::unbounded_channel();
         let (sender, news) = mpsc::unbounded_channel();
-        tokio::spawn(run(Settings {
+        tokio::spawn(run(Task {
             members: Members::new(own, 1, seeds, 1, clock.now(), rng),
             socket,
             clock,
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -168,7 +168,7 @@
         let (heard, hosts) = mpsc::unbounded_channel();
         let (ask_members, members_asked) = mpsc::unbounded_channel();
         let (ask_control, control_asked) = mpsc::unbounded_channel();
-        tokio::spawn(members::run(members::Settings {
+        tokio::spawn(members::run(members::Task {
             members: settings.members(clock),
             socket: listeners.hosts,
             clock,
--- a/crates/decision/src/budget/window.rs
+++ b/crates/decision/src/budget/window.rs
@@ -102,15 +102,18 @@
     /// Returns the extra attempts that could be taken now.
     pub fn available(&mut self, now: Time) -> f64 {
         self.slice(now);
-        let allowed = self.ratio * f64::from(self.firsts) + self.slack;
-        (allowed - f64::from(self.extras)).max(0.0)
+        (self.allowed() - f64::from(self.extras)).max(0.0)
     }
 
     /// Tells whether there is an extra attempt in a share of what is allowed.
     pub(super) fn has_of(&mut self, share: f64, now: Time) -> bool {
         self.slice(now);
-        let allowed = self.ratio * f64::from(self.firsts) + self.slack;
-        f64::from(self.extras) + 1.0 <= allowed * share
+        f64::from(self.extras) + 1.0 <= self.allowed() * share
+    }
+
+    /// Returns the extra attempts that are allowed in the window, those made included.
+    fn allowed(&self) -> f64 {
+        self.ratio * f64::from(self.firsts) + self.slack
     }
 
     /// Returns the slice of the present, and drops those that count no more.
--- a/crates/decision/src/home/rescue.rs
+++ b/crates/decision/src/home/rescue.rs
@@ -42,6 +42,8 @@
             self.timers.set(until, Timer::Rescue(run.request.id));
         }
         run.deferred.insert(id);
+        let why = format!("budget of retry scarce, part {id} waits for the others");
+        self.log(Some(run.request.id), "defer", None, why);
         true
     }
 
--- a/crates/experiment/src/simulation/world.rs
+++ b/crates/experiment/src/simulation/world/mod.rs
@@ -1,21 +1,22 @@
 //! The loop: callers ask, homes decide, servers work.
 
-use super::day::{Day, Fault};
-use super::host::{self, Blank, Driver};
-use super::server::{Begun, Job, Line, Number, Server, Taken};
-use super::site::Site;
-use super::tally::{Ended, Tally};
-use super::timeline::Timeline;
-use super::work;
+mod callers;
+mod servers;
+mod spells;
+
+use crate::simulation::day::Day;
+use crate::simulation::host::{Blank, Driver};
+use crate::simulation::server::{Line, Number, Server};
+use crate::simulation::site::Site;
+use crate::simulation::tally::Tally;
+use crate::simulation::timeline::Timeline;
 use monsoonring_configuration::id::BackendServerId;
-use monsoonring_decision::attempt::{AttemptId, Failure, Refusal, Unopened};
+use monsoonring_decision::attempt::{AttemptId, Failure};
 use monsoonring_decision::home::action::Send;
-use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Action, Event, Terms};
 use monsoonring_decision::outcome::Outcome;
 use monsoonring_decision::policy::Policy;
 use monsoonring_decision::{RequestId, Time};
-use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashMap, HashSet};
@@ -199,86 +200,6 @@
         }
     }
 
-    fn arrival(&mut self, kind: usize) {
-        if self.now >= LEAD + self.day.length {
-            return;
-        }
-        let per_second = self.site.kinds[kind].per_second * self.burst;
-        let gap = work::gap(per_second, &mut self.rng);
-        self.timeline.add(self.now + gap, Next::Arrival(kind));
-        let caller = Caller {
-            id: self.next_request,
-            kind,
-            asked: self.now,
-            retries: RETRIES,
-            returns: false,
-        };
-        self.next_request += 1;
-        self.ask(caller, self.now);
-    }
-
-    fn ask(&mut self, caller: Caller, at: Time) {
-        let reaches = at + self.site.caller_delay;
-        self.timeline.add(reaches, Next::Asked(caller));
-    }
-
-    fn asked(&mut self, caller: Caller) {
-        let kind = &self.site.kinds[caller.kind];
-        let host = self.rng.random_range(0..self.places.len());
-        self.callers.insert(caller.id, caller);
-        self.reached.insert(caller.id, HashSet::new());
-        let request = Request {
-            id: caller.id,
-            caller: "caller".into(),
-            class: self.site.route(kind).class(),
-            deadline: caller.asked + kind.deadline,
-            fingerprint: caller.id as u64,
-            body: (),
-            execute_key: None,
-            terms: Some(self.terms[caller.kind]),
-        };
-        self.heard(host, kind.pool, Event::Request(request));
-    }
-
-    fn answered(&mut self, caller: Caller, reply: Reply) {
-        let deadline = caller.asked + self.site.kinds[caller.kind].deadline;
-        let left = deadline.saturating_sub(self.now);
-        let back = match reply {
-            Reply::Answer(coverage) if !left.is_zero() => {
-                return self.ended(caller, Some(coverage));
-            }
-            Reply::Refused(wait) if wait <= left / PATIENCE => Some(wait),
-            Reply::Failed if !left.is_zero() => Some(Duration::ZERO),
-            _ => None,
-        };
-        if let Reply::Refused(_) = reply {
-            self.tally.refused.0 += 1;
-            self.tally.refused.1 += u64::from(caller.returns);
-        }
-        match back.filter(|_| caller.retries > 0) {
-            Some(wait) => {
-                let caller = Caller {
-                    id: self.next_request,
-                    retries: caller.retries - 1,
-                    returns: matches!(reply, Reply::Refused(_)),
-                    ..caller
-                };
-                self.next_request += 1;
-                self.ask(caller, self.now + wait);
-            }
-            None => self.ended(caller, None),
-        }
-    }
-
-    fn ended(&mut self, caller: Caller, coverage: Option<f64>) {
-        let ended = Ended {
-            kind: caller.kind,
-            asked: caller.asked - LEAD,
-            answer: coverage.map(|coverage| (self.now - LEAD, coverage)),
-        };
-        self.tally.ended(self.site, ended);
-    }
-
     fn heard(&mut self, host: usize, pool: usize, event: Event<Blank>) {
         let actions = self.homes[host][pool].on(event, self.now);
         self.carry_out(host, pool, actions);
@@ -366,134 +287,6 @@
         self.timeline.add(at, Next::Answered(caller, reply));
     }
 
-    fn connect(&mut self, line: Line, server: usize) {
-        match self.servers[server].connect(line, self.now) {
-            Taken::Begun(number, end) => self.timeline.add(end, Next::Done(server, number)),
-            Taken::Waiting => {}
-            Taken::Refused => {
-                let why = match self.servers[server].down {
-                    true => Unopened::Refused,
-                    false => Unopened::Ended,
-                };
-                self.tally.unopened += u64::from(why == Unopened::Ended);
-                self.tell(line, server, Event::Unopened(line.connection, why));
-            }
-        }
-    }
-
-    fn attempt(&mut self, line: Line, number: usize, send: Send<Blank>) {
-        let server = &mut self.servers[number];
-        if !server.has(line) {
-            return;
-        }
-        let kind = self.callers.get(&send.request).map(|caller| caller.kind);
-        let (mean, spread) = match kind {
-            Some(kind) => self.site.kinds[kind].work,
-            // Its caller has its answer already; the server does not know.
-            None => self.site.kinds[0].work,
-        };
-        let took = work::duration(mean, spread, &mut self.rng);
-        let refuses = server.refusing > 0.0 && self.rng.random_bool(server.refusing);
-        let job = Job::Attempt(send.attempt, send.ranges);
-        let taken = match refuses {
-            true => Taken::Refused,
-            false => server.attempt(line, job, took, self.now),
-        };
-        match taken {
-            Taken::Begun(job, end) => self.timeline.add(end, Next::Done(number, job)),
-            Taken::Waiting => {}
-            Taken::Refused => {
-                let failure = Failure::Refused {
-                    refusal: Refusal::Shedding,
-                    retry_after: None,
-                    report: host::report(self.servers[number].load()),
-                };
-                self.tell(line, number, Event::Failed(send.attempt, failure));
-            }
-        }
-    }
-
-    fn done(&mut self, server: usize, number: Number) {
-        let (ended, begun) = self.servers[server].done(number, self.now);
-        self.begun(server, begun);
-        let Some((line, job)) = ended else { return };
-        let (load, failing) = (self.servers[server].load(), self.servers[server].failing);
-        let event = match job {
-            Job::Connect => Event::Opened(line.connection),
-            Job::Attempt(attempt, _) if failing > 0.0 && self.rng.random_bool(failing) => {
-                let report = host::report(load);
-                Event::Failed(attempt, Failure::Ran { report })
-            }
-            Job::Attempt(attempt, ranges) => Event::Reply(attempt, host::reply(ranges, load)),
-        };
-        self.tell(line, server, event);
-    }
-
-    fn begun(&mut self, server: usize, begun: Vec<Begun>) {
-        for (number, end) in begun {
-            self.timeline.add(end, Next::Done(server, number));
-        }
-    }
-
-    /// Sends something back over a connection.
-    fn tell(&mut self, line: Line, server: usize, event: Event<Blank>) {
-        let at = self.now + self.delay(line.host, self.stand[server]);
-        self.timeline
-            .add(at, Next::Heard(line.host, line.pool, event));
-    }
-
-    fn spell(&mut self, number: usize, begins: bool) {
-        let fault = self.day.spells[number].fault;
-        if begins {
-            let chosen = self.choose(fault);
-            self.chosen.insert(number, chosen);
-        }
-        for server in self.chosen.get(&number).cloned().unwrap_or_default() {
-            self.strike(server, fault, begins);
-        }
-        if let Fault::Burst(factor) = fault {
-            self.burst = if begins { factor } else { 1.0 };
-        }
-    }
-
-    fn choose(&mut self, fault: Fault) -> Vec<usize> {
-        let pool = &self.site.pools[0];
-        let mut all: Vec<usize> = (0..pool.shards * pool.replicas).collect();
-        match fault {
-            Fault::Slow { share, .. }
-            | Fault::Down { share }
-            | Fault::Refusing { share, .. }
-            | Fault::Failing { share, .. } => {
-                all.shuffle(&mut self.rng);
-                all.truncate((share * all.len() as f64).round() as usize);
-                all
-            }
-            Fault::ShardDown => {
-                let shard = self.rng.random_range(0..pool.shards);
-                let first = shard * pool.replicas;
-                (first..first + pool.replicas).collect()
-            }
-            Fault::Burst(_) => Vec::new(),
-        }
-    }
-
-    fn strike(&mut self, number: usize, fault: Fault, begins: bool) {
-        let server = &mut self.servers[number];
-        match fault {
-            Fault::Slow { factor, .. } => server.slow = if begins { factor } else { 1.0 },
-            Fault::Refusing { chance, .. } => server.refusing = if begins { chance } else { 0.0 },
-            Fault::Failing { chance, .. } => server.failing = if begins { chance } else { 0.0 },
-            Fault::Down { .. } | Fault::ShardDown if !begins => server.down = false,
-            Fault::Down { .. } | Fault::ShardDown => {
-                for line in self.servers[number].crash() {
-                    let at = self.now + self.delay(line.host, self.stand[number]);
-                    self.timeline.add(at, Next::Ended(line));
-                }
-            }
-            Fault::Burst(_) => {}
-        }
-    }
-
     /// Returns the number of a server and the time to it.
     fn way(&self, host: usize, address: BackendServerId) -> (usize, Duration) {
         let server = self.numbers[&address];
