--- a/crates/daemon/tests/fuzz.rs
+++ b/crates/daemon/tests/fuzz.rs
@@ -3,9 +3,8 @@
 mod support;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use support::fuzzing::{count_panics, panics, runner};
 use support::http::{Client, ask, post, search};
 use support::service::Fake;
 use support::{Daemon, within};
@@ -15,8 +14,6 @@
 const MAX_BYTES: usize = 512;
 const MAX_CHANGES: usize = 8;
 
-static PANICS: AtomicUsize = AtomicUsize::new(0);
-
 /// One change to a valid request.
 #[derive(Clone, Debug)]
 enum Change {
@@ -110,27 +107,17 @@
     // Symptom: a daemon answers nobody after one odd request.
     // Events: bytes that are no request, or a request with bytes changed, cut or repeated.
     // Cause: a panic, or a connection that holds something up for the others.
-    let quiet = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        PANICS.fetch_add(1, Ordering::Relaxed);
-        quiet(info);
-    }));
+    count_panics();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let daemon = runtime.block_on(Daemon::start(Fake::default(), &[]));
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let seeded = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
-    let mut runner = TestRunner::new_with_rng(config, seeded);
+    let mut runner = runner(CASES, 7);
     let result = runner.run(&bytes(), |bytes| {
         let next = runtime.block_on(async {
             disturb(daemon.callers, &bytes).await;
             ask(daemon.callers, &search("1")).await
         });
         prop_assert_eq!(next.status, 200);
-        prop_assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+        prop_assert_eq!(panics(), 0);
         Ok(())
     });
     assert_eq!(result, Ok(()));
--- a/crates/daemon/tests/hostile.rs
+++ b/crates/daemon/tests/hostile.rs
@@ -7,10 +7,9 @@
 use monsoonring_decision::member::Span;
 use monsoonring_wire::peer::{Line, connect, framed};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use support::fuzzing::{count_panics, panics, runner};
 use support::peer::endpoint;
 use support::{start_whole, within};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,8 +33,6 @@
 /// Between two tries of something that must succeed.
 const PAUSE: Duration = Duration::from_millis(50);
 
-static PANICS: AtomicUsize = AtomicUsize::new(0);
-
 /// A call as far as its head goes; its body has small numbers, so that many bodies can be read, and
 /// some that are as large as can be.
 fn call() -> impl Strategy<Value = Vec<u8>> {
@@ -80,22 +77,12 @@
     // Events: bytes that are no handshake, a frame that claims to be huge, or sealed bytes that are no
     // call.
     // Cause: a panic, or a connection that holds something up for the others.
-    let quiet = std::panic::take_hook();
-    std::panic::set_hook(Box::new(move |info| {
-        PANICS.fetch_add(1, Ordering::Relaxed);
-        quiet(info);
-    }));
+    count_panics();
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let daemon = runtime.block_on(start_whole(&[]));
     let peer = daemon.peer_address;
     let other = runtime.block_on(line(peer)).expect("it listens");
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let seeded = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
-    let mut runner = TestRunner::new_with_rng(config, seeded);
+    let mut runner = runner(CASES, 5);
     let any_bytes = prop::collection::vec(any::<u8>(), 0..MAX_BYTES);
     let bytes = prop_oneof![
         1 => (any::<bool>(), any_bytes),
@@ -104,7 +91,7 @@
     let result = runner.run(&bytes, |(sealed, bytes)| {
         runtime.block_on(disturb(peer, sealed, &bytes));
         prop_assert!(runtime.block_on(is_served(&other)));
-        prop_assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+        prop_assert_eq!(panics(), 0);
         Ok(())
     });
     assert_eq!(result, Ok(()));
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub(crate) mod form;
+pub(crate) mod fuzzing;
 pub(crate) mod http;
 pub(crate) mod peer;
 pub(crate) mod service;
--- a/crates/decision/examples/membership.rs
+++ b/crates/decision/examples/membership.rs
@@ -6,7 +6,6 @@
 //! without their attachments, envelopes and encryption.
 
 #[path = "../tests/network/mod.rs"]
-#[allow(dead_code)]
 mod network;
 
 use monsoonring_decision::member::{Action, Event, State};
--- a/crates/decision/tests/home_everyone.rs
+++ b/crates/decision/tests/home_everyone.rs
@@ -40,6 +40,12 @@
     session.on(Event::Request(request));
 }
 
+/// Has a server fail an attempt that it ran.
+fn fail(session: &mut Session, send: &Send) {
+    let report = report(&[VERSION]);
+    session.fail(send.attempt, Failure::Ran { report });
+}
+
 /// Terms of a request that may run once.
 fn once() -> Terms {
     Terms {
@@ -293,12 +299,7 @@
         while let Some(send) = session.sends.get(at).cloned() {
             let is_refused = at == sent && id % 2 == 0;
             match is_refused {
-                true => session.fail(
-                    send.attempt,
-                    Failure::Ran {
-                        report: report(&[VERSION]),
-                    },
-                ),
+                true => fail(&mut session, &send),
                 false => session.answer(&send),
             }
             at += 1;
@@ -369,12 +370,7 @@
             let fails = send.backend_server != good && send.attempt % 5 < 3;
             session.pass(ms(10));
             match fails {
-                true => session.fail(
-                    send.attempt,
-                    Failure::Ran {
-                        report: report(&[VERSION]),
-                    },
-                ),
+                true => fail(&mut session, &send),
                 false => session.answer(&send),
             }
             at += 1;
--- a/crates/decision/tests/home_failures.rs
+++ b/crates/decision/tests/home_failures.rs
@@ -3,7 +3,7 @@
 mod session;
 
 use monsoonring_configuration::Range;
-use monsoonring_configuration::document::SoftDeadline;
+use monsoonring_configuration::document::{Route, SoftDeadline};
 use monsoonring_decision::attempt::{Failure, Refusal};
 use monsoonring_decision::home::{Action, Event};
 use monsoonring_decision::outcome::{Outcome, Reason};
@@ -346,6 +346,20 @@
     assert_eq!(session.answered(1).coverage, 1.0);
 }
 
+/// Returns a session without any budget whose home has seen ninety-nine searches answered in 3 ms.
+fn practised(mut route: Route) -> Session {
+    route.hedge.budget_percent = 0.0;
+    route.retry.budget_percent = 0.0;
+    let mut session = Session::polled(route, &[VERSION]);
+    for id in 1..100 {
+        let next = session.sends.len();
+        session.ask(id);
+        session.pass(ms(3));
+        session.answer_from(next);
+    }
+    session
+}
+
 #[test_case(1; "all of one server")]
 #[test_case(3; "all of each group's first server")]
 fn silent_connections_all_at_once_are_asked_elsewhere(groups: usize) {
@@ -353,16 +367,7 @@
     // Events: something between the two ends loses track of all open connections to some servers
     //   at the same time; new ones work.
     // Cause: budgets are for a few attempts, and are spent; nothing but the deadline is left.
-    let mut thrifty = route(groups, 2);
-    thrifty.hedge.budget_percent = 0.0;
-    thrifty.retry.budget_percent = 0.0;
-    let mut session = Session::polled(thrifty, &[VERSION]);
-    for id in 1..100 {
-        let next = session.sends.len();
-        session.ask(id);
-        session.pass(ms(3));
-        session.answer_from(next);
-    }
+    let mut session = practised(route(groups, 2));
     let lost: Vec<_> = session.opens.clone();
     let is_lost = |send: &monsoonring_decision::home::action::Send| {
         let first = (0..groups).any(|group| send.backend_server == server(group, 0));
@@ -402,16 +407,7 @@
     // Symptom: each attempt at a slow server is made twice, beyond every budget.
     // Events: a server becomes ten times slower; it answers in the order of sending.
     // Cause: slowness is taken for silence, which costs no budget.
-    let mut thrifty = route(1, 1);
-    thrifty.hedge.budget_percent = 0.0;
-    thrifty.retry.budget_percent = 0.0;
-    let mut session = Session::polled(thrifty, &[VERSION]);
-    for id in 1..100 {
-        let next = session.sends.len();
-        session.ask(id);
-        session.pass(ms(3));
-        session.answer_from(next);
-    }
+    let mut session = practised(route(1, 1));
     let mut next = session.sends.len();
     for id in 100..200 {
         session.ask(id);
--- a/crates/decision/tests/network/mod.rs
+++ b/crates/decision/tests/network/mod.rs
@@ -1,7 +1,10 @@
 //! Runs member tables in one thread: each tick, every action of every table is carried out at once,
 //! apart from the messages that a test drops. It knows no latency and no load.
+#![allow(dead_code, reason = "no test file uses all of it")]
 
-use monsoonring_decision::member::{Action, Event, MemberId, Message, Page, Settings, Table};
+use monsoonring_decision::member::{
+    Action, Change, Event, Incarnation, MemberId, Message, Page, Seed, Settings, State, Table,
+};
 use monsoonring_decision::{Time, placement};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -209,3 +212,58 @@
         Some(usize::from(u16::from_be_bytes([high, low]))).filter(|n| *n < self.tables.len())
     }
 }
+
+pub(crate) const SECOND: Duration = Duration::from_secs(1);
+
+pub(crate) fn state(network: &Network, observer: usize, of: usize) -> Option<State> {
+    network.tables[observer].get(id(of)).map(|c| c.state)
+}
+
+pub(crate) fn all_see(network: &Network, of: usize, expected: State) -> bool {
+    let mut observers = (0..network.tables.len()).filter(|n| *n != of && network.running[*n]);
+    observers.all(|observer| state(network, observer, of) == Some(expected))
+}
+
+pub(crate) fn change(of: usize, start: u64, refutation: u32, state: State) -> Change {
+    Change {
+        id: id(of),
+        incarnation: Incarnation { start, refutation },
+        state,
+        data_centre: "dc0".into(),
+    }
+}
+
+/// Feeds changes to a table as a peer's page.
+pub(crate) fn feed(table: &mut Table, changes: &[Change], now: Time) -> Vec<Action> {
+    let (changes, rest) = (changes.to_vec(), None);
+    table.handle(Event::Pulled(id(9_999), Page { changes, rest }), now)
+}
+
+/// Tells a table that a later process of the member, of which it had not heard, is dead: this is
+/// believed at once, since there is nobody to refute it.
+pub(crate) fn bury(table: &mut Table, of: usize, now: Time) -> Change {
+    let dead = change(of, 2, 0, State::Dead);
+    feed(table, std::slice::from_ref(&dead), now);
+    dead
+}
+
+pub(crate) fn logged(network: &Network, own: usize, what: &str) -> bool {
+    let of_own = network.log.iter().filter(|(number, _)| *number == own);
+    of_own.into_iter().any(|(_, action)| is_line(action, what))
+}
+
+pub(crate) fn is_line(action: &Action, what: &str) -> bool {
+    matches!(action, Action::Log(line) if line.what == what)
+}
+
+pub(crate) fn listed(network: &mut Network) {
+    let seeds: Vec<Seed> = (0..network.tables.len())
+        .map(|n| Seed {
+            id: id(n),
+            leaving: false,
+        })
+        .collect();
+    for number in 0..network.tables.len() {
+        network.feed(number, Event::Listed(seeds.clone()));
+    }
+}
--- a/crates/decision/tests/pool.rs
+++ b/crates/decision/tests/pool.rs
@@ -177,17 +177,24 @@
     assert_eq!(silent(&pool, &ids, 210), ids);
 }
 
-// Symptom: one request after another loses its patience on the same server.
-// Events:  the connections that were idle when one went silent are used next.
-// Cause:   only the connection that was noticed is replaced.
-#[test]
-fn condemn_gives_up_unproven_idle_ones() {
+/// Returns a pool with three connections to a server: two that were idle when one of them was taken
+/// again and fell silent, and one that has been used since. The last one is the silent one.
+fn one_silent() -> (Pool, Vec<ConnectionId>, ConnectionId) {
     let mut pool = pool(1);
     let ids = take(&mut pool, 3, 0);
     pool.release(ids[0], ms(5));
     pool.release(ids[1], ms(10));
     let silent = pool.acquire(server(0), ms(20)).expect("two are idle");
     pool.release(ids[2], ms(100));
+    (pool, ids, silent)
+}
+
+// Symptom: one request after another loses its patience on the same server.
+// Events:  the connections that were idle when one went silent are used next.
+// Cause:   only the connection that was noticed is replaced.
+#[test]
+fn condemn_gives_up_unproven_idle_ones() {
+    let (mut pool, ids, silent) = one_silent();
     pool.condemn(silent, ms(100));
     let closed: BTreeSet<_> = pool
         .want(ms(100))
@@ -205,12 +212,7 @@
 // Cause:   only the connection of a search is given up, and with it the idle ones.
 #[test]
 fn distrust_gives_up_unproven_idle_ones_only() {
-    let mut pool = pool(1);
-    let ids = take(&mut pool, 3, 0);
-    pool.release(ids[0], ms(5));
-    pool.release(ids[1], ms(10));
-    let silent = pool.acquire(server(0), ms(20)).expect("two are idle");
-    pool.release(ids[2], ms(100));
+    let (mut pool, ids, silent) = one_silent();
     pool.distrust(silent, ms(100));
     let commands = pool.want(ms(100));
     let closes = commands
