--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -18,6 +18,7 @@
 pub mod event;
 mod execute;
 mod flight;
+mod hindrance;
 mod placement;
 mod reroute;
 mod rescue;
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -343,7 +343,9 @@
         }
         part.vanished = self.has_vanished(part.group, version);
         part.give_up();
-        let why = format!("no server for part {id}, group {}", part.group);
+        let group = part.group;
+        let hindrances = self.hindrances(group, version, deadline);
+        let why = format!("no server for part {id}, {hindrances}");
         self.log(Some(run.request.id), "give_up", None, why);
     }
 
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -2,6 +2,7 @@
 
 use super::action::Action;
 use super::flight::Owner;
+use super::hindrance::Down;
 use super::state::Home;
 use crate::attempt::{ConnectionId, Failure, Unopened};
 use crate::backend::News;
@@ -47,7 +48,7 @@
     }
 
     /// Tells whether a server is known not to serve a version.
-    fn lacks(&self, server: BackendServerId, version: Option<IndexVersion>) -> bool {
+    pub(super) fn lacks(&self, server: BackendServerId, version: Option<IndexVersion>) -> bool {
         let known = self.fleet.versions(server);
         version.is_some_and(|version| !known.is_empty() && !known.contains(&version))
     }
@@ -172,6 +173,7 @@
             return;
         };
         self.fleet.set_reachable(server, true, now);
+        self.down.remove(&server);
         self.learn(server);
         *self.callable.entry(server).or_default() += 1;
         self.touch(server);
@@ -201,7 +203,7 @@
         if why != Unopened::Ended {
             self.prove(ending.server, now);
         }
-        self.lose(ending, now);
+        self.lose(ending, Down::Unopened(why), now);
     }
 
     /// Takes a connection that has ended off the books. If it was the last sign that the server can
@@ -210,22 +212,18 @@
         let Some(ending) = self.pool.closed(connection, now) else {
             return;
         };
-        self.lose(ending, now);
+        self.lose(ending, Down::Lost, now);
     }
 
-    fn lose(&mut self, ending: Ending, now: Time) {
+    fn lose(&mut self, ending: Ending, down: Down, now: Time) {
         self.touch(ending.server);
         if !ending.down {
             *self.callable.entry(ending.server).or_default() += 1;
             return;
         }
         let server = ending.server;
-        self.log(
-            None,
-            "unreachable",
-            Some(server),
-            "connection refused or ended",
-        );
+        self.log(None, "unreachable", Some(server), down.to_string());
+        self.down.insert(server, down);
         self.fleet.set_reachable(server, false, now);
         self.evacuate(server, now);
         self.learn(server);
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -4,6 +4,7 @@
 use super::counts::Counts;
 use super::event::{Event, Request};
 use super::flight;
+use super::hindrance::Down;
 use super::placement::Placement;
 use super::terms::Terms;
 use super::timer::{self, Timer};
@@ -66,6 +67,8 @@
     pub(super) callable: BTreeMap<BackendServerId, usize>,
     /// Until when a server asked for no work.
     pub(super) back_offs: BTreeMap<BackendServerId, Time>,
+    /// What made servers unreachable, for those that are.
+    pub(super) down: BTreeMap<BackendServerId, Down>,
     pub(super) timers: timer::Queue,
     /// When the fleet is to be told the time.
     pub(super) fleet_at: Option<Time>,
@@ -119,6 +122,7 @@
             freed: BTreeSet::new(),
             callable: BTreeMap::new(),
             back_offs: BTreeMap::new(),
+            down: BTreeMap::new(),
             timers: timer::Queue::default(),
             fleet_at: None,
             fleet_changed: true,
--- /dev/null
+++ b/crates/decision/tests/home_hindrance.rs
@@ -0,0 +1,28 @@
+//! What the log says of a search that found no server for a part.
+
+mod session;
+
+use monsoonring_decision::home::Event;
+use session::{Session, route, server};
+
+// Symptom: a search is refused as unavailable, and nobody can say which shard had no server, or why none:
+//          whether all had left, were dead, or were full of other hosts' connections.
+// Events:  of a shard's two servers one refuses connections and one leaves; a search comes.
+// Cause:   the line named a part and a group by number, and no server.
+#[test]
+fn search_without_a_server_tells_shard_servers_and_reasons() {
+    let mut session = Session::refusing(route(2, 2), &[server(1, 0)]);
+    session.on(Event::Leaving {
+        backend_server: server(1, 1),
+        start: None,
+    });
+    session.ask(1);
+    let told = session.log.iter().filter(|line| line.what == "give_up");
+    let told: Vec<String> = told.map(|line| line.why.to_string()).collect();
+    assert_eq!(
+        told,
+        [
+            "no server for part 1, g1: 127.0.2.1:9000 unreachable, connect: refused, 127.0.2.2:9000 leaving"
+        ]
+    );
+}
