Take a search that has left for the other host's, whatever becomes of the connection

Cause: a connection that timed out was taken for a search that never arrived. A way cut one way, and a host that loses power while a search waits there, time out the same, so that two hosts fan one search out and a shard's servers are asked twice as often as its route allows. Also splits the two sides of the hop into files of their own.

--- /dev/null
+++ b/crates/daemon/src/gateway/relay/helper.rs
@@ -0,0 +1,57 @@
+//! Taking in the searches of other hosts.
+
+use super::{VERSION, declined, version};
+use crate::gateway::Ingress;
+use crate::gateway::front::Front;
+use crate::server::{Handler, Standing};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use monsoonring_decision::gateway::helper::Strength;
+use tokio::sync::Semaphore;
+
+/// Searches of others that a host of one core takes on at once. One takes about 4 ms of a core and is
+/// answered within 200 ms, so that this many use up four fifths of it.
+const TAKEN_BY_A_CORE: f64 = 40.0;
+
+/// Answers the searches of other hosts.
+pub(in crate::gateway) struct Helper<I> {
+    pub(in crate::gateway) front: Front<I>,
+    /// Places for them.
+    places: Semaphore,
+}
+
+impl<I> Helper<I> {
+    pub(in crate::gateway) fn new(front: Front<I>, strength: Strength) -> Self {
+        let places = f64::from(strength) / 100.0 * TAKEN_BY_A_CORE;
+        Self {
+            front,
+            places: Semaphore::new(places as usize),
+        }
+    }
+}
+
+impl<I: Ingress> Handler for Helper<I> {
+    async fn handle(
+        &self,
+        mut request: Request<Incoming>,
+        standing: Standing,
+    ) -> Response<Full<Bytes>> {
+        let Ok(_place) = self.places.try_acquire() else {
+            return declined("full house");
+        };
+        let asked = version(request.headers());
+        // It is between hosts, and no backend server's concern.
+        request.headers_mut().remove(VERSION);
+        let own = self.front.state.view().map(|view| view.table.version);
+        if own.is_none() || asked != own {
+            let mut response = declined("another configuration");
+            if let Some(own) = own {
+                response.headers_mut().insert(VERSION, own.into());
+            }
+            return response;
+        }
+        self.front.answer(request, standing).await
+    }
+}
--- a/crates/daemon/src/gateway/relay.rs
+++ b/crates/daemon/src/gateway/relay/mod.rs
@@ -4,15 +4,23 @@
 //! the configuration that it came under. A host that has another version in force declines, so that one
 //! client never sees a version come and go. So does one that is stopping, that knows no server, or that
 //! has a full house: whoever asked then fans out by itself.
+//!
+//! Two hosts must never fan the same search out: each would ask as many servers of a shard as the request
+//! may run on, and the owners' bound would be broken. So a search of which a byte has left is the other
+//! host's, whatever becomes of the connection. Nothing tells one that never arrived from one whose
+//! acknowledgement was lost on a way that is cut one way, or whose host lost power while it waited: in each
+//! case the system says that the connection timed out.
+
+mod helper;
+#[cfg(test)]
+mod tests;
+
+pub(super) use helper::Helper;
 
-use super::Ingress;
-use super::front::Front;
 use crate::client;
 use crate::clock::Clock;
-use crate::server::{Handler, Standing};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -20,10 +28,9 @@
 use monsoonring_decision::member::MemberId;
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{Notify, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -49,10 +56,6 @@
 /// Largest answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Searches of others that a host of one core takes on at once. One takes about 4 ms of a core and is
-/// answered within 200 ms, so that this many use up four fifths of it.
-const TAKEN_BY_A_CORE: f64 = 40.0;
-
 /// Why another host did not answer.
 #[derive(Debug, Snafu)]
 pub(super) enum Error {
@@ -60,7 +63,7 @@
     Connect { source: client::Error },
     #[snafu(display("host {host}: connecting: no answer in {CONNECT_TIMEOUT:?}"))]
     Silent { host: MemberId },
-    #[snafu(display("host {host}: asking, of which nothing arrived: {source}"))]
+    #[snafu(display("host {host}: asking, of which nothing left: {source}"))]
     Unasked {
         host: MemberId,
         source: hyper::Error,
@@ -187,7 +190,10 @@
                 let source = error.into_error();
                 return Err(Error::Unasked { host, source });
             }
-            Err(error) => return Err(unanswered(host, error.into_error())),
+            Err(error) => {
+                let source = error.into_error();
+                return Err(Error::Lost { host, source });
+            }
         };
         let (mut head, body) = response.into_parts();
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
@@ -246,60 +252,6 @@
     }
 }
 
-/// Tells a search of which nothing was acknowledged from one whose connection ended otherwise.
-fn unanswered(host: MemberId, source: hyper::Error) -> Error {
-    let mut cause = std::error::Error::source(&source);
-    while let Some(inner) = cause {
-        let io = inner.downcast_ref::<std::io::Error>();
-        if io.is_some_and(|io| io.kind() == ErrorKind::TimedOut) {
-            return Error::Unasked { host, source };
-        }
-        cause = inner.source();
-    }
-    Error::Lost { host, source }
-}
-
-/// Answers the searches of other hosts.
-pub(super) struct Helper<I> {
-    pub(super) front: Front<I>,
-    /// Places for them.
-    places: Semaphore,
-}
-
-impl<I> Helper<I> {
-    pub(super) fn new(front: Front<I>, strength: Strength) -> Self {
-        let places = f64::from(strength) / 100.0 * TAKEN_BY_A_CORE;
-        Self {
-            front,
-            places: Semaphore::new(places as usize),
-        }
-    }
-}
-
-impl<I: Ingress> Handler for Helper<I> {
-    async fn handle(
-        &self,
-        mut request: Request<Incoming>,
-        standing: Standing,
-    ) -> Response<Full<Bytes>> {
-        let Ok(_place) = self.places.try_acquire() else {
-            return declined("full house");
-        };
-        let asked = version(request.headers());
-        // It is between hosts, and no backend server's concern.
-        request.headers_mut().remove(VERSION);
-        let own = self.front.state.view().map(|view| view.table.version);
-        if own.is_none() || asked != own {
-            let mut response = declined("another configuration");
-            if let Some(own) = own {
-                response.headers_mut().insert(VERSION, own.into());
-            }
-            return response;
-        }
-        self.front.answer(request, standing).await
-    }
-}
-
 /// Returns the version of the configuration that a message names.
 fn version(headers: &HeaderMap) -> Option<u64> {
     headers.get(VERSION)?.to_str().ok()?.parse().ok()
--- a/crates/decision/tests/added_routes.rs
+++ b/crates/decision/tests/added_routes.rs
@@ -63,7 +63,7 @@
 }
 
 impl Set {
-    fn new(division: Division, far: BTreeSet<u16>) -> Self {
+    fn new(division: Division, far: &BTreeSet<u16>) -> Self {
         let mut route = route(1, SERVERS);
         route.capacity.connections = LIMIT;
         let mut pool = Pool::new(&route, division, 1, ms(0));
@@ -95,8 +95,9 @@
     /// Ends what is done, opens and closes, and puts what waits onto connections.
     fn step(&mut self, open: &mut [usize], step: u64) {
         let now = ms(step * STEP);
-        let done = |(_, until): &(ConnectionId, u64)| *until <= step;
-        let ended: Vec<_> = self.working.extract_if(.., |one| done(one)).collect();
+        let working = std::mem::take(&mut self.working).into_iter();
+        let (ended, working): (Vec<_>, _) = working.partition(|(_, until)| *until <= step);
+        self.working = working;
         for (id, _) in ended {
             self.pool.release(id, now);
         }
@@ -150,10 +151,10 @@
     for host in 0..HOSTS {
         let far: BTreeSet<u16> = (0..SERVERS).filter(|one| is_far(host, *one)).collect();
         let division = Division::everyone(homes(host), 162.0);
-        let mut first = Set::new(division, far.clone());
+        let mut first = Set::new(division, &far);
         first.pool.set_identity(host as u64);
         sets.push(first);
-        sets.push(Set::new(division.on_demand(), far));
+        sets.push(Set::new(division.on_demand(), &far));
     }
     let mut open = vec![0; usize::from(SERVERS)];
     for step in 0..LENGTH / STEP {
