--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -57,8 +57,14 @@
     pub(super) metrics: Arc<Metrics>,
     /// Hosts that searches may be handed to.
     pub(super) passing: Passing,
+    /// How long answers take on their way to callers of this host.
+    pub(super) on_the_way: Duration,
 }
 
+/// How long an answer takes on its way to the caller of another host, which handed the search on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct OnTheWay(pub(super) Duration);
+
 /// What is done with a search that another host could fan out.
 #[derive(Clone)]
 pub(super) enum Passing {
@@ -118,11 +124,13 @@
             return self.not_run(&ask, "route without a service", COME_BACK);
         };
         let id: RequestId = rand::rng().random();
+        let told = head.extensions.get::<OnTheWay>();
+        let on_the_way = told.map_or(self.on_the_way, |told| told.0);
         let forward = Forward {
             is_merged: matches!(route.target, Target::Gather(_)),
             ..self.ingress.forward(head, &ask, body)
         };
-        let asked = self.asked(id, &ask, &route, forward, arrived);
+        let asked = self.asked(id, &ask, &route, forward, arrived, on_the_way);
         let mut line = Line {
             log: &self.log,
             metrics: &self.metrics,
@@ -182,6 +190,7 @@
         let left = patience.checked_sub(asking.arrived.elapsed())?;
         let mut head = head.clone();
         self.ingress.set_patience(&mut head.headers, left);
+        relay::set_on_the_way(&mut head.headers, self.on_the_way);
         let mut leaves = Leaving {
             log: &self.log,
             asking,
@@ -232,6 +241,7 @@
         route: &Route,
         forward: Forward,
         arrived: Instant,
+        on_the_way: Duration,
     ) -> event::Request<Opaque> {
         let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
         event::Request {
@@ -242,7 +252,7 @@
             fingerprint: fingerprint(&forward),
             body: Arc::new(forward),
             execute_key: None,
-            terms: Some(route.terms()),
+            terms: Some(route.terms(on_the_way)),
         }
     }
 
--- a/crates/daemon/src/gateway/relay/helper.rs
+++ b/crates/daemon/src/gateway/relay/helper.rs
@@ -1,8 +1,8 @@
 //! Taking in the searches of other hosts, and their questions for what was read of the store.
 
-use super::{VERSION, declined, version};
+use super::{VERSION, declined, take_out};
 use crate::gateway::Ingress;
-use crate::gateway::front::Front;
+use crate::gateway::front::{Front, OnTheWay};
 use crate::gateway::mirror::Mirror;
 use crate::server::{Handler, Standing};
 use bytes::Bytes;
@@ -53,9 +53,10 @@
         let Ok(_place) = self.places.try_acquire() else {
             return declined("full house");
         };
-        let asked = version(request.headers());
-        // It is between hosts, and no backend server's concern.
-        request.headers_mut().remove(VERSION);
+        let (asked, on_the_way) = take_out(request.headers_mut());
+        if let Some(time) = on_the_way {
+            request.extensions_mut().insert(OnTheWay(time));
+        }
         let own = self.front.state.view().map(|view| view.table.version);
         if own.is_none() || asked != own {
             let mut response = declined("another configuration");
--- a/crates/daemon/src/gateway/relay/mod.rs
+++ b/crates/daemon/src/gateway/relay/mod.rs
@@ -37,6 +37,9 @@
 /// Version of the configuration that a search came under.
 const VERSION: HeaderName = HeaderName::from_static("monsoonring-configuration");
 
+/// Milliseconds that the answer takes on its way from the host that hands the search on to its caller.
+const ON_THE_WAY: HeaderName = HeaderName::from_static("monsoonring-on-the-way-ms");
+
 /// Present where a host declined a search; says why.
 pub(super) const DECLINED: HeaderName = HeaderName::from_static("monsoonring-declined");
 
@@ -265,3 +268,18 @@
     headers.insert(DECLINED, HeaderValue::from_static(why));
     response
 }
+
+/// Tells the other host how long the answer takes from here to the caller.
+pub(super) fn set_on_the_way(headers: &mut HeaderMap, time: Duration) {
+    headers.insert(ON_THE_WAY, (time.as_millis() as u64).into());
+}
+
+/// Takes out of a search what is between hosts, and no backend server's concern. Returns the version of the
+/// configuration that it came under, and how long the answer takes on its way, as far as it says so.
+fn take_out(headers: &mut HeaderMap) -> (Option<u64>, Option<Duration>) {
+    let version = version(headers);
+    headers.remove(VERSION);
+    let time = headers.remove(ON_THE_WAY);
+    let time = time.and_then(|time| time.to_str().ok()?.parse().ok());
+    (version, time.map(Duration::from_millis))
+}
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::gateway::Members;
 use monsoonring_decision::gateway::helper::Strength;
+use monsoonring_decision::gateway::way;
 use monsoonring_decision::member::MemberId;
 use monsoonring_decision::placement::{Division, Member};
 use rand::Rng;
@@ -234,6 +235,7 @@
             log: log.clone(),
             metrics: metrics.clone(),
             passing,
+            on_the_way: way::time(settings.strength),
         };
         let searches = Server {
             handler: Helper::new(front(Passing::Back), settings.strength, outside.mirror),
--- a/crates/decision/src/gateway/mod.rs
+++ b/crates/decision/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 pub mod source;
 pub mod split;
 pub mod table;
+pub mod way;
 
 pub use members::Members;
 pub use registry::Registry;
--- a/crates/decision/src/gateway/table.rs
+++ b/crates/decision/src/gateway/table.rs
@@ -1,6 +1,6 @@
 //! The routes of one version of the configuration, and which of them a request takes.
 
-use super::{ServiceId, Shards};
+use super::{ServiceId, Shards, way};
 use crate::home::Terms;
 use monsoonring_configuration::document::{Class, Kind, SoftDeadline};
 use monsoonring_configuration::id::RouteId;
@@ -9,17 +9,6 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Time before the objective at which a partial answer has to leave to be in time. The caller counts from its
-/// first step: a new connection takes two round trips, 12 ms where the way is 3 ms, and reading, handing
-/// on and writing on a host of an eighth of a core take up to 8. Left at 6 ms, half of all answers came a moment after
-/// their objective whenever servers turned away or were slow: with 20, 0.78 to 0.90 of the worth was
-/// earned in place of 0.67 to 0.82 (three deployments of 61 to 89 hosts, seven days of trouble, one run each; 16 ms
-/// earns within 0.01 of that).
-const ON_THE_WAY: Duration = Duration::from_millis(20);
-
-/// The same as a share of the objective at most: what is left has to be enough for servers to answer.
-const ON_THE_WAY_AT_MOST: f64 = 0.5;
-
 /// Last ranks of the two upper classes. Routes that somebody in the field waits for have rank 1, the
 /// others 2, and what nobody waits for comes after them.
 const URGENT_AT_MOST: u32 = 1;
@@ -89,11 +78,11 @@
         }
     }
 
-    /// Returns what holds for its requests at a home.
-    pub fn terms(&self) -> Terms {
+    /// Returns what holds for its requests at a home, where answers take so long on their way to callers.
+    pub fn terms(&self, on_the_way: Duration) -> Terms {
         let soft = match &self.target {
             Target::Gather(gather) => Some(SoftDeadline {
-                after_ms: self.leaves_after().as_millis() as u64,
+                after_ms: way::leaves_after(self.objective, on_the_way).as_millis() as u64,
                 coverage: gather.least,
             }),
             Target::Split(_) => None,
@@ -107,12 +96,6 @@
         }
     }
 
-    /// Returns the time after which a partial answer leaves.
-    fn leaves_after(&self) -> Duration {
-        let at_most = self.objective.mul_f64(ON_THE_WAY_AT_MOST);
-        self.objective.saturating_sub(ON_THE_WAY.min(at_most))
-    }
-
     /// Returns how much its requests count when there is not room for all.
     pub fn class(&self) -> Class {
         match self.priority {
--- a/crates/experiment/src/simulation/world/callers.rs
+++ b/crates/experiment/src/simulation/world/callers.rs
@@ -4,12 +4,17 @@
 use crate::simulation::tally::Ended;
 use crate::simulation::work;
 use monsoonring_decision::Time;
+use monsoonring_decision::gateway::helper::Strength;
+use monsoonring_decision::gateway::way;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::home::event::Request;
 use rand::Rng;
 use std::collections::HashSet;
 use std::time::Duration;
 
+/// What the modelled hosts have of a core, in hundredths, as the deployments of 7 to 9 hosts.
+const STRENGTH: Strength = 25;
+
 impl World<'_> {
     pub(super) fn arrival(&mut self, kind: usize) {
         if self.now >= LEAD + self.day.length {
@@ -47,7 +52,7 @@
             fingerprint: caller.id as u64,
             body: (),
             execute_key: None,
-            terms: Some(self.routes[caller.kind].terms()),
+            terms: Some(self.routes[caller.kind].terms(way::time(STRENGTH))),
         };
         self.heard(host, kind.pool, Event::Request(request));
     }
