--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -99,7 +99,7 @@
         *self.asked.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
         let waited = timeout(self.pace.ask(), self.wait(after)).await;
         // Nothing came; whether that is still known for sure is asked once more.
-        let answer = waited.unwrap_or_else(|_| self.now(after));
+        let answer = waited.unwrap_or_else(|_| self.answer_now(after));
         let outage = self.log().outage(self.clock.now());
         Some(respond(answer, outage))
     }
@@ -108,7 +108,7 @@
     async fn wait(&self, after: Revision) -> Answer {
         loop {
             let changed = self.changed.notified();
-            let answer = self.now(after);
+            let answer = self.answer_now(after);
             if answer != Answer::Nothing {
                 return answer;
             }
@@ -116,7 +116,7 @@
         }
     }
 
-    fn now(&self, after: Revision) -> Answer {
+    fn answer_now(&self, after: Revision) -> Answer {
         self.log().answer(after, self.clock.now())
     }
 
@@ -133,7 +133,7 @@
 
 fn respond(answer: Answer, outage: Outage) -> Response<Full<Bytes>> {
     let mut response = match answer {
-        Answer::Declined(why) => return declined(reason(why)),
+        Answer::Declined(why) => return declined(why.reason()),
         Answer::Nothing => {
             let mut response = Response::new(Full::default());
             *response.status_mut() = StatusCode::NO_CONTENT;
@@ -153,20 +153,6 @@
     response
 }
 
-fn reason(why: Declined) -> &'static str {
-    match why {
-        Declined::NoReader => "no reader",
-        Declined::Lost => STORE_LOST,
-        Declined::Unsure => UNSURE,
-        Declined::Behind => "behind",
-        Declined::Forgotten => "history gone",
-    }
-}
-
-/// Reasons after which the store may have been away.
-const STORE_LOST: &str = "store lost";
-const UNSURE: &str = "not sure to be up to date";
-
 /// Why a reader did not tell what changed.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -218,7 +204,8 @@
 impl Error {
     /// Tells whether the store may have been away, so that entries lapsed there.
     pub fn is_store_lost(&self) -> bool {
-        matches!(self, Self::Declined { why, .. } if why == STORE_LOST || why == UNSURE)
+        let away = [Declined::Lost, Declined::Unsure].map(Declined::reason);
+        matches!(self, Self::Declined { why, .. } if away.contains(&why.as_str()))
     }
 }
 
--- a/crates/decision/src/gateway/mirror.rs
+++ b/crates/decision/src/gateway/mirror.rs
@@ -17,7 +17,6 @@
 
 use super::registry::Revision;
 use crate::Time;
-use derive_more::Display;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -44,25 +43,33 @@
 }
 
 /// Why a reader does not answer.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Declined {
     /// It has not read the store itself, or only just starts.
-    #[display("no reader")]
     NoReader,
     /// It can't reach the store.
-    #[display("store lost")]
     Lost,
     /// The store has not answered for too long.
-    #[display("not sure to be up to date")]
     Unsure,
     /// Who asks knows more.
-    #[display("behind")]
     Behind,
     /// It does not keep what goes so far back.
-    #[display("history gone")]
     Forgotten,
 }
 
+impl Declined {
+    /// Returns the reason as hosts tell it to each other.
+    pub const fn reason(self) -> &'static str {
+        match self {
+            Self::NoReader => "no reader",
+            Self::Lost => "store lost",
+            Self::Unsure => "not sure to be up to date",
+            Self::Behind => "behind",
+            Self::Forgotten => "history gone",
+        }
+    }
+}
+
 /// A loss of the store that is over.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Outage {
--- a/crates/decision/src/gateway/source.rs
+++ b/crates/decision/src/gateway/source.rs
@@ -130,7 +130,7 @@
 
     /// Takes in what a reader says of losses of the store. Returns whether one that this host has not heard
     /// of ended less than `doubted` ago.
-    pub fn is_new(&mut self, host: MemberId, outage: Outage, doubted: Duration) -> bool {
+    pub fn heard_of(&mut self, host: MemberId, outage: Outage, doubted: Duration) -> bool {
         let reader = self.known.entry(host).or_default();
         let is_known = reader.outages.replace(outage.count) == Some(outage.count);
         !is_known && outage.ended.is_some_and(|ago| ago < doubted)
