Tell a search from a question by its version, whatever headers its client sent

Found in reading: a client that sends the header of a question between hosts had its search answered as one, where it was handed on. The test fails without the look at the version.

--- a/crates/daemon/src/gateway/relay/helper.rs
+++ b/crates/daemon/src/gateway/relay/helper.rs
@@ -47,8 +47,13 @@
         mut request: Request<Incoming>,
         standing: Standing,
     ) -> Response<Full<Bytes>> {
-        if let Some(response) = self.mirror.answer(request.headers()).await {
-            return response;
+        // A search comes under a version. Without this look at it a client that sends the header of a question
+        // would have its search answered as one.
+        let is_search = request.headers().contains_key(VERSION);
+        if !is_search {
+            if let Some(response) = self.mirror.answer(request.headers()).await {
+                return response;
+            }
         }
         let Ok(_place) = self.places.try_acquire() else {
             return declined("full house");
