--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -4,7 +4,7 @@
 //! up to which the asker knows everything; it waits at the reader until there is more, as a watch of the store
 //! does. What is answered and when is [`mirror::Log`]'s.
 
-use super::relay::{DECLINED, declined};
+use super::relay::{DECLINED, declined, number};
 use crate::client;
 use crate::clock::Clock;
 use bytes::Bytes;
@@ -298,7 +298,3 @@
         })
     }
 }
-
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
-}
--- a/crates/daemon/src/gateway/relay/mod.rs
+++ b/crates/daemon/src/gateway/relay/mod.rs
@@ -257,7 +257,12 @@
 
 /// Returns the version of the configuration that a message names.
 fn version(headers: &HeaderMap) -> Option<u64> {
-    headers.get(VERSION)?.to_str().ok()?.parse().ok()
+    number(headers, &VERSION)
+}
+
+/// Returns the number that a header between hosts holds.
+pub(super) fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
 }
 
 /// Answers that the search has not run here, and that whoever asked may fan out by itself.
@@ -279,7 +284,7 @@
 fn take_out(headers: &mut HeaderMap) -> (Option<u64>, Option<Duration>) {
     let version = version(headers);
     headers.remove(VERSION);
-    let time = headers.remove(ON_THE_WAY);
-    let time = time.and_then(|time| time.to_str().ok()?.parse().ok());
+    let time = number(headers, &ON_THE_WAY);
+    headers.remove(ON_THE_WAY);
     (version, time.map(Duration::from_millis))
 }
