--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -23,6 +23,7 @@
 use monsoonring_decision::{Fingerprint, RequestId};
 use rand::Rng;
 use slog::{Logger, info};
+use std::ops::ControlFlow;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -38,6 +39,11 @@
 /// Time that a request's body may take where no deadline is given.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Hosts that a search is handed to, one after the other, before this one fans it out. Each that declines costs a
+/// round trip, a fifth of a millisecond within a data centre; a data centre has three readers of the store, and
+/// seldom more strong hosts.
+const HELPERS_ASKED: usize = 3;
+
 /// How a home says that a request ended.
 type Ending = Outcome<<Opaque as Content>::Value>;
 
@@ -169,9 +175,22 @@
     arrived: Instant,
 }
 
+impl Asking<'_> {
+    /// Returns the time from its arrival within which the request is to be answered.
+    fn patience(&self) -> Duration {
+        let timeout = self.route.timeout;
+        self.ask.patience.unwrap_or(timeout).min(timeout)
+    }
+}
+
 impl<I: Ingress> Front<I> {
     /// Has another host answer a search, if one does. A request that may run once is not handed on: its
     /// servers are few, and whether it ran would depend on one more connection.
+    ///
+    /// A host that declines has run nothing and says so within a round trip, so the next one is asked. Hosts with
+    /// another version of the configuration decline for as long as the store turns them away. Where the one that
+    /// came first did so for nine seconds, all weak hosts of its data centre fanned out by themselves, 253 of 1,360
+    /// searches of 195 hosts, although two others there had the version.
     async fn pass_on(
         &self,
         head: &request::Parts,
@@ -181,13 +200,29 @@
         let Passing::On(relay) = &self.passing else {
             return None;
         };
-        let route = asking.route;
-        if !matches!(route.target, Target::Gather(_)) {
+        if !matches!(asking.route.target, Target::Gather(_)) {
             return None;
         }
-        let patience = asking.ask.patience.unwrap_or(route.timeout);
-        let patience = patience.min(route.timeout);
-        let left = patience.checked_sub(asking.arrived.elapsed())?;
+        for _ in 0..HELPERS_ASKED {
+            if let ControlFlow::Break(end) = self.ask_helper(relay, head, body, asking).await {
+                return end;
+            }
+        }
+        None
+    }
+
+    /// Asks one other host. Breaks with its answer, or with none where nobody else is to be asked.
+    async fn ask_helper(
+        &self,
+        relay: &Relay,
+        head: &request::Parts,
+        body: &Bytes,
+        asking: &Asking<'_>,
+    ) -> ControlFlow<Option<Response<Full<Bytes>>>> {
+        let patience = asking.patience();
+        let Some(left) = patience.checked_sub(asking.arrived.elapsed()) else {
+            return ControlFlow::Break(None);
+        };
         let mut head = head.clone();
         self.ingress.set_patience(&mut head.headers, left);
         relay::set_on_the_way(&mut head.headers, self.on_the_way);
@@ -196,8 +231,11 @@
             asking,
             ended: false,
         };
-        let (host, answer) = relay.ask(&head, body, asking.version, left).await?;
+        let asked = relay.ask(&head, body, asking.version, left).await;
         leaves.ended = true;
+        let Some((host, answer)) = asked else {
+            return ControlFlow::Break(None);
+        };
         let took = asking.arrived.elapsed();
         let response = match answer {
             Ok(response) => response,
@@ -206,20 +244,23 @@
                 info!(self.log, "relay"; "id" => &asking.ask.id, "helper" => %host,
                     "took_us" => took.as_micros(), "outcome" => "not answered",
                     "why" => %error);
-                let is_late = asking.arrived.elapsed() >= patience;
+                if !error.may_have_begun() {
+                    return ControlFlow::Continue(());
+                }
+                let is_late = took >= patience;
                 let status = match is_late {
                     true => StatusCode::GATEWAY_TIMEOUT,
                     false => StatusCode::BAD_GATEWAY,
                 };
-                return error.may_have_begun().then(|| plain(status));
+                return ControlFlow::Break(Some(plain(status)));
             }
         };
         self.metrics.front.relayed("answered");
         info!(self.log, "relay"; "id" => &asking.ask.id, "helper" => %host,
-            "route" => &*route.name, "configuration" => asking.version,
+            "route" => &*asking.route.name, "configuration" => asking.version,
             "took_us" => took.as_micros(), "outcome" => "answered",
             "status" => response.status().as_u16());
-        Some(response)
+        ControlFlow::Break(Some(response))
     }
 
     /// Reads a body whole, within the limits in force.
