--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -8,7 +8,7 @@
 use super::content::Opaque;
 use super::members;
 use super::relay::Relay;
-use super::state::{Instances, State, View};
+use super::state::{Elsewhere, Instances, State, View};
 use crate::backend::Codec;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -50,6 +50,8 @@
     pub(super) readers: watch::Sender<Readers>,
     /// Who hands searches to other hosts.
     pub(super) relay: Arc<Relay>,
+    /// Told which other data centres parts of searches may go to.
+    pub(super) seek: watch::Sender<BTreeSet<DataCentreId>>,
     /// Where homes tell what the other hosts have to know.
     pub(super) facts: Facts,
 }
@@ -195,6 +197,10 @@
                 self.crashing.insert(fingerprint, until);
                 Event::Suspect { fingerprint, until }
             }
+            members::News::Remote(remote) => {
+                self.settings.relay.told_remote(remote.clone());
+                return;
+            }
             members::News::Readers(readers) => {
                 self.settings.readers.send_replace(readers.clone());
                 return;
@@ -211,6 +217,24 @@
         }
     }
 
+    /// Returns where the shards of each set are that have no server in this data centre, and has hosts looked for
+    /// there.
+    fn elsewhere(&self, usable: &Usable<'_>) -> HashMap<Shards, Elsewhere> {
+        let own = &self.settings.data_centre;
+        let sets = self.homes.keys();
+        let elsewhere: HashMap<Shards, Elsewhere> = sets
+            .map(|set| (set.clone(), shards::elsewhere(set, usable, own)))
+            .collect();
+        let sought = elsewhere.values().flat_map(BTreeMap::keys).cloned();
+        let sought: BTreeSet<DataCentreId> = sought.collect();
+        self.settings.seek.send_if_modified(|known| {
+            let is_new = *known != sought;
+            *known = sought;
+            is_new
+        });
+        elsewhere
+    }
+
     /// Tells a home that begins which requests crash servers.
     fn brief(&self, home: &Home) {
         for (&fingerprint, &until) in &self.crashing {
@@ -257,11 +281,13 @@
             info!(self.settings.log, "shards"; "what" => "not in use any more",
                 "set" => shards::name(set));
         }
+        let elsewhere = Arc::new(self.elsewhere(&usable));
         let handles = self.homes.iter();
         let handles = handles.map(|(set, home)| (set.clone(), home.handle.clone()));
         self.state.put(View {
             table,
             homes: Arc::new(handles.collect()),
+            elsewhere,
         });
     }
 
--- a/crates/daemon/src/gateway/front.rs
+++ b/crates/daemon/src/gateway/front.rs
@@ -1,12 +1,13 @@
 //! A client's request from its head to its answer.
 
 use super::content::{Forward, Opaque, Whole};
-use super::relay::{self, Relay};
+use super::relay::{self, Only, Relay, Shared, Sharing};
 use super::state::State;
 use super::{Ask, Ingress};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::metrics::label::Ended;
+use crate::route;
 use crate::server::{Handler, Standing};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -17,13 +18,15 @@
 use monsoonring_decision::content::Content;
 use monsoonring_decision::gateway::Table;
 use monsoonring_decision::gateway::table::{Route, Target};
-use monsoonring_decision::home::event;
+use monsoonring_decision::home::event::{self, Event, Scope};
 use monsoonring_decision::outcome::{Answer, Outcome, Reason};
+use monsoonring_decision::query::coverage::Set;
 use monsoonring_decision::query::greatest::greatest;
 use monsoonring_decision::{Fingerprint, RequestId};
 use rand::Rng;
 use slog::{Logger, info};
 use std::ops::ControlFlow;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout;
@@ -44,6 +47,10 @@
 /// seldom more strong hosts.
 const HELPERS_ASKED: usize = 3;
 
+/// Time that the answer for a part of a search takes from the host that looked through it, beside the time that the
+/// whole one takes from here: a millisecond each way between data centres of a region, with work at both ends.
+const PART_HOP: Duration = Duration::from_millis(4);
+
 /// How a home says that a request ended.
 type Ending = Outcome<<Opaque as Content>::Value>;
 
@@ -61,8 +68,10 @@
     pub(super) clock: Clock,
     pub(super) log: Logger,
     pub(super) metrics: Arc<Metrics>,
-    /// Hosts that searches may be handed to.
+    /// What is done with searches that another host could fan out.
     pub(super) passing: Passing,
+    /// The hosts that could.
+    pub(super) relay: Arc<Relay>,
     /// How long answers take on their way to callers of this host.
     pub(super) on_the_way: Duration,
 }
@@ -72,10 +81,10 @@
 pub(super) struct OnTheWay(pub(super) Duration);
 
 /// What is done with a search that another host could fan out.
-#[derive(Clone)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Passing {
     /// It is handed to one, if there is one.
-    On(Arc<Relay>),
+    On,
     /// It was handed to this host, which answers or declines.
     Back,
 }
@@ -132,29 +141,47 @@
         let id: RequestId = rand::rng().random();
         let told = head.extensions.get::<OnTheWay>();
         let on_the_way = told.map_or(self.on_the_way, |told| told.0);
+        let only = head.extensions.get::<Only>().map(|only| only.0.clone());
+        let elsewhere = match only {
+            Some(_) => None,
+            None => shards.as_ref().and_then(|set| view.elsewhere.get(set)),
+        };
+        let sharing = elsewhere.and_then(|elsewhere| self.relay.share(elsewhere));
+        let sharing = sharing.map(|sharing| (sharing, head.clone(), body.clone()));
         let forward = Forward {
             is_merged: matches!(route.target, Target::Gather(_)),
             ..self.ingress.forward(head, &ask, body)
         };
-        let asked = self.asked(id, &ask, &route, forward, arrived, on_the_way);
+        let asked = event::Request {
+            scope: Scope {
+                only: only.clone(),
+                elsewhere: (sharing.as_ref())
+                    .map(|(sharing, ..)| sharing.keys().clone())
+                    .unwrap_or_default(),
+            },
+            ..self.asked(id, &asking, forward, on_the_way, only.as_ref())
+        };
         let mut line = Line {
             log: &self.log,
             metrics: &self.metrics,
             id,
-            ask: &ask,
-            route: &route,
-            version: view.table.version,
-            arrived,
+            asking: &asking,
             ended: false,
         };
-        let outcome = home.run(asked).await;
+        let outcome = match sharing {
+            None => home.run(asked).await,
+            Some((sharing, head, body)) => {
+                let part = self.ask_part(sharing, head, body, &asking, on_the_way);
+                run_beside(home, asked, part).await
+            }
+        };
         let reply = match (&self.passing, &outcome) {
             (Passing::Back, Outcome::NotRun { reason, .. }) if is_own(*reason) => Reply {
                 response: relay::declined("not able to"),
                 ended: Ended::NotRun,
                 why: format!("declined: {reason}"),
             },
-            _ => self.reply(outcome, &route),
+            _ => self.reply(outcome, &route, only.as_ref()),
         };
         let status = reply.response.status().as_u16();
         line.write(reply.ended, Some(status), &reply.why);
@@ -197,14 +224,12 @@
         body: &Bytes,
         asking: &Asking<'_>,
     ) -> Option<Response<Full<Bytes>>> {
-        let Passing::On(relay) = &self.passing else {
-            return None;
-        };
-        if !matches!(asking.route.target, Target::Gather(_)) {
+        let is_search = matches!(asking.route.target, Target::Gather(_));
+        if self.passing == Passing::Back || !is_search {
             return None;
         }
         for _ in 0..HELPERS_ASKED {
-            if let ControlFlow::Break(end) = self.ask_helper(relay, head, body, asking).await {
+            if let ControlFlow::Break(end) = self.ask_helper(head, body, asking).await {
                 return end;
             }
         }
@@ -214,7 +239,6 @@
     /// Asks one other host. Breaks with its answer, or with none where nobody else is to be asked.
     async fn ask_helper(
         &self,
-        relay: &Relay,
         head: &request::Parts,
         body: &Bytes,
         asking: &Asking<'_>,
@@ -231,7 +255,7 @@
             asking,
             ended: false,
         };
-        let asked = relay.ask(&head, body, asking.version, left).await;
+        let asked = self.relay.ask(&head, body, asking.version, left).await;
         leaves.ended = true;
         let Some((host, answer)) = asked else {
             return ControlFlow::Break(None);
@@ -263,6 +287,36 @@
         ControlFlow::Break(Some(response))
     }
 
+    /// Has another host look through a part of a search.
+    async fn ask_part(
+        &self,
+        sharing: Sharing<'_>,
+        mut head: request::Parts,
+        body: Bytes,
+        asking: &Asking<'_>,
+        on_the_way: Duration,
+    ) -> relay::Part {
+        let left = asking.patience().saturating_sub(asking.arrived.elapsed());
+        self.ingress.set_patience(&mut head.headers, left);
+        relay::set_on_the_way(&mut head.headers, on_the_way + PART_HOP);
+        let tolerable = match &asking.route.target {
+            Target::Gather(gather) => gather.dispensable() / 2,
+            Target::Split(_) => 0,
+        };
+        let host = sharing.host();
+        let keys = sharing.keys().len();
+        let part = sharing.ask(head, body, asking.version, tolerable as u64, left);
+        let Shared { reply, why } = part.await;
+        let (outcome, counted) = match reply {
+            Ok(_) => ("answered", "part answered"),
+            Err(_) => ("not answered", "part not answered"),
+        };
+        self.metrics.front.relayed(counted);
+        info!(self.log, "part"; "id" => &asking.ask.id, "helper" => %host, "shards" => keys,
+            "took_us" => asking.arrived.elapsed().as_micros(), "outcome" => outcome, "why" => why);
+        reply
+    }
+
     /// Reads a body whole, within the limits in force.
     async fn read(&self, body: Incoming, table: &Table, ask: &Ask) -> Result<Bytes, StatusCode> {
         let limit = ask.patience.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
@@ -278,29 +332,34 @@
     fn asked(
         &self,
         id: RequestId,
-        ask: &Ask,
-        route: &Route,
+        asking: &Asking<'_>,
         forward: Forward,
-        arrived: Instant,
         on_the_way: Duration,
+        only: Option<&Set>,
     ) -> event::Request<Opaque> {
-        let patience = ask.patience.unwrap_or(route.timeout).min(route.timeout);
+        let route = asking.route;
+        let terms = route.terms(on_the_way);
+        let terms = match (&route.target, only) {
+            (Target::Gather(gather), Some(only)) => terms.of_part(only.len(), gather.shards.len()),
+            _ => terms,
+        };
         event::Request {
             id,
             caller: route.host.clone().into(),
             class: route.class(),
-            deadline: self.clock.time(arrived + patience),
+            deadline: self.clock.time(asking.arrived + asking.patience()),
             fingerprint: fingerprint(&forward),
             body: Arc::new(forward),
             execute_key: None,
-            terms: Some(route.terms(on_the_way)),
+            terms: Some(terms),
+            scope: Scope::default(),
         }
     }
 
     /// Writes how a request ended.
-    fn reply(&self, outcome: Ending, route: &Route) -> Reply {
+    fn reply(&self, outcome: Ending, route: &Route, only: Option<&Set>) -> Reply {
         match outcome {
-            Outcome::Answered(answer) => self.answered(answer, route),
+            Outcome::Answered(answer) => self.answered(answer, route, only),
             Outcome::Executed(whole) => Reply {
                 why: format!("status {}", whole.status.as_u16()),
                 response: self.ingress.whole(whole),
@@ -327,9 +386,9 @@
         }
     }
 
-    fn answered(&self, answer: Answer<Whole>, route: &Route) -> Reply {
-        let missing = answer.missing.iter().map(|range| range.end - range.start);
-        let missing = missing.sum::<u64>() as usize;
+    fn answered(&self, answer: Answer<Whole>, route: &Route, only: Option<&Set>) -> Reply {
+        let lacking: Set = answer.missing.iter().copied().collect();
+        let missing = lacking.len() as usize;
         let version = answer.index_version;
         let ended = match missing {
             0 => Ended::Complete,
@@ -340,8 +399,15 @@
             Target::Gather(gather) => {
                 let bodies = parts.iter().map(|part| &part.body[..]);
                 let records = greatest(bodies, self.ingress.record_bytes(), gather.top);
-                let why = format!("{} parts, {missing} missing, set {version}", parts.len());
-                (self.ingress.merged(&parts, missing, records.into()), why)
+                let asked = only.map_or(gather.shards.len(), |only| only.len() as usize);
+                let held = asked.saturating_sub(missing);
+                let why = format!("{held} parts, {missing} missing, set {version}");
+                let mut response = self.ingress.merged(&parts, missing, records.into());
+                if let Some(only) = only {
+                    let covered = only.difference(&lacking);
+                    relay::set_covered(response.headers_mut(), &covered, version);
+                }
+                (response, why)
             }
             Target::Split(_) => match parts.pop() {
                 Some(whole) => {
@@ -394,30 +460,58 @@
     }
 }
 
+/// Runs a search of which another host looks through a part, and tells the home what came of that.
+async fn run_beside(
+    home: &route::Handle<Opaque>,
+    asked: event::Request<Opaque>,
+    part: impl Future<Output = relay::Part>,
+) -> Ending {
+    let id = asked.id;
+    let mut run = pin!(home.run(asked));
+    let mut part = pin!(part);
+    let mut is_pending = true;
+    loop {
+        tokio::select! {
+            // The home has to know the search before it hears of the part.
+            biased;
+            outcome = &mut run => return outcome,
+            reply = &mut part, if is_pending => {
+                is_pending = false;
+                home.tell(match reply {
+                    Ok(reply) => Event::Gathered(id, reply),
+                    Err(begun) => Event::NotGathered(id, begun),
+                });
+            }
+        }
+    }
+}
+
 /// The line of a request that went to a home. One whose client leaves is dropped in the midst of it,
 /// and says so here: without a line that holds both ids nobody could find the decisions on it.
 struct Line<'a> {
     log: &'a Logger,
     metrics: &'a Metrics,
     id: RequestId,
-    ask: &'a Ask,
-    route: &'a Route,
-    version: u64,
-    arrived: Instant,
+    asking: &'a Asking<'a>,
     ended: bool,
 }
 
 impl Line<'_> {
     fn write(&mut self, ended: Ended, status: Option<u16>, why: &str) {
         self.ended = true;
-        let took = self.arrived.elapsed();
-        let route = self.route;
+        let Asking {
+            ask,
+            route,
+            version,
+            arrived,
+        } = self.asking;
+        let took = arrived.elapsed();
         let front = &self.metrics.front;
         front.ended(Some(&route.name), Some(route.class()), ended, took);
-        info!(self.log, "request"; "id" => &self.ask.id,
+        info!(self.log, "request"; "id" => &ask.id,
             "request" => format!("{:032x}", self.id),
-            "route" => &*route.name, "configuration" => self.version,
-            "patience_ms" => self.ask.patience.map(|patience| patience.as_millis()),
+            "route" => &*route.name, "configuration" => version,
+            "patience_ms" => ask.patience.map(|patience| patience.as_millis()),
             "took_us" => took.as_micros(), "outcome" => ended.to_string(),
             "status" => status, "why" => why);
     }
--- a/crates/daemon/src/gateway/members/mod.rs
+++ b/crates/daemon/src/gateway/members/mod.rs
@@ -10,20 +10,22 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::route::Fact;
+use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::fact;
 use monsoonring_decision::gateway::Members;
-use monsoonring_decision::gateway::helper::Strength;
+use monsoonring_decision::gateway::helper::{Candidate, Remote, Strength};
 use monsoonring_decision::gateway::members::{Action, Datagram, Event};
 use monsoonring_decision::gateway::source::Readers;
 use monsoonring_decision::member::{Change, MemberId};
 use monsoonring_decision::placement::Homes;
 use monsoonring_wire::datagram;
 use slog::{Logger, debug, info};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
 /// Time between two ticks: less than the shortest time that the members count in, and few wake-ups,
@@ -39,6 +41,8 @@
     Fact(fact::Entry),
     /// A host in the same data centre has this strength.
     Strength(MemberId, Strength),
+    /// These hosts of another data centre may fan out for this one.
+    Remote(Remote),
     /// Who reads the store.
     Readers(Readers),
 }
@@ -64,8 +68,12 @@
     pub(super) found: mpsc::UnboundedReceiver<Fact>,
     /// Operators who ask.
     pub(super) asked: mpsc::UnboundedReceiver<oneshot::Sender<Shown>>,
+    /// Other data centres that parts of searches may go to.
+    pub(super) sought: watch::Receiver<BTreeSet<DataCentreId>>,
     /// Where news for the homes go.
     pub(super) news: mpsc::UnboundedSender<News>,
+    /// By data centre: the hosts that were named there last.
+    pub(super) candidates: BTreeMap<DataCentreId, Vec<Candidate>>,
 }
 
 /// Speaks with the other hosts until nobody takes the news any more.
@@ -85,6 +93,9 @@
                 }
             },
             Some(fact) = task.found.recv() => found(&fact),
+            Ok(()) = task.sought.changed() => {
+                Some(Event::Sought(task.sought.borrow_and_update().clone()))
+            }
             Some(sender) = task.asked.recv() => {
                 // Who asked may have gone.
                 let _ = sender.send(task.shown());
@@ -138,6 +149,7 @@
                         "hundredths_of_a_core" => strength);
                     self.tell(News::Strength(host, strength));
                 }
+                Action::Remote(remote) => self.remote(remote),
                 Action::Hosts(hosts) => {
                     info!(self.log, "hosts"; "what" => "counted", "hosts" => hosts.all,
                         "near" => hosts.near, "strong" => hosts.strong,
@@ -169,6 +181,21 @@
         }
     }
 
+    /// Tells of hosts in another data centre, and writes them to the log where they are others than before.
+    fn remote(&mut self, remote: Remote) {
+        let candidates = remote.candidates.clone();
+        let known = self
+            .candidates
+            .insert(remote.data_centre.clone(), candidates);
+        if known.as_ref() != Some(&remote.candidates) {
+            info!(self.log, "hosts"; "what" => "candidates elsewhere",
+                "data_centre" => &*remote.data_centre,
+                "candidates" => format!("{:?}", remote.candidates),
+                "round_trip_us" => remote.round_trip.as_micros());
+        }
+        self.tell(News::Remote(remote));
+    }
+
     fn learned(&self, entry: fact::Entry) {
         self.metrics.control.fact(&entry.key, "learned");
         info!(self.log, "fact"; "what" => "learned", "fact" => format!("{:?}", entry.key),
--- a/crates/daemon/src/gateway/members/tests.rs
+++ b/crates/daemon/src/gateway/members/tests.rs
@@ -10,11 +10,12 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use slog::{Discard, Logger, o};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 /// Ends a test that hangs; no test waits for this to pass.
@@ -47,7 +48,9 @@
             metrics: Arc::new(Metrics::default()),
             found: heard,
             asked: mpsc::unbounded_channel().1,
+            sought: watch::channel(BTreeSet::new()).1,
             news: sender,
+            candidates: BTreeMap::new(),
         }));
         Self {
             address,
--- a/crates/daemon/src/gateway/relay/helper.rs
+++ b/crates/daemon/src/gateway/relay/helper.rs
@@ -1,6 +1,6 @@
 //! Taking in the searches of other hosts, and their questions for what was read of the store.
 
-use super::{VERSION, declined, take_out};
+use super::{Only, VERSION, declined, take_out};
 use crate::gateway::Ingress;
 use crate::gateway::front::{Front, OnTheWay};
 use crate::gateway::mirror::Mirror;
@@ -59,6 +59,9 @@
             return declined("full house");
         };
         let (asked, on_the_way) = take_out(request.headers_mut());
+        if let Some(only) = Only::take_out(request.headers_mut()) {
+            request.extensions_mut().insert(only);
+        }
         if let Some(time) = on_the_way {
             request.extensions_mut().insert(OnTheWay(time));
         }
--- a/crates/daemon/src/gateway/relay/mod.rs
+++ b/crates/daemon/src/gateway/relay/mod.rs
@@ -12,10 +12,12 @@
 //! case the system says that the connection timed out.
 
 mod helper;
+mod share;
 #[cfg(test)]
 mod tests;
 
 pub(super) use helper::Helper;
+pub(super) use share::{Only, Part, Shared, Sharing, set_covered};
 
 use crate::client;
 use crate::clock::Clock;
@@ -24,7 +26,7 @@
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request;
 use hyper::{HeaderMap, Request, Response, StatusCode};
-use monsoonring_decision::gateway::helper::{Ended, Strength, Table};
+use monsoonring_decision::gateway::helper::{Ended, Remote, Strength, Table};
 use monsoonring_decision::member::MemberId;
 use snafu::{ResultExt, Snafu};
 use std::collections::HashMap;
@@ -150,6 +152,11 @@
         self.helpers().told(host, strength);
     }
 
+    /// Takes in which hosts of another data centre may fan out.
+    pub(super) fn told_remote(&self, remote: Remote) {
+        self.helpers().told_remote(remote);
+    }
+
     /// Asks the host that is best placed; `None` where there is none.
     pub(super) async fn ask(
         &self,
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -26,6 +26,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -195,6 +196,7 @@
         let Telemetry { log, metrics } = telemetry;
         let (facts, found) = mpsc::unbounded_channel();
         let (heard, hosts) = mpsc::unbounded_channel();
+        let (seek, sought) = watch::channel(BTreeSet::new());
         let (ask_members, members_asked) = mpsc::unbounded_channel();
         let (ask_control, control_asked) = mpsc::unbounded_channel();
         tokio::spawn(members::run(members::Task {
@@ -205,11 +207,14 @@
             metrics: metrics.clone(),
             found,
             asked: members_asked,
+            sought,
             news: heard,
+            candidates: BTreeMap::new(),
         }));
         let relay = Arc::new(Relay::new(settings.strength, clock, outside.behind));
         let controller = control::Settings {
             relay: relay.clone(),
+            seek,
             readers: outside.readers,
             codec: outside.codec,
             division: settings.division,
@@ -235,6 +240,7 @@
             log: log.clone(),
             metrics: metrics.clone(),
             passing,
+            relay: relay.clone(),
             on_the_way: way::time(settings.strength),
         };
         let searches = Server {
@@ -245,7 +251,7 @@
             log: log.clone(),
         };
         let clients = Server {
-            handler: front(Passing::On(relay)),
+            handler: front(Passing::On),
             limits: settings.limits.clone(),
             stop: watch.clone(),
             gauge: metrics.open_connections(Side::Caller),
--- a/crates/daemon/src/gateway/state.rs
+++ b/crates/daemon/src/gateway/state.rs
@@ -4,9 +4,10 @@
 use super::split::Splits;
 use crate::route;
 use monsoonring_configuration::Range;
-use monsoonring_configuration::id::BackendServerId;
+use monsoonring_configuration::id::{BackendServerId, DataCentreId};
 use monsoonring_decision::gateway::shards::{self, Expected};
 use monsoonring_decision::gateway::{InstanceId, Shards, Table};
+use monsoonring_decision::query::coverage::Set;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, PoisonError, RwLock};
 
@@ -39,11 +40,16 @@
     }
 }
 
+/// Shards by the data centre where they have servers.
+pub(super) type Elsewhere = BTreeMap<DataCentreId, Set>;
+
 /// What is in force.
 #[derive(Clone, Debug)]
 pub(super) struct View {
     pub(super) table: Arc<Table>,
     pub(super) homes: Arc<HashMap<Shards, route::Handle<Opaque>>>,
+    /// By set of shards: the shards without a server in this data centre, by where they have some.
+    pub(super) elsewhere: Arc<HashMap<Shards, Elsewhere>>,
 }
 
 /// What requests find.
--- a/crates/daemon/src/node/search.rs
+++ b/crates/daemon/src/node/search.rs
@@ -246,6 +246,7 @@
             body: call.body.clone(),
             execute_key,
             terms: None,
+            scope: event::Scope::default(),
         }
     }
 
--- a/crates/decision/examples/instructions.rs
+++ b/crates/decision/examples/instructions.rs
@@ -8,7 +8,7 @@
 
 use monsoonring_configuration::document::Class;
 use monsoonring_decision::Time;
-use monsoonring_decision::home::event::Request;
+use monsoonring_decision::home::event::{Request, Scope};
 use monsoonring_decision::home::{Action, Event, Home};
 use monsoonring_decision::reply::{Item, Load, Reply, Report};
 use rand::{Rng, SeedableRng};
@@ -204,6 +204,7 @@
         body: "{\"near\":[1,2]}".into(),
         execute_key: None,
         terms: None,
+        scope: Scope::default(),
     }
 }
 
--- a/crates/decision/src/gateway/helper.rs
+++ b/crates/decision/src/gateway/helper.rs
@@ -7,10 +7,18 @@
 //! there is one: one hop of a tenth of a millisecond, and no byte between data centres. Where all hosts
 //! are alike nobody hands on anything.
 //!
+//! A data centre may hold servers of only some shards of a search; the answers of the others cross to it, a kilobyte
+//! each. Who fans out then asks a host beside those servers to look through them and to send one merged answer. Where
+//! each of six data centres held half of 42 to 63 shards, that was most of the bytes between them.
+//!
 //! Nothing depends on a helper: who finds none, or gets no answer, fans out by itself.
 
 use crate::Time;
 use crate::member::MemberId;
+use crate::query::coverage::Set;
+use monsoonring_configuration::id::DataCentreId;
+use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -28,6 +36,44 @@
 /// long as it takes a version to reach all hosts.
 const DECLINED_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for which a host asks all servers of a search itself after another one's answer for a part lacked much, or
+/// did not come. It sees by itself which servers are slow or gone then, and can weigh all that is missing together.
+const POOR_PAUSE: Duration = Duration::from_secs(2);
+
+/// By how much the round trip to a data centre may be longer than to the nearest one that could be asked, as a
+/// multiple and beyond it: another data centre of the same region is asked, one of another region is not.
+const FURTHER: u32 = 2;
+const FURTHER_BY: Duration = Duration::from_millis(1);
+
+/// A host that may fan out for others, as hosts tell each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The host.
+    pub host: MemberId,
+    /// How much processor time it has.
+    pub strength: Strength,
+}
+
+/// The hosts of another data centre that may fan out for others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Remote {
+    /// Where they are.
+    pub data_centre: DataCentreId,
+    /// Those that were named.
+    pub candidates: Vec<Candidate>,
+    /// Time from a question there to its answer.
+    pub round_trip: Duration,
+}
+
+/// A part of a search that another host looks through.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The host.
+    pub host: MemberId,
+    /// The keys.
+    pub keys: Set,
+}
+
 /// How a helper ended a search.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
@@ -35,13 +81,15 @@
     Answered,
     /// It would not take it on.
     Declined,
+    /// With an answer for a part of a search that lacks much of it.
+    Poor,
     /// There was no answer.
     Lost,
     /// Nobody waits for the answer any more.
     Left,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Helper {
     strength: Strength,
     outstanding: u32,
@@ -49,6 +97,32 @@
     paused: Option<Time>,
     /// Searches that were handed on in all when it was chosen last.
     turn: u64,
+    /// Where it is, if not in this host's own data centre.
+    remote: Option<DataCentreId>,
+}
+
+impl Helper {
+    fn new(strength: Strength, remote: Option<DataCentreId>) -> Self {
+        Self {
+            strength,
+            outstanding: 0,
+            failures: 0,
+            paused: None,
+            turn: 0,
+            remote,
+        }
+    }
+
+    fn is_ready(&self, now: Time) -> bool {
+        self.paused.is_none_or(|until| until <= now)
+    }
+
+    /// Compares by outstanding searches for the strength, and then by who was chosen the longest ago.
+    fn compare(&self, other: &Self) -> Ordering {
+        let busy = |one: &Self| f64::from(one.outstanding) / f64::from(one.strength);
+        let busier = busy(self).total_cmp(&busy(other));
+        busier.then(self.turn.cmp(&other.turn))
+    }
 }
 
 /// The hosts that fan out for this one.
@@ -56,6 +130,10 @@
 pub struct Table {
     own: Strength,
     helpers: BTreeMap<MemberId, Helper>,
+    /// By data centre: the round trip to it.
+    round_trips: BTreeMap<DataCentreId, Duration>,
+    /// Until when no other host looks through a part.
+    poor: Option<Time>,
     /// Searches handed on in all.
     turns: u64,
 }
@@ -66,6 +144,8 @@
         Self {
             own,
             helpers: BTreeMap::new(),
+            round_trips: BTreeMap::new(),
+            poor: None,
             turns: 0,
         }
     }
@@ -76,38 +156,88 @@
             self.helpers.remove(&host);
             return;
         }
-        let new = Helper {
-            strength,
-            outstanding: 0,
-            failures: 0,
-            paused: None,
-            turn: 0,
-        };
+        let new = Helper::new(strength, None);
         let helper = self.helpers.entry(host).or_insert(new);
         helper.strength = strength;
         // It has started, or a way to it has opened.
         helper.paused = None;
     }
 
+    /// Takes in which hosts of another data centre may fan out for others. None weaker than this one is asked.
+    pub fn told_remote(&mut self, remote: Remote) {
+        let is_there = |helper: &Helper| helper.remote.as_ref() == Some(&remote.data_centre);
+        let is_named = |host: &MemberId| {
+            remote
+                .candidates
+                .iter()
+                .any(|candidate| candidate.host == *host)
+        };
+        (self.helpers).retain(|host, helper| !is_there(helper) || is_named(host));
+        for Candidate { host, strength } in remote.candidates {
+            if self.own == 0 || strength < self.own {
+                continue;
+            }
+            let new = Helper::new(strength, Some(remote.data_centre.clone()));
+            self.helpers.entry(host).or_insert(new).strength = strength;
+        }
+        self.round_trips
+            .insert(remote.data_centre, remote.round_trip);
+    }
+
     /// Chooses the helper with the fewest searches of this host for its strength, and among several the one that was
     /// chosen the longest ago; `None` where this host is on its own. Each may make a part of the extra attempts and hold
     /// a part of the connections: one that gets all searches leaves the others' parts unused.
     pub fn choose(&mut self, now: Time) -> Option<MemberId> {
-        let ready = |helper: &Helper| helper.paused.is_none_or(|until| until <= now);
-        let ready = self.helpers.iter().filter(|(_, helper)| ready(helper));
-        let busy = |helper: &Helper| f64::from(helper.outstanding) / f64::from(helper.strength);
-        let order = |one: &Helper, other: &Helper| {
-            let busier = busy(one).total_cmp(&busy(other));
-            busier.then(one.turn.cmp(&other.turn))
+        let near = self.helpers.iter();
+        let near = near.filter(|(_, helper)| helper.remote.is_none() && helper.is_ready(now));
+        let chosen = near.min_by(|(_, one), (_, other)| one.compare(other));
+        let chosen = chosen.map(|(host, _)| *host)?;
+        self.taken(chosen);
+        Some(chosen)
+    }
+
+    /// Chooses a host that looks through a part of a search, where these keys could be looked through in each data
+    /// centre: one where it is the most of them.
+    pub fn share(&mut self, keys: &BTreeMap<DataCentreId, Set>, now: Time) -> Option<Share> {
+        if self.poor.is_some_and(|until| until > now) {
+            return None;
+        }
+        let most = self.longest_round_trip(keys);
+        let near_enough =
+            |one: &DataCentreId| self.round_trips.get(one).is_some_and(|time| *time <= most);
+        let able = self.helpers.iter().filter_map(|(host, helper)| {
+            let data_centre = helper.remote.as_ref()?;
+            let keys = keys.get(data_centre)?;
+            let may = helper.is_ready(now) && near_enough(data_centre);
+            may.then_some((host, helper, keys))
+        });
+        let order = |(_, one, less): &(_, &Helper, &Set), (_, other, more): &(_, &Helper, &Set)| {
+            let fewer = more.len().cmp(&less.len());
+            fewer.then_with(|| one.compare(other))
+        };
+        let (host, _, keys) = able.min_by(order)?;
+        let share = Share {
+            host: *host,
+            keys: keys.clone(),
         };
-        let chosen = ready.min_by(|(_, one), (_, other)| order(one, other));
-        let chosen = chosen.map(|(host, _)| *host);
-        if let Some(helper) = chosen.and_then(|host| self.helpers.get_mut(&host)) {
+        self.taken(share.host);
+        Some(share)
+    }
+
+    fn taken(&mut self, host: MemberId) {
+        if let Some(helper) = self.helpers.get_mut(&host) {
             self.turns += 1;
             helper.turn = self.turns;
             helper.outstanding += 1;
         }
-        chosen
+    }
+
+    /// Returns the longest round trip to a data centre that is asked for a part.
+    fn longest_round_trip(&self, keys: &BTreeMap<DataCentreId, Set>) -> Duration {
+        let able = self.round_trips.iter();
+        let able = able.filter(|(data_centre, _)| keys.contains_key(*data_centre));
+        let least = able.map(|(_, time)| *time).min().unwrap_or_default();
+        least * FURTHER + FURTHER_BY
     }
 
     /// Records how a search ended that a helper was chosen for.
@@ -116,8 +246,12 @@
             return;
         };
         helper.outstanding = helper.outstanding.saturating_sub(1);
+        let is_poor = matches!(ended, Ended::Poor | Ended::Lost);
+        if helper.remote.is_some() && is_poor {
+            self.poor = Some(now + POOR_PAUSE);
+        }
         match ended {
-            Ended::Answered => helper.failures = 0,
+            Ended::Answered | Ended::Poor => helper.failures = 0,
             Ended::Declined => helper.paused = helper.paused.max(Some(now + DECLINED_PAUSE)),
             Ended::Lost => {
                 let doublings = helper.failures.min(PAUSE_DOUBLINGS);
@@ -128,8 +262,8 @@
         }
     }
 
-    /// Tells whether any host fans out for this one.
+    /// Tells whether no host fans out for this one.
     pub fn is_empty(&self) -> bool {
-        self.helpers.is_empty()
+        self.helpers.values().all(|helper| helper.remote.is_some())
     }
 }
--- a/crates/decision/src/gateway/members/mod.rs
+++ b/crates/decision/src/gateway/members/mod.rs
@@ -12,9 +12,10 @@
 //! questions that are open and translates between their actions and datagrams.
 
 mod readers;
+mod remote;
 mod strength;
 
-use super::helper::Strength;
+use super::helper::{Candidate, Remote, Strength};
 use super::source::Readers;
 use crate::fact;
 use crate::member::{
@@ -26,7 +27,7 @@
 use monsoonring_configuration::id::{DataCentreId, Incarnation};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Bound of the changes in one datagram, in bytes: with the facts and the sender it stays under the
@@ -67,6 +68,10 @@
     Fact(fact::Entry),
     /// How strong the sender is.
     Strength(Strength, Wish),
+    /// A wish to be told who fans out for others in the receiver's data centre.
+    AskCandidates,
+    /// Who fans out for others in the sender's data centre.
+    Candidates(Vec<Candidate>),
 }
 
 /// Whether an answer is wished for.
@@ -87,6 +92,8 @@
     Received(MemberId, Datagram),
     /// A home here found something out, to be held for that long.
     Found(fact::Key, Duration),
+    /// Parts of searches may go to these other data centres from now on.
+    Sought(BTreeSet<DataCentreId>),
 }
 
 /// Something to be done.
@@ -98,6 +105,8 @@
     Learned(fact::Entry),
     /// A host in the same data centre has this strength.
     Strength(MemberId, Strength),
+    /// These hosts of another data centre may fan out for this one.
+    Remote(Remote),
     /// The hosts to divide by changed.
     Hosts(Homes),
     /// Who reads the store changed.
@@ -138,6 +147,8 @@
     strengths: BTreeMap<MemberId, Strength>,
     /// Hosts that were asked for theirs: how often, and when they are asked again.
     asked_strength: BTreeMap<MemberId, (u32, Time)>,
+    /// Data centres whose hosts parts of searches may go to.
+    sought: BTreeMap<DataCentreId, remote::Search>,
     /// Hosts known in the same data centre, this one too.
     near: usize,
     /// Members that served when it was last looked who of them is strong.
@@ -183,6 +194,7 @@
             data_centre,
             strengths: BTreeMap::from([(own_id, strength)]),
             asked_strength: BTreeMap::new(),
+            sought: BTreeMap::new(),
             near: 0,
             serving: 0,
             readers: Readers {
@@ -203,6 +215,7 @@
             Event::Tick => self.tick(now),
             Event::Received(from, datagram) => self.received(from, datagram, now),
             Event::Found(key, life) => self.found(key, life, now),
+            Event::Sought(data_centres) => self.seek(&data_centres, now),
         }
         self.count();
         std::mem::take(&mut self.actions)
@@ -253,6 +266,7 @@
         if self.strengths.len() < self.near {
             self.ask_strengths(now);
         }
+        self.ask_candidates(now);
     }
 
     fn received(&mut self, from: MemberId, datagram: Datagram, now: Time) {
@@ -274,6 +288,8 @@
             }
             Datagram::Fact(entry) => self.learn(vec![entry], now),
             Datagram::Strength(strength, wish) => self.strength(from, strength, wish),
+            Datagram::AskCandidates => self.tell_candidates(from),
+            Datagram::Candidates(candidates) => self.candidates(from, candidates, now),
         }
     }
 
--- a/crates/decision/src/gateway/shards.rs
+++ b/crates/decision/src/gateway/shards.rs
@@ -8,6 +8,7 @@
 use super::table::Table;
 use super::{InstanceId, ServiceId, Shards};
 use crate::Time;
+use crate::query::coverage::Set;
 use monsoonring_configuration::Range;
 use monsoonring_configuration::document::{Capacity, Group, Hedge, Kind, Retry, Route};
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
@@ -139,6 +140,37 @@
         .collect()
 }
 
+/// Shards without a server in a host's own data centre from which on another host looks through them. One answer
+/// has the records of a whole one and a signature for each shard, so that for fewer it saves few bytes.
+const ELSEWHERE_AT_LEAST: usize = 4;
+
+/// Returns, by data centre, the shards of a set that have servers there and none in `own`; none at all where they are
+/// few.
+pub fn elsewhere(
+    shards: &Shards,
+    usable: &Usable<'_>,
+    own: &DataCentreId,
+) -> BTreeMap<DataCentreId, Set> {
+    let mut held: BTreeMap<&DataCentreId, BTreeSet<usize>> = BTreeMap::new();
+    for entry in usable.values() {
+        if let Some(index) = shards.iter().position(|one| *one == entry.service) {
+            held.entry(&entry.data_centre).or_default().insert(index);
+        }
+    }
+    let here = held.remove(own).unwrap_or_default();
+    let far = held.into_iter().map(|(data_centre, held)| {
+        let lacking = held.difference(&here);
+        (data_centre, lacking.copied().collect::<Vec<usize>>())
+    });
+    let enough = far.filter(|(_, lacking)| lacking.len() >= ELSEWHERE_AT_LEAST);
+    enough
+        .map(|(data_centre, lacking)| {
+            let keys = lacking.into_iter().map(shard).collect();
+            (data_centre.clone(), keys)
+        })
+        .collect()
+}
+
 /// Tells whether a larger set that some route leads to has one of the services of this one.
 pub fn is_part_of_another(shards: &Shards, table: &Table) -> bool {
     let larger = |other: &&Shards| {
--- a/crates/decision/src/gateway/table.rs
+++ b/crates/decision/src/gateway/table.rs
@@ -46,6 +46,15 @@
     pub least: f64,
 }
 
+impl Gather {
+    /// Returns how many shards an answer can do without.
+    pub fn dispensable(&self) -> usize {
+        /// What rounding may take from a whole number: a tenth of ten shards is one.
+        const ROUNDING: f64 = 1e-9;
+        ((1.0 - self.least) * self.shards.len() as f64 + ROUNDING) as usize
+    }
+}
+
 /// One route.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
--- /dev/null
+++ b/crates/decision/src/home/elsewhere.rs
@@ -0,0 +1,67 @@
+//! Searches of which another home looks through a part.
+//!
+//! What the other home covers is merged like the reply of a backend server, so that coverage, soft deadline and the end
+//! of the search are those of the whole answer. Its keys are not asked for here while it may have begun: it may ask as
+//! many servers of a group as the request may run on.
+
+use super::event::Begun;
+use super::state::Home;
+use crate::content::Content;
+use crate::outcome::Reason;
+use crate::query::coverage::Set;
+use crate::query::merge;
+use crate::query::run::{Cause, Run};
+use crate::reply::Reply;
+use crate::{RequestId, Time};
+
+impl<C: Content> Home<C> {
+    /// Takes in what another home has looked through.
+    pub(super) fn gathered(&mut self, id: RequestId, reply: Reply<C::Value>, now: Time) {
+        self.with_run(id, now, |home, run| {
+            run.fanout.send();
+            let minimum = home.route.minimum_index_version;
+            let covered: Set = reply.ranges.iter().copied().collect();
+            let elsewhere = run.take_elsewhere();
+            let is_asked = covered.difference(&elsewhere).is_empty();
+            if !is_asked
+                || merge::check(&reply).is_err()
+                || !run.agrees(reply.index_version, minimum)
+            {
+                home.lose_elsewhere(run, &elsewhere, "answered what was not asked");
+                return;
+            }
+            run.accept_elsewhere(&covered, reply);
+            let lost = elsewhere.difference(&covered);
+            if !lost.is_empty() {
+                home.lose_elsewhere(run, &lost, "not covered");
+            }
+        });
+    }
+
+    /// Takes in that another home does not look through what it was asked for.
+    pub(super) fn not_gathered(&mut self, id: RequestId, begun: Begun, now: Time) {
+        self.with_run(id, now, |home, run| {
+            let elsewhere = run.take_elsewhere();
+            match begun {
+                Begun::No => {
+                    let why = format!("keys {:?} are asked for here", elsewhere.ranges());
+                    home.log(Some(id), "elsewhere", None, why);
+                    for part in run.deal_anew(&elsewhere, &home.route) {
+                        home.assign(run, part, Cause::First, now);
+                    }
+                }
+                Begun::Maybe => {
+                    run.fanout.send();
+                    home.lose_elsewhere(run, &elsewhere, "lost");
+                }
+            }
+        });
+    }
+
+    /// Gives up keys that another home was asked for.
+    fn lose_elsewhere(&mut self, run: &mut Run<C>, keys: &Set, what: &str) {
+        let why = format!("keys {:?} elsewhere: {what}", keys.ranges());
+        self.log(Some(run.request.id), "elsewhere", None, why);
+        run.lose(keys, &self.route, Reason::Lost);
+    }
+}
--- a/crates/decision/src/home/event.rs
+++ b/crates/decision/src/home/event.rs
@@ -4,6 +4,7 @@
 use crate::attempt::{AttemptId, ConnectionId, Failure, Unopened};
 use crate::content::{Content, Json};
 use crate::placement::Homes;
+use crate::query::coverage::Set;
 use crate::reply::{Reply, Report};
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::document::{Class, Route};
@@ -30,6 +31,27 @@
     pub execute_key: Option<Arc<str>>,
     /// What holds for this request; `None` for what the home's route says.
     pub terms: Option<Terms>,
+    /// Which keys are asked for.
+    pub scope: Scope,
+}
+
+/// Which keys a search asks for, and who looks through them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Scope {
+    /// The keys asked for; `None` for all keys of the route.
+    pub only: Option<Set>,
+    /// Those of them that another home looks through, which
+    /// [`Event::Gathered`] or [`Event::NotGathered`] tell of.
+    pub elsewhere: Set,
+}
+
+/// Whether another home has begun what it was asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begun {
+    /// It has not, and won't.
+    No,
+    /// It may have asked as many servers as the request may run on.
+    Maybe,
 }
 
 /// Something that a home has to react to.
@@ -39,6 +61,10 @@
     Request(Request<C>),
     /// The caller of a request went away.
     Abandoned(RequestId),
+    /// Another home has looked through keys of a search; the ranges of the reply are those that it covers.
+    Gathered(RequestId, Reply<C::Value>),
+    /// Another home does not look through the keys of a search that it was asked for.
+    NotGathered(RequestId, Begun),
     /// A connection asked for by an action is ready.
     Opened(ConnectionId),
     /// A connection asked for could not be made, or an idle one has ended.
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -14,6 +14,7 @@
 mod alarm;
 mod counts;
 mod dispatch;
+mod elsewhere;
 mod ending;
 pub mod event;
 mod execute;
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -14,7 +14,7 @@
 use crate::why::Least;
 use crate::{RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
-use smallvec::SmallVec;
+use smallvec::{SmallVec, smallvec};
 use std::time::Duration;
 
 /// Share of failing attempts above which no group is left out. What an answer can do without is then needed for
@@ -24,6 +24,10 @@
 /// Share of the time up to the soft deadline within which a group's answer has to be expected.
 const IN_TIME: f64 = 0.7;
 
+/// Time after the soft deadline that is still waited for what another home looks through. It leaves there a moment
+/// before, and is half of the answer, where a late one is late by these milliseconds.
+const ELSEWHERE_GRACE: Duration = Duration::from_millis(5);
+
 /// Quantile of a server's latency that has to fit before the deadline for a search to begin again
 /// at a newer version.
 const RESTART_QUANTILE: f64 = 0.5;
@@ -33,8 +37,7 @@
     pub(super) fn search(&mut self, request: Request<C>, now: Time) {
         let id = request.id;
         let run = Run::new(request, self.pin.version(), &self.route, now);
-        if let Some(soft) = self.terms(&run.request).soft_deadline {
-            let at = now + Duration::from_millis(soft.after_ms);
+        for at in self.soft_times(&run) {
             self.timers.set(at, Timer::Soft(id));
         }
         self.runs.insert(id, run);
@@ -44,6 +47,19 @@
         });
     }
 
+    /// Returns the times at which a partial answer becomes better than a later one: with what another home looks
+    /// through, and without it.
+    fn soft_times(&self, run: &Run<C>) -> SmallVec<[Time; 2]> {
+        let Some(soft) = self.terms(&run.request).soft_deadline else {
+            return SmallVec::new();
+        };
+        let at = run.started + Duration::from_millis(soft.after_ms);
+        match run.request.scope.elsewhere.is_empty() {
+            true => smallvec![at],
+            false => smallvec![at, at + ELSEWHERE_GRACE],
+        }
+    }
+
     /// Leaves the groups out whose answers would hardly come in time, as far as the answer can do without
     /// them. Asking them all the same would hold the caller until its time is nearly over, and keep their
     /// servers busy with what comes too late.
@@ -115,10 +131,15 @@
 
     /// Tells whether waiting on is no longer worth it.
     fn is_enough(&self, run: &Run<C>, now: Time) -> bool {
-        self.terms(&run.request).soft_deadline.is_some_and(|soft| {
-            let at = run.started + Duration::from_millis(soft.after_ms);
-            now >= at && run.coverage(&self.route) >= soft.coverage
-        })
+        let Some(soft) = self.terms(&run.request).soft_deadline else {
+            return false;
+        };
+        let times = self.soft_times(run);
+        let at = match run.waits_elsewhere() {
+            true => times.last(),
+            false => times.first(),
+        };
+        at.is_some_and(|at| now >= *at) && run.coverage(&self.route) >= soft.coverage
     }
 
     /// Tells whether so much was given up that no answer can come of the rest. Waiting on would hold
@@ -378,8 +399,7 @@
         for attempt in run.live() {
             self.cancel(attempt, now);
         }
-        if let Some(soft) = self.terms(&run.request).soft_deadline {
-            let at = run.started + Duration::from_millis(soft.after_ms);
+        for at in self.soft_times(&run) {
             self.timers.clear(at, Timer::Soft(run.request.id));
         }
         let waits = run
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -189,6 +189,8 @@
         match event {
             Event::Request(request) => self.arrived(request, now),
             Event::Abandoned(id) => self.abandoned(id, now),
+            Event::Gathered(id, reply) => self.gathered(id, reply, now),
+            Event::NotGathered(id, begun) => self.not_gathered(id, begun, now),
             Event::Opened(connection) => self.opened(connection, now),
             Event::Closed(connection) => self.closed(connection, now),
             Event::Unopened(connection, why) => self.unopened(connection, why, now),
@@ -254,7 +256,10 @@
         /// What rounding may take from a whole number: a tenth of ten groups is one.
         const ROUNDING: f64 = 1e-9;
         let least = self.terms(request).least_coverage;
-        let groups = self.route.groups.len() as f64;
+        let groups = match &request.scope.only {
+            Some(only) => only.weight(&self.route.groups),
+            None => self.route.groups.len() as f64,
+        };
         match least > 0.0 {
             true => ((1.0 - least) * groups + ROUNDING) as usize,
             false => 0,
--- a/crates/decision/src/home/terms.rs
+++ b/crates/decision/src/home/terms.rs
@@ -23,6 +23,28 @@
     pub work: Work,
 }
 
+impl Terms {
+    /// Returns the same for a search of so many of all groups, as they weigh alike: its answer may lack as many as one
+    /// of all groups may.
+    #[must_use]
+    pub fn of_part(self, part: u64, of: usize) -> Self {
+        /// What rounding may take from a whole number.
+        const ROUNDING: f64 = 1e-9;
+        let least = |coverage: f64| {
+            let dispensable = ((1.0 - coverage) * of as f64 + ROUNDING).floor();
+            (1.0 - dispensable / part.max(1) as f64).max(0.0)
+        };
+        Self {
+            soft_deadline: self.soft_deadline.map(|soft| SoftDeadline {
+                coverage: least(soft.coverage),
+                ..soft
+            }),
+            least_coverage: least(self.least_coverage),
+            ..self
+        }
+    }
+}
+
 impl From<&Route> for Terms {
     fn from(route: &Route) -> Self {
         Self {
--- a/crates/decision/src/query/coverage.rs
+++ b/crates/decision/src/query/coverage.rs
@@ -27,6 +27,11 @@
         &self.ranges
     }
 
+    /// Returns the number of keys.
+    pub fn len(&self) -> u64 {
+        self.ranges.iter().map(Range::len).sum()
+    }
+
     /// Tells whether no key is in the set.
     pub fn is_empty(&self) -> bool {
         self.ranges.is_empty()
@@ -154,6 +159,20 @@
     (set.weight(&route.groups) / total).clamp(0.0, 1.0 - f64::EPSILON)
 }
 
+/// Returns the share of what lies in `wanted` that lies in `set` too, from 0 to 1; exactly 1 only where no key is
+/// missing, as [`share`] does for all keys of the route.
+pub fn share_of(set: &Set, wanted: &Set, route: &Route) -> f64 {
+    if wanted.difference(set).is_empty() {
+        return 1.0;
+    }
+    let total = wanted.weight(&route.groups);
+    if total <= 0.0 {
+        return 0.0;
+    }
+    let common = set.intersection(wanted).weight(&route.groups);
+    (common / total).clamp(0.0, 1.0 - f64::EPSILON)
+}
+
 /// Tells whether no key of the route is missing in `set`. Asked after each reply, it makes no list:
 /// as the ranges of a set neither overlap nor touch, one of them has to hold all keys.
 pub fn is_whole(set: &Set, route: &Route) -> bool {
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -136,6 +136,8 @@
     pub(crate) restarted: bool,
     /// Attempts whose part was dealt out again; their replies are still welcome.
     pub(crate) detached: Vec<AttemptId>,
+    /// Keys that another home looks through and has not told of yet.
+    elsewhere: Set,
     merge: Merge<C::Value>,
     previous: Option<(IndexVersion, Merge<C::Value>)>,
     next_part: PartId,
@@ -159,15 +161,55 @@
             deferred: BTreeSet::new(),
             restarted: false,
             detached: Vec::new(),
+            elsewhere: Set::default(),
             merge: Merge::default(),
             previous: None,
             next_part: 0,
             retry_after: None,
         };
-        run.deal(&Set::from(route.keys), route, &Part::default());
+        run.elsewhere = run.request.scope.elsewhere.clone();
+        let here = run.wanted(route).difference(&run.elsewhere);
+        run.deal(&here, route, &Part::default());
         run
     }
 
+    /// Returns the keys that the request asks for.
+    fn wanted(&self, route: &Route) -> Set {
+        let only = self.request.scope.only.clone();
+        only.unwrap_or_else(|| Set::from(route.keys))
+    }
+
+    /// Returns the keys that another home looks through, which is not waited for any more.
+    pub(crate) fn take_elsewhere(&mut self) -> Set {
+        std::mem::take(&mut self.elsewhere)
+    }
+
+    /// Tells whether another home is still waited for.
+    pub(crate) fn waits_elsewhere(&self) -> bool {
+        !self.elsewhere.is_empty()
+    }
+
+    /// Takes what another home has covered.
+    pub(crate) fn accept_elsewhere(&mut self, covered: &Set, reply: Reply<C::Value>) {
+        self.merge.accept(covered, reply);
+    }
+
+    /// Makes parts of keys that nobody has asked for.
+    pub(crate) fn deal_anew(&mut self, keys: &Set, route: &Route) -> Vec<PartId> {
+        self.deal(keys, route, &Part::default())
+    }
+
+    /// Gives up keys that nobody here has asked for.
+    pub(crate) fn lose(&mut self, keys: &Set, route: &Route, reason: Reason) {
+        let origin = Part {
+            last: Some(reason),
+            ..Part::default()
+        };
+        for part in self.deal(keys, route, &origin) {
+            self.give_up(part);
+        }
+    }
+
     /// Makes parts of the keys by the groups that hold them now, and returns their ids. Their
     /// history is that of `origin`.
     pub(crate) fn deal(&mut self, keys: &Set, route: &Route, origin: &Part) -> Vec<PartId> {
@@ -274,7 +316,8 @@
         self.parts.clear();
         self.deferred.clear();
         self.detached.clear();
-        self.deal(&Set::from(route.keys), route, &Part::default());
+        let here = self.wanted(route).difference(&self.elsewhere);
+        self.deal(&here, route, &Part::default());
         live
     }
 
@@ -299,7 +342,14 @@
 
     /// Share of the data that the answer would cover now.
     pub(crate) fn coverage(&self, route: &Route) -> f64 {
-        coverage::share(self.merge.covered(), route)
+        self.share(self.merge.covered(), route)
+    }
+
+    fn share(&self, set: &Set, route: &Route) -> f64 {
+        match &self.request.scope.only {
+            Some(only) => coverage::share_of(set, only, route),
+            None => coverage::share(set, route),
+        }
     }
 
     /// Share of the data that the answer can still cover: without the parts that were given up, and
@@ -307,29 +357,34 @@
     pub(crate) fn reachable(&self, route: &Route, other: Option<PartId>) -> f64 {
         let lost = |id: &PartId, part: &Part| part.given_up.is_some() || Some(*id) == other;
         let mut reachable = self.merge.covered().clone();
+        reachable.join(&self.elsewhere);
         for (_, part) in self.parts.iter().filter(|(id, part)| !lost(id, part)) {
             reachable.join(&part.wanted);
         }
-        coverage::share(&reachable, route)
+        self.share(&reachable, route)
     }
 
-    /// Tells whether every key of the route has been merged.
+    /// Tells whether every key asked for has been merged.
     pub(crate) fn is_complete(&self, route: &Route) -> bool {
-        coverage::is_whole(self.merge.covered(), route)
+        match &self.request.scope.only {
+            Some(only) => only.difference(self.merge.covered()).is_empty(),
+            None => coverage::is_whole(self.merge.covered(), route),
+        }
     }
 
     /// Returns the keys that are neither merged nor in a part.
     pub(crate) fn unplanned(&self, route: &Route) -> Set {
         let mut planned = self.merge.covered().clone();
+        planned.join(&self.elsewhere);
         for part in self.parts.values() {
             planned.join(&part.wanted);
         }
-        coverage::missing(&planned, route)
+        self.wanted(route).difference(&planned)
     }
 
     /// Tells whether somebody still works on the run, or is expected to.
     pub(crate) fn is_open(&self) -> bool {
-        self.parts.values().any(|part| part.given_up.is_none())
+        self.waits_elsewhere() || self.parts.values().any(|part| part.given_up.is_none())
     }
 
     /// Returns why parts were given up: the first of them speaks for all.
@@ -340,35 +395,35 @@
 
     /// Ends the run with what it has. After a restart the better covered of the two versions is
     /// given, the newer one if they are equal. An answer that covers less than `least` is none.
-    pub(crate) fn finish(self, route: &Route, least: f64, reason: Reason) -> Outcome<C::Value> {
-        let here = coverage::share(self.merge.covered(), route);
+    pub(crate) fn finish(mut self, route: &Route, least: f64, reason: Reason) -> Outcome<C::Value> {
+        // Another home may have begun what it has not told of.
+        if self.waits_elsewhere() {
+            self.fanout.send();
+        }
+        let wanted = self.wanted(route);
+        let share = |merge: &Merge<C::Value>| coverage::share_of(merge.covered(), &wanted, route);
+        let here = share(&self.merge);
         let before = self
             .previous
             .filter(|(version, _)| *version >= route.minimum_index_version)
-            .filter(|(_, merge)| coverage::share(merge.covered(), route) > here);
+            .filter(|(_, merge)| share(merge) > here);
         let merged = before.or(self.pin.map(|version| (version, self.merge)));
         let minimum = route.minimum_index_version;
         let may = |found: &(IndexVersion, Merge<C::Value>)| {
-            found.0 >= minimum
-                && !found.1.covered().is_empty()
-                && coverage::share(found.1.covered(), route) >= least
+            found.0 >= minimum && !found.1.covered().is_empty() && share(&found.1) >= least
         };
         match merged.filter(may) {
-            Some((version, merge)) => Outcome::Answered(answer(version, merge, route)),
+            Some((version, merge)) => Outcome::Answered(Answer {
+                index_version: version,
+                coverage: share(&merge),
+                missing: wanted.difference(merge.covered()).ranges().to_vec(),
+                items: merge.into_items(),
+            }),
             None => refusal(&self.fanout, reason, self.retry_after),
         }
     }
 }
 
-fn answer<V>(index_version: IndexVersion, merge: Merge<V>, route: &Route) -> Answer<V> {
-    Answer {
-        index_version,
-        coverage: coverage::share(merge.covered(), route),
-        missing: coverage::missing(merge.covered(), route).ranges().to_vec(),
-        items: merge.into_items(),
-    }
-}
-
 fn refusal<V>(fanout: &Fanout, reason: Reason, retry_after: Option<Duration>) -> Outcome<V> {
     match fanout.unrun() {
         Some(unrun) => unrun.outcome(reason, retry_after),
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -7,6 +7,7 @@
 use monsoonring_decision::gateway::split::Split;
 use monsoonring_decision::gateway::table::{Gather, Limits, Route, Table, Target, Weighted};
 use monsoonring_decision::gateway::{Shards, shards};
+use monsoonring_decision::query::coverage::Set;
 use monsoonring_decision::query::greatest::greatest;
 use proptest::prelude::*;
 use std::net::SocketAddr;
@@ -234,3 +235,60 @@
         }
     }
 }
+
+fn entry_in(service: &str, number: u8, data_centre: &str) -> Entry {
+    Entry {
+        data_centre: data_centre.into(),
+        ..entry(&number.to_string(), service, number, 1)
+    }
+}
+
+/// Six data centres, and shards with servers in three that follow each other.
+fn in_three_of_six(shards: u8) -> Registry {
+    let mut entries = Vec::new();
+    for shard in 0..shards {
+        for replica in 0..3 {
+            let data_centre = format!("dc{}", (shard + replica) % 6);
+            let number = shard * 3 + replica;
+            entries.push(entry_in(&format!("s{shard}"), number, &data_centre));
+        }
+    }
+    listed(&entries)
+}
+
+fn numbered(shards: u8) -> Shards {
+    (0..shards)
+        .map(|shard| format!("s{shard}").into())
+        .collect()
+}
+
+// Symptom: half of the parts of each answer cross between data centres.
+// Events:  each data centre holds servers of half of the shards.
+// Cause:   nothing told which other data centre holds the other half.
+#[test]
+fn elsewhere_are_the_shards_without_a_server_here() {
+    let registry = in_three_of_six(42);
+    let elsewhere = shards::elsewhere(&numbered(42), &registry.usable(), &"dc0".into());
+    let count = |data_centre: &str| elsewhere.get(data_centre).map_or(0, Set::len);
+    let counts = ["dc0", "dc1", "dc2", "dc3", "dc4", "dc5"].map(count);
+    assert_eq!(counts, [0, 7, 14, 21, 14, 7]);
+    assert!(elsewhere["dc3"].contains(1) && !elsewhere["dc3"].contains(0));
+}
+
+#[test]
+fn elsewhere_few_shards_are_asked_for_from_here() {
+    let registry = in_three_of_six(6);
+    let elsewhere = shards::elsewhere(&numbered(6), &registry.usable(), &"dc0".into());
+    assert!(elsewhere.is_empty(), "{elsewhere:?}");
+}
+
+#[test]
+fn elsewhere_of_a_data_centre_without_servers_is_all() {
+    let registry = in_three_of_six(12);
+    let elsewhere = shards::elsewhere(&numbered(12), &registry.usable(), &"bare".into());
+    assert!(
+        elsewhere.values().all(|keys| keys.len() == 6),
+        "{elsewhere:?}"
+    );
+    assert_eq!(elsewhere.len(), 6);
+}
--- a/crates/decision/tests/helper.rs
+++ b/crates/decision/tests/helper.rs
@@ -1,9 +1,13 @@
 //! Which host fans a search out in another one's place, and what each may take then.
 
+use monsoonring_configuration::Range;
+use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::Time;
-use monsoonring_decision::gateway::helper::{Ended, Table};
+use monsoonring_decision::gateway::helper::{Candidate, Ended, Remote, Table};
 use monsoonring_decision::member::MemberId;
 use monsoonring_decision::placement::{Division, Homes, Role};
+use monsoonring_decision::query::coverage::Set;
+use std::collections::BTreeMap;
 use test_case::test_case;
 
 const OWN: u32 = 12;
@@ -64,6 +68,99 @@
     assert_eq!(chosen, [10; 3]);
 }
 
+/// Hosts of another data centre with their strengths.
+fn remote(data_centre: &str, round_trip: u64, hosts: &[(u8, u32)]) -> Remote {
+    let candidates = hosts.iter().map(|&(number, strength)| Candidate {
+        host: host(number),
+        strength,
+    });
+    Remote {
+        data_centre: data_centre.into(),
+        candidates: candidates.collect(),
+        round_trip: ms(round_trip),
+    }
+}
+
+/// As many shards that only these data centres have servers of.
+fn lacking(held: &[(&str, u64)]) -> BTreeMap<DataCentreId, Set> {
+    let held = held.iter();
+    held.map(|&(data_centre, count)| (data_centre.into(), Set::from(Range::new(0, count))))
+        .collect()
+}
+
+/// Returns who was chosen for a part, if somebody was.
+fn share(table: &mut Table, lacking: &BTreeMap<DataCentreId, Set>, now: u64) -> Option<MemberId> {
+    table.share(lacking, ms(now)).map(|share| share.host)
+}
+
+// Symptom: each of 21 to 31 shards of a search sends its kilobyte from one data centre to another.
+// Events:  a data centre holds servers of half of the shards; others hold the other half, or a part of it.
+// Cause:   whoever fans out asked all servers itself.
+#[test_case(12; "at_a_weak_host")]
+#[test_case(50; "at_a_strong_host")]
+fn share_goes_where_most_of_the_shards_are(own: u32) {
+    let mut table = Table::new(own);
+    table.told(host(1), 100);
+    table.told_remote(remote("north", 1, &[(11, 50), (12, 50)]));
+    table.told_remote(remote("south", 1, &[(21, 50)]));
+    let lacking = lacking(&[("north", 21), ("south", 14)]);
+    let chosen = [0, 1, 2].map(|now| share(&mut table, &lacking, now));
+    assert_eq!(chosen, [Some(host(11)), Some(host(12)), Some(host(11))]);
+    let share = table.share(&lacking, ms(3)).expect("there are hosts");
+    assert_eq!(share.keys.len(), 21);
+}
+
+#[test]
+fn share_weaker_hosts_are_not_asked() {
+    let mut table = Table::new(50);
+    table.told_remote(remote("north", 1, &[(11, 12)]));
+    assert_eq!(share(&mut table, &lacking(&[("north", 21)]), 0), None);
+}
+
+#[test]
+fn share_another_region_is_not_asked_where_one_nearby_could_be() {
+    let mut table = Table::new(12);
+    table.told_remote(remote("nearby", 1, &[(11, 50)]));
+    table.told_remote(remote("abroad", 40, &[(21, 50)]));
+    let both = lacking(&[("nearby", 7), ("abroad", 21)]);
+    assert_eq!(share(&mut table, &both, 0), Some(host(11)));
+    let only = lacking(&[("abroad", 21)]);
+    assert_eq!(share(&mut table, &only, 0), Some(host(21)));
+}
+
+// Symptom: while servers are slow or gone, one search after the other lacks what another host did not get.
+// Events:  the answer for a part lacks much, or does not come.
+// Cause:   the next part was handed over all the same. Who asks all servers itself weighs what is missing together.
+#[test_case(Ended::Poor; "poor")]
+#[test_case(Ended::Lost; "lost")]
+fn share_after_a_poor_answer_all_servers_are_asked_from_here(ended: Ended) {
+    let mut table = Table::new(12);
+    table.told_remote(remote("north", 1, &[(11, 50), (12, 50)]));
+    let lacking = lacking(&[("north", 21)]);
+    let first = share(&mut table, &lacking, 0).expect("there are hosts");
+    table.ended(first, ended, ms(100));
+    assert_eq!(share(&mut table, &lacking, 1_000), None);
+    assert!(share(&mut table, &lacking, 2_200).is_some());
+}
+
+#[test]
+fn share_with_hosts_elsewhere_whole_searches_stay() {
+    let mut table = Table::new(12);
+    table.told_remote(remote("north", 1, &[(11, 50)]));
+    assert_eq!(table.choose(ms(0)), None);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn told_remote_who_is_not_named_any_more_is_not_asked() {
+    let mut table = Table::new(12);
+    table.told_remote(remote("north", 1, &[(11, 50), (12, 50)]));
+    table.told_remote(remote("north", 1, &[(12, 50)]));
+    let lacking = lacking(&[("north", 21)]);
+    let chosen = [0, 1].map(|now| share(&mut table, &lacking, now));
+    assert_eq!(chosen, [Some(host(12)); 2]);
+}
+
 // Symptom: searches wait for a host that has lost power, one after the other.
 // Events:  a search handed to it is lost; others come.
 // Cause:   nothing was learned from the one that was lost.
--- a/crates/decision/tests/members.rs
+++ b/crates/decision/tests/members.rs
@@ -1,7 +1,8 @@
 //! What hosts that are all homes tell each other, over a network that loses and delays datagrams.
 
+use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::fact::Key;
-use monsoonring_decision::gateway::helper::Strength;
+use monsoonring_decision::gateway::helper::{Remote, Strength};
 use monsoonring_decision::gateway::members::{Action, Datagram, Event, Members};
 use monsoonring_decision::gateway::source::Readers;
 use monsoonring_decision::member::MemberId;
@@ -9,7 +10,7 @@
 use monsoonring_decision::{Time, fact};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 use test_case::test_case;
 
@@ -71,6 +72,8 @@
     learned: Vec<(usize, fact::Entry)>,
     /// By host: who reads the store for it.
     readers: Vec<Readers>,
+    /// By host: who fans out in data centres that it looks for.
+    remote: Vec<BTreeMap<DataCentreId, Remote>>,
     bytes: Vec<usize>,
 }
 
@@ -85,6 +88,7 @@
             cut: Box::new(|_, _| false),
             learned: Vec::new(),
             readers: vec![Readers::default(); count],
+            remote: vec![BTreeMap::new(); count],
             bytes: vec![0; count],
         }
     }
@@ -111,6 +115,9 @@
                 Action::Send(to, datagram) => self.send(number, to, datagram),
                 Action::Learned(entry) => self.learned.push((number, entry)),
                 Action::Readers(readers) => self.readers[number] = readers,
+                Action::Remote(remote) => {
+                    self.remote[number].insert(remote.data_centre.clone(), remote);
+                }
                 Action::Strength(..) | Action::Hosts(_) | Action::Log(_) => {}
             }
         }
@@ -414,3 +421,81 @@
     // 48 before.
     assert!(known >= 55, "{known} of 61 know");
 }
+
+/// Has all hosts of the first data centre look for those who fan out in the two others.
+fn seek(hosts: &mut Hosts) -> Vec<usize> {
+    let seekers: Vec<usize> = (0..hosts.hosts.len())
+        .filter(|number| number % 3 == 0)
+        .collect();
+    let sought: BTreeSet<DataCentreId> = ["dc1", "dc2"].into_iter().map(Into::into).collect();
+    for number in &seekers {
+        hosts.feed(*number, Event::Sought(sought.clone()));
+    }
+    seekers
+}
+
+/// Returns the hosts that one was told of in a data centre.
+fn named(hosts: &Hosts, number: usize, data_centre: &str) -> Vec<MemberId> {
+    let remote = hosts.remote[number].get(data_centre);
+    let candidates = remote.into_iter().flat_map(|remote| &remote.candidates);
+    let mut named: Vec<MemberId> = candidates.map(|one| one.host).collect();
+    named.sort_unstable();
+    named
+}
+
+// Symptom: each of 21 to 31 shards of a search sends its kilobyte from one data centre to another.
+// Events:  hosts start; a twentieth of the datagrams is lost; one data centre holds servers of half of the shards.
+// Cause:   hosts knew how strong others are in their own data centre alone, and could ask nobody beside the servers.
+#[test_case(9)]
+#[test_case(61)]
+#[test_case(300)]
+fn sought_strong_hosts_elsewhere_are_found(count: usize) {
+    let mut hosts = Hosts::start(count);
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    hosts.cut = Box::new(move |_, _| rng.random_bool(0.05));
+    hosts.run(SECOND * 20);
+    let seekers = seek(&mut hosts);
+    hosts.run(SECOND * 2);
+    let found = seekers.iter().filter(|number| {
+        let found = |data_centre, strong: [MemberId; 2]| {
+            let named = named(&hosts, **number, data_centre);
+            !named.is_empty() && named.iter().all(|host| strong.contains(host))
+        };
+        // Of 300 hosts not all know each other by then; one of the two is enough to ask.
+        found("dc1", [id(1), id(4)]) && found("dc2", [id(2), id(5)])
+    });
+    let found = found.count();
+    assert!(
+        found * 100 >= seekers.len() * 95,
+        "{found} of {} found them",
+        seekers.len()
+    );
+    let round_trip = hosts.remote[seekers[0]]["dc1"].round_trip;
+    assert!(round_trip <= TICK * 2, "{round_trip:?}");
+}
+
+// Symptom: searches go to a host that is gone for good, again and again.
+// Events:  one of the strong hosts of another data centre dies, and another one starts in its place.
+// Cause:   who fans out there was asked once.
+#[test]
+fn sought_hosts_that_die_are_not_named_any_more() {
+    let mut hosts = Hosts::start(30);
+    hosts.run(SECOND * 10);
+    seek(&mut hosts);
+    hosts.run(SECOND);
+    hosts.hosts[1] = None;
+    hosts.run(SECOND * 40);
+    assert_eq!(named(&hosts, 0, "dc1"), [id(4)]);
+}
+
+#[test]
+fn sought_in_calm_takes_few_bytes() {
+    let mut hosts = Hosts::start(300);
+    hosts.run(SECOND * 60);
+    seek(&mut hosts);
+    hosts.run(SECOND * 5);
+    hosts.bytes.fill(0);
+    hosts.run(SECOND * 20);
+    let most = hosts.bytes.iter().max().expect("there are hosts") / 20;
+    assert!(most <= BYTES_A_SECOND, "{most} bytes a second");
+}
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -13,7 +13,7 @@
 use monsoonring_decision::attempt::{AttemptId, ConnectionId, Failure, Refusal, Unopened};
 use monsoonring_decision::backend::suspect::Proof;
 use monsoonring_decision::home::action::{Decision, Send};
-use monsoonring_decision::home::event::Request;
+use monsoonring_decision::home::event::{Request, Scope};
 use monsoonring_decision::home::{Action, Event, Home};
 use monsoonring_decision::outcome::{Answer, Outcome};
 use monsoonring_decision::placement::Division;
@@ -106,6 +106,7 @@
         body: "{}".into(),
         execute_key: None,
         terms: None,
+        scope: Scope::default(),
     }
 }
 
--- a/crates/experiment/src/simulation/world/callers.rs
+++ b/crates/experiment/src/simulation/world/callers.rs
@@ -7,7 +7,7 @@
 use monsoonring_decision::gateway::helper::Strength;
 use monsoonring_decision::gateway::way;
 use monsoonring_decision::home::Event;
-use monsoonring_decision::home::event::Request;
+use monsoonring_decision::home::event::{Request, Scope};
 use rand::Rng;
 use std::collections::HashSet;
 use std::time::Duration;
@@ -53,6 +53,7 @@
             body: (),
             execute_key: None,
             terms: Some(self.routes[caller.kind].terms(way::time(STRENGTH))),
+            scope: Scope::default(),
         };
         self.heard(host, kind.pool, Event::Request(request));
     }
