Let a reader that knows less than who asks catch up first, and soak hosts of two data centres

Cause: hosts that start together read the store one after the other, and 180 of 195 asked a reader that had read a moment before them.

--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -104,12 +104,14 @@
         Some(respond(answer, outage))
     }
 
-    /// Waits until there is something to say.
+    /// Waits until there is something to say. Who asks may have read the store a moment later than this host, which
+    /// catches up with its next answer: declined at once, 180 of 195 hosts that started together asked the store again.
     async fn wait(&self, after: Revision) -> Answer {
         loop {
             let changed = self.changed.notified();
             let answer = self.answer_now(after);
-            if answer != Answer::Nothing {
+            let may_come = [Answer::Nothing, Answer::Declined(Declined::Behind)];
+            if !may_come.contains(&answer) {
                 return answer;
             }
             changed.await;
--- a/crates/monsoonringd/examples/soak.rs
+++ b/crates/monsoonringd/examples/soak.rs
@@ -57,13 +57,14 @@
     let options = Options::parse();
     let mut faults: BTreeMap<&str, u32> = BTreeMap::new();
     let mut answers: BTreeMap<u16, u32> = BTreeMap::new();
-    let (mut played, mut broken) = (0, 0);
+    let (mut played, mut broken, mut parts) = (0, 0, 0);
     let began = Instant::now();
     for seed in options.seeds()? {
         let folder = tempfile::tempdir()?;
         let time = Duration::from_secs(options.seconds);
         let report = soak::play(seed, time, &options.process, folder.path()).await?;
         played += 1;
+        parts += report.parts;
         for (name, times) in report.faults {
             *faults.entry(name).or_default() += times;
         }
@@ -85,6 +86,7 @@
         }
     }
     println!("{played} seeds, {broken} with a broken promise");
+    println!("{parts} parts of searches looked through for another host, at least");
     println!("| fault | times |\n|---|---|");
     for (name, times) in faults {
         println!("| {name} | {times} |");
--- a/crates/monsoonringd/tests/soak/host.rs
+++ b/crates/monsoonringd/tests/soak/host.rs
@@ -21,12 +21,21 @@
 /// A host and its process.
 pub(crate) struct Host {
     pub(crate) front: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     binary: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     process: Option<Child>,
 }
 
+/// Port of the metrics, which is the same on every host.
+const METRICS: u16 = 9_464;
+
+/// Returns the data centre of the host or service with this number: there are two.
+pub(crate) fn data_centre(number: usize) -> &'static str {
+    if number % 2 == 0 { "hall" } else { "yard" }
+}
+
 /// Returns the address of a host's port. Each has an address of its own, as the port of the metrics is the
 /// same everywhere, and so have runs of the soak beside each other.
 fn address(number: u8, port: u16) -> SocketAddr {
@@ -35,7 +44,8 @@
 }
 
 impl Host {
-    /// Writes the settings of host `number` of `count`, and starts it. Every third host is stronger.
+    /// Writes the settings of host `number` of `count`, and starts it. Two of three hosts are stronger, so that each
+    /// data centre has some.
     pub(crate) fn start(
         (number, count): (u8, u8),
         store: SocketAddr,
@@ -45,10 +55,11 @@
         let seeds: Vec<String> = (0..count.min(3))
             .map(|seed| address(seed, FRONT + 2).to_string())
             .collect();
-        let cores = if number % 3 == 2 { 0.5 } else { 0.12 };
+        let cores = if number % 3 == 0 { 0.12 } else { 0.5 };
+        let data_centre = data_centre(usize::from(number));
         let (front, ready, hosts) = (FRONT, FRONT + 1, FRONT + 2);
         let text = format!(
-            "nodeName=edge-{number}\nzone=hall\nzones.hall=tunis\nserves=edge\n\
+            "nodeName=edge-{number}\nzone={data_centre}\nzones.hall=tunis\nzones.yard=tunis\nserves=edge\n\
              listen.front={}\nlisten.readinessAddr={}\nlisten.control={}\nseeds={}\n\
              platform.address={store}\nlimits.maxFds=4100\nlimits.cpuShare={cores}\n\
              bounds.graceS={GRACE_S}\nbounds.retrySlack=58\n",
@@ -61,6 +72,7 @@
         std::fs::write(&settings, text)?;
         let mut host = Self {
             front: address(number, front),
+            metrics: address(number, METRICS),
             binary: binary.to_owned(),
             settings,
             log: folder.join(format!("edge-{number}.log")),
--- a/crates/monsoonringd/tests/soak/mod.rs
+++ b/crates/monsoonringd/tests/soak/mod.rs
@@ -31,8 +31,9 @@
 /// Result of a step; what failed is told to whoever runs the soak.
 pub(crate) type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
 
-/// Services of the searches, and of the requests that may run once.
-const SHARDS: [&str; 3] = ["s0", "s1", "s2"];
+/// Services of the searches, and of the requests that may run once. The servers of half of the shards are in one data
+/// centre and those of the others in the other one, so that hosts look through parts of searches for each other.
+const SHARDS: [&str; 8] = ["s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7"];
 const LEDGER: &str = "ledger";
 
 /// Servers of each service.
@@ -53,6 +54,8 @@
     pub(crate) faults: BTreeMap<&'static str, u32>,
     /// By status, 0 where there was no answer: requests.
     pub(crate) answers: BTreeMap<u16, u32>,
+    /// Parts of searches that hosts looked through for others, as far as the processes that ran at the end know.
+    pub(crate) parts: u64,
     pub(crate) violations: Vec<Violation>,
 }
 
@@ -67,11 +70,13 @@
     async fn start() -> Self {
         let store = Store::start().await;
         let mut servers = Vec::new();
-        for service in SHARDS.into_iter().chain([LEDGER]) {
+        for (number, service) in SHARDS.into_iter().chain([LEDGER]).enumerate() {
             for replica in 0..REPLICAS {
                 let instance = format!("i-{service}-{replica}");
                 let record = record(service);
-                servers.push(Server::start(&store, &instance, service, &[&record]).await);
+                let server = Server::start(&store, &instance, service, &[&record]).await;
+                server.register_in(&store, host::data_centre(number), "ready");
+                servers.push(server);
             }
         }
         let mut world = Self {
@@ -90,7 +95,7 @@
             gather("map", "/map/", &SHARDS),
             single("once", "/once/", "non_idempotent", LEDGER),
         ];
-        let services = [SHARDS[0], SHARDS[1], SHARDS[2], LEDGER];
+        let services: Vec<&str> = SHARDS.into_iter().chain([LEDGER]).collect();
         let document = configuration(self.version, &routes, &services);
         self.store.put("op/config", &document);
     }
@@ -224,6 +229,9 @@
         report.violations.extend(violations);
     }
     expect_all(&fronts, "serves again after the last fault", &mut report).await;
+    for host in &hosts {
+        report.parts += parts(host.metrics).await;
+    }
     let tickets = tickets
         .lock()
         .unwrap_or_else(std::sync::PoisonError::into_inner)
@@ -237,6 +245,15 @@
     Ok(report)
 }
 
+/// Returns how many parts of searches other hosts looked through for this one.
+async fn parts(metrics: SocketAddr) -> u64 {
+    const COUNTER: &str = "monsoonring_relays_total{outcome=\"part answered\"} ";
+    let page = client::ask(metrics, "GET", "/metrics", "m", "1000").await;
+    let body = page.map(|page| page.body).unwrap_or_default();
+    let count = body.lines().find_map(|line| line.strip_prefix(COUNTER));
+    count.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
 async fn expect_all(fronts: &[SocketAddr], promise: &'static str, report: &mut Report) {
     for front in fronts {
         if !regained(*front).await {
