Take no client's word for which part of a search it is, ask another host each time who fans out, and untie two circles

Found in reading: a client that sends the header of a part had its handed-on search answered as that part, with the rest left out and not told as missing. Also found: a data centre was asked by way of the same host each time, whatever its table. Usual and Down have modules of their own, so that choice and server, hindrance and state go one way.

--- a/crates/daemon/src/gateway/relay/mod.rs
+++ b/crates/daemon/src/gateway/relay/mod.rs
@@ -17,6 +17,7 @@
 mod tests;
 
 pub(super) use helper::Helper;
+use share::ONLY;
 pub(super) use share::{Only, Part, Shared, Sharing, set_covered};
 
 use crate::client;
@@ -174,6 +175,8 @@
         let mut request = Request::from_parts(head.clone(), Full::new(body.clone()));
         remove_framing(request.headers_mut());
         request.headers_mut().insert(VERSION, version.into());
+        // A client that sends the header of a part would have its search answered as one.
+        request.headers_mut().remove(ONLY);
         let limit = patience + SLACK;
         let answer = match timeout(limit, self.exchange(host, request)).await {
             Ok(answer) => answer,
--- a/crates/daemon/src/gateway/relay/share.rs
+++ b/crates/daemon/src/gateway/relay/share.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 /// The keys that the other host is to look through, as ranges: `0-3,7-9` are 0, 1, 2, 7 and 8.
-const ONLY: HeaderName = HeaderName::from_static("monsoonring-only");
+pub(super) const ONLY: HeaderName = HeaderName::from_static("monsoonring-only");
 
 /// The keys that an answer covers, written alike, and the index version that it is from.
 const COVERED: HeaderName = HeaderName::from_static("monsoonring-covered");
--- a/crates/decision/src/backend/choice.rs
+++ b/crates/decision/src/backend/choice.rs
@@ -8,6 +8,7 @@
 //! it is tried again.
 
 use super::server::Server;
+use super::usual::Usual;
 use crate::Time;
 use crate::why::Least;
 use monsoonring_configuration::id::BackendServerId;
@@ -64,19 +65,6 @@
     pub why: Least,
 }
 
-/// What is known of the group when its servers are compared.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Usual {
-    /// Mean work time of an attempt.
-    pub(crate) work: Duration,
-    /// Median latency.
-    pub(crate) median: Duration,
-    /// Work slots of one server.
-    pub(crate) slots: f64,
-    /// Time between two attempts of this home at the group.
-    pub(crate) interval: Duration,
-}
-
 /// Returns the load that others are believed to have at a server beyond the usual.
 pub(crate) fn others(server: &Server, usual: Usual, now: Time) -> f64 {
     let Some(reported) = server.reported else {
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -1,10 +1,11 @@
 //! All backend servers of one route at one home.
 
-use super::choice::{self, Care, Choice, Usual};
+use super::choice::{self, Care, Choice};
 use super::latency::Latency;
 use super::leaving::Marks;
 use super::ramp::Ramp;
 use super::server::Server;
+use super::usual::Usual;
 use crate::attempt::AttemptId;
 use crate::placement::{Division, Homes};
 use crate::policy::Policy;
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -19,6 +19,7 @@
 mod snapshot;
 pub mod suspect;
 mod trust;
+mod usual;
 mod verdict;
 
 pub use choice::{Care, Choice};
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -1,10 +1,10 @@
 //! State of one backend server at one home.
 
-use super::choice::Usual;
 use super::latency::Latency;
 use super::probe::Probe;
 use super::ramp::Ramp;
 use super::trust::Trust;
+use super::usual::Usual;
 use crate::Time;
 use crate::reply::{Load, Report};
 use monsoonring_configuration::id::{Incarnation, IndexVersion};
--- /dev/null
+++ b/crates/decision/src/backend/usual.rs
@@ -0,0 +1,16 @@
+//! What is usual in a group of replicas, which one of them is compared with.
+
+use std::time::Duration;
+
+/// What is known of the group when its servers are compared.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usual {
+    /// Mean work time of an attempt.
+    pub(crate) work: Duration,
+    /// Median latency.
+    pub(crate) median: Duration,
+    /// Work slots of one server.
+    pub(crate) slots: f64,
+    /// Time between two attempts of this home at the group.
+    pub(crate) interval: Duration,
+}
--- a/crates/decision/src/gateway/members/remote.rs
+++ b/crates/decision/src/gateway/members/remote.rs
@@ -28,6 +28,8 @@
 pub(super) struct Search {
     /// Questions put since the last answer.
     tries: u32,
+    /// Questions put in all.
+    turn: usize,
     /// When the last question was put, and to whom.
     asked: Option<(MemberId, Time)>,
     /// When the next one is.
@@ -41,6 +43,7 @@
         for data_centre in data_centres {
             let new = Search {
                 tries: 0,
+                turn: 0,
                 asked: None,
                 next: now,
             };
@@ -50,33 +53,33 @@
 
     /// Asks where it is due.
     pub(super) fn ask_candidates(&mut self, now: Time) {
-        if self.sought.values().all(|search| search.next > now) {
+        let due = self.sought.iter().filter(|(_, search)| search.next <= now);
+        let due: Vec<DataCentreId> = due.map(|(data_centre, _)| data_centre.clone()).collect();
+        if due.is_empty() {
             return;
         }
-        let own = self.table.own();
         let members = self.table.members();
-        let mut asked = Vec::new();
-        for (data_centre, search) in &mut self.sought {
-            if search.next > now {
-                continue;
-            }
-            let there = members.iter().filter(|one| one.data_centre == *data_centre);
+        for data_centre in due {
+            let there = members.iter().filter(|one| one.data_centre == data_centre);
             let there: Vec<MemberId> = there.map(|one| one.id).collect();
-            // Hosts begin with different ones, and each goes on to the next.
-            let begin = placement::score(data_centre, own) as usize;
-            let Some(index) = begin
-                .wrapping_add(search.tries as usize)
-                .checked_rem(there.len())
-            else {
-                continue;
-            };
-            let to = there[index];
-            search.asked = Some((to, now));
-            search.next = now + UNANSWERED * 2_u32.pow(search.tries.min(UNANSWERED_DOUBLINGS));
-            search.tries += 1;
-            asked.push(to);
+            self.ask_candidates_in(&data_centre, &there, now);
         }
-        for to in asked {
+    }
+
+    /// Asks one of the hosts in a data centre. Hosts begin with different ones, and each goes on to the next: one whose
+    /// own table is out of date is not asked again and again.
+    fn ask_candidates_in(&mut self, data_centre: &DataCentreId, there: &[MemberId], now: Time) {
+        let begin = placement::score(data_centre, self.table.own()) as usize;
+        let Some(search) = self.sought.get_mut(data_centre) else {
+            return;
+        };
+        let index = begin.wrapping_add(search.turn).checked_rem(there.len());
+        let to = index.map(|index| there[index]);
+        search.asked = to.map(|to| (to, now));
+        search.next = now + UNANSWERED * 2_u32.pow(search.tries.min(UNANSWERED_DOUBLINGS));
+        search.tries += 1;
+        search.turn = search.turn.wrapping_add(1);
+        if let Some(to) = to {
             self.send(to, Datagram::AskCandidates);
         }
     }
--- /dev/null
+++ b/crates/decision/src/home/down.rs
@@ -0,0 +1,13 @@
+//! Why a backend server can't be reached.
+
+use crate::attempt::Unopened;
+use derive_more::Display;
+
+/// What made a server count as unreachable.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(super) enum Down {
+    #[display("connect: {_0}")]
+    Unopened(Unopened),
+    #[display("last connection lost")]
+    Lost,
+}
--- a/crates/decision/src/home/hindrance.rs
+++ b/crates/decision/src/home/hindrance.rs
@@ -4,22 +4,13 @@
 //! the servers and what stands in the way of each, operators can't tell a shard whose servers have all
 //! left from one whose servers are full of other hosts' connections.
 
+use super::down::Down;
 use super::state::Home;
 use crate::Time;
-use crate::attempt::Unopened;
 use crate::content::Content;
 use derive_more::Display;
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 
-/// What made a server count as unreachable.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub(super) enum Down {
-    #[display("connect: {_0}")]
-    Unopened(Unopened),
-    #[display("last connection lost")]
-    Lost,
-}
-
 /// What stands in the way of work for a server.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 enum Hindrance {
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -14,6 +14,7 @@
 mod alarm;
 mod counts;
 mod dispatch;
+mod down;
 mod elsewhere;
 mod ending;
 pub mod event;
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -1,8 +1,8 @@
 //! What is learned of backend servers and of the route.
 
 use super::action::Action;
+use super::down::Down;
 use super::flight::Owner;
-use super::hindrance::Down;
 use super::state::Home;
 use crate::attempt::{ConnectionId, Failure, Unopened};
 use crate::backend::News;
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -2,9 +2,9 @@
 
 use super::action::{Action, Decision};
 use super::counts::Counts;
+use super::down::Down;
 use super::event::{Event, Request};
 use super::flight;
-use super::hindrance::Down;
 use super::placement::Placement;
 use super::terms::Terms;
 use super::timer::{self, Timer};
