--- a/crates/decision/src/gateway/table.rs
+++ b/crates/decision/src/gateway/table.rs
@@ -2,6 +2,7 @@
 
 use super::{ServiceId, Shards, way};
 use crate::home::Terms;
+use crate::query::coverage;
 use monsoonring_configuration::document::{Class, Kind, SoftDeadline};
 use monsoonring_configuration::id::RouteId;
 use rustc_hash::FxHashMap;
@@ -49,9 +50,7 @@
 impl Gather {
     /// Returns how many shards an answer can do without.
     pub fn dispensable(&self) -> usize {
-        /// What rounding may take from a whole number: a tenth of ten shards is one.
-        const ROUNDING: f64 = 1e-9;
-        ((1.0 - self.least) * self.shards.len() as f64 + ROUNDING) as usize
+        coverage::dispensable(self.least, self.shards.len() as f64)
     }
 }
 
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -19,6 +19,7 @@
 use crate::placement::Part;
 use crate::policy::Policy;
 use crate::query::attempt::Unrun;
+use crate::query::coverage;
 use crate::query::execution::Execution;
 use crate::query::pin::Pin;
 use crate::query::run::{Run, Waiter};
@@ -253,15 +254,13 @@
 
     /// Returns how many groups an answer to a request can do without, as they weigh alike.
     pub(super) fn dispensable(&self, request: &Request<C>) -> usize {
-        /// What rounding may take from a whole number: a tenth of ten groups is one.
-        const ROUNDING: f64 = 1e-9;
         let least = self.terms(request).least_coverage;
         let groups = match &request.scope.only {
             Some(only) => only.weight(&self.route.groups),
             None => self.route.groups.len() as f64,
         };
         match least > 0.0 {
-            true => ((1.0 - least) * groups + ROUNDING) as usize,
+            true => coverage::dispensable(least, groups),
             false => 0,
         }
     }
--- a/crates/decision/src/home/terms.rs
+++ b/crates/decision/src/home/terms.rs
@@ -5,6 +5,7 @@
 //! know less of their load, so that they share one, and each request brings what its route says.
 
 use crate::Work;
+use crate::query::coverage;
 use monsoonring_configuration::document::{Kind, Route, SoftDeadline};
 
 /// What holds for one request.
@@ -28,11 +29,9 @@
     /// of all groups may.
     #[must_use]
     pub fn of_part(self, part: u64, of: usize) -> Self {
-        /// What rounding may take from a whole number.
-        const ROUNDING: f64 = 1e-9;
         let least = |coverage: f64| {
-            let dispensable = ((1.0 - coverage) * of as f64 + ROUNDING).floor();
-            (1.0 - dispensable / part.max(1) as f64).max(0.0)
+            let dispensable = coverage::dispensable(coverage, of as f64);
+            (1.0 - dispensable as f64 / part.max(1) as f64).max(0.0)
         };
         Self {
             soft_deadline: self.soft_deadline.map(|soft| SoftDeadline {
--- a/crates/decision/src/query/coverage.rs
+++ b/crates/decision/src/query/coverage.rs
@@ -159,6 +159,13 @@
     (set.weight(&route.groups) / total).clamp(0.0, 1.0 - f64::EPSILON)
 }
 
+/// Returns how many of so many groups, which weigh alike, an answer with at least this coverage can do without.
+pub fn dispensable(least: f64, groups: f64) -> usize {
+    /// What rounding may take from a whole number: a tenth of ten groups is one.
+    const ROUNDING: f64 = 1e-9;
+    ((1.0 - least) * groups + ROUNDING) as usize
+}
+
 /// Returns the share of what lies in `wanted` that lies in `set` too, from 0 to 1; exactly 1 only where no key is
 /// missing, as [`share`] does for all keys of the route.
 pub fn share_of(set: &Set, wanted: &Set, route: &Route) -> f64 {
