--- a/crates/daemon/src/gateway/relay/mod.rs
+++ b/crates/daemon/src/gateway/relay/mod.rs
@@ -173,15 +173,9 @@
             ended: Ended::Left,
         };
         let mut request = Request::from_parts(head.clone(), Full::new(body.clone()));
-        remove_framing(request.headers_mut());
-        request.headers_mut().insert(VERSION, version.into());
         // A client that sends the header of a part would have its search answered as one.
         request.headers_mut().remove(ONLY);
-        let limit = patience + SLACK;
-        let answer = match timeout(limit, self.exchange(host, request)).await {
-            Ok(answer) => answer,
-            Err(_) => LateSnafu { host, limit }.fail(),
-        };
+        let answer = self.hand(host, request, version, patience).await;
         chosen.ended = match &answer {
             Ok(_) => Ended::Answered,
             Err(error) => error.ended(),
@@ -189,6 +183,23 @@
         Some((host, answer))
     }
 
+    /// Hands a request to a host, under a version of the configuration.
+    async fn hand(
+        &self,
+        host: MemberId,
+        mut request: Request<Full<Bytes>>,
+        version: u64,
+        patience: Duration,
+    ) -> Result<Response<Full<Bytes>>> {
+        remove_framing(request.headers_mut());
+        request.headers_mut().insert(VERSION, version.into());
+        let limit = patience + SLACK;
+        match timeout(limit, self.exchange(host, request)).await {
+            Ok(answer) => answer,
+            Err(_) => LateSnafu { host, limit }.fail(),
+        }
+    }
+
     async fn exchange(
         &self,
         host: MemberId,
--- a/crates/daemon/src/gateway/relay/share.rs
+++ b/crates/daemon/src/gateway/relay/share.rs
@@ -1,6 +1,6 @@
 //! Having another host look through a part of a search.
 
-use super::{Chosen, Error, LateSnafu, Relay, Result, SLACK, VERSION, number, remove_framing};
+use super::{Chosen, Error, Relay, Result, number};
 use crate::gateway::Whole;
 use crate::gateway::state::Elsewhere;
 use bytes::Bytes;
@@ -16,7 +16,6 @@
 use monsoonring_decision::query::coverage::Set;
 use monsoonring_decision::reply::{Item, Reply, Report};
 use std::time::Duration;
-use tokio::time::timeout;
 
 /// The keys that the other host is to look through, as ranges: `0-3,7-9` are 0, 1, 2, 7 and 8.
 pub(super) const ONLY: HeaderName = HeaderName::from_static("monsoonring-only");
@@ -88,17 +87,11 @@
         patience: Duration,
     ) -> Shared {
         let mut request = Request::from_parts(head, Full::new(body));
-        remove_framing(request.headers_mut());
-        request.headers_mut().insert(VERSION, version.into());
         if let Ok(only) = HeaderValue::from_str(&text(&self.keys)) {
             request.headers_mut().insert(ONLY, only);
         }
         let Chosen { relay, host, .. } = self.chosen;
-        let limit = patience + SLACK;
-        let answer = match timeout(limit, relay.exchange(host, request)).await {
-            Ok(answer) => answer,
-            Err(_) => LateSnafu { host, limit }.fail(),
-        };
+        let answer = relay.hand(host, request, version, patience).await;
         let (ended, shared) = self.judge(answer, tolerable).await;
         self.chosen.ended = ended;
         shared
