Empty a data centre on the operators' order, and tell the lives of the store apart

Cause: orders to empty a data centre were not read, so requests went on to its servers as if nothing had been said. And revisions were compared across a store that comes back from an older copy: a host went on from its own revision, which is another change's by then.

Change: decision::gateway::evacuation holds the orders by revision. Servers of an emptied data centre are not usable, so that every decision leaves them out (choice, hedges, parts, hosts asked beside servers); what runs there ends in peace, and what stands only there is told as missing. The order is learned with everything else from the one watch, from readers and at the start, before the servers are. gateway::mirror::Position is a revision within a life of the store (its era); hosts of two lives tell each other nothing, and whoever finds a later life reads the store anew. What the older copy lacks is doubted: servers for as long as after an outage, orders for ten seconds; what it still has of servers that were gone is believed only once it would have lapsed.

Tests: evacuation (walks with three mutants), went_back, mirror (a store that goes back, two mutants more; readers are held against the store too), platform/evacuation, platform/went_back.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -80,6 +80,8 @@
     pub(super) doubted: usize,
     /// Servers that get new work.
     pub(super) usable: usize,
+    /// Data centres that operators have emptied.
+    pub(super) emptied: BTreeSet<DataCentreId>,
 }
 
 /// One home, and what it was told last.
@@ -99,6 +101,8 @@
     homes: HashMap<Shards, Home>,
     /// Requests that crash servers, and until when they are refused; for homes that begin.
     crashing: BTreeMap<Fingerprint, Time>,
+    /// The data centres that were emptied when that was last written to the log.
+    emptied: BTreeSet<DataCentreId>,
 }
 
 /// Takes news until nobody tells of the outside any more.
@@ -115,6 +119,7 @@
         adopted: Time::ZERO,
         homes: HashMap::new(),
         crashing: BTreeMap::new(),
+        emptied: BTreeSet::new(),
     };
     loop {
         let clock = controller.settings.clock;
@@ -155,6 +160,7 @@
             News::Registry(event) => {
                 let about = about(&event);
                 let changed = self.registry.on(event, self.settings.clock.now());
+                self.note_emptied();
                 if changed {
                     let (entries, doubted) = self.registry.counts();
                     info!(self.settings.log, "backend servers"; "what" => about,
@@ -166,6 +172,20 @@
         }
     }
 
+    /// Writes to the log which data centres were emptied or given back, as this host knows it from now on.
+    fn note_emptied(&mut self) {
+        let emptied = self.registry.evacuations().emptied();
+        let emptied: BTreeSet<DataCentreId> = emptied.cloned().collect();
+        for data_centre in emptied.difference(&self.emptied) {
+            info!(self.settings.log, "data centre"; "what" => "emptied: its backend servers get no new work",
+                "data_centre" => &**data_centre);
+        }
+        for data_centre in self.emptied.difference(&emptied) {
+            info!(self.settings.log, "data centre"; "what" => "given back", "data_centre" => &**data_centre);
+        }
+        self.emptied = emptied;
+    }
+
     fn shown(&self) -> Shown {
         let (registered, doubted) = self.registry.counts();
         let age = self.settings.clock.now().saturating_sub(self.adopted);
@@ -176,6 +196,7 @@
             registered,
             doubted,
             usable: self.registry.usable().len(),
+            emptied: self.emptied.clone(),
         }
     }
 
@@ -385,6 +406,19 @@
             format!("{instance} unreadable, revision {revision}")
         }
         registry::Event::Deleted(instance) => format!("{instance} gone"),
+        registry::Event::Emptied(order) => {
+            format!("{} emptied, revision {}", order.data_centre, order.revision)
+        }
+        registry::Event::Returned(order) => {
+            format!(
+                "{} given back, revision {}",
+                order.data_centre, order.revision
+            )
+        }
+        registry::Event::EmptiedListed(orders, as_of) => {
+            format!("{} data centres emptied, revision {as_of}", orders.len())
+        }
+        registry::Event::WentBack => "source went back to an older copy".to_owned(),
         registry::Event::Lost => "source lost".to_owned(),
         registry::Event::Regained => "source regained".to_owned(),
         registry::Event::Tick => "doubt over".to_owned(),
--- a/crates/daemon/src/gateway/describe.rs
+++ b/crates/daemon/src/gateway/describe.rs
@@ -89,5 +89,6 @@
         "registered": shown.registered,
         "doubted": shown.doubted,
         "usable": shown.usable,
+        "emptied_data_centres": shown.emptied.iter().map(|one| &**one).collect::<Vec<&str>>(),
     })
 }
--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -1,6 +1,6 @@
 //! Passing on what was read of the store, and asking hosts that do.
 //!
-//! What is passed on are the store's own answers, which nobody here looks into. A question names the revision
+//! What is passed on are the store's own answers, which nobody here looks into. A question names the position
 //! up to which the asker knows everything; it waits at the reader until there is more, as a watch of the store
 //! does. What is answered and when is [`mirror::Log`]'s.
 
@@ -9,12 +9,11 @@
 use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Full, Limited};
-use hyper::header::{HOST, HeaderName, HeaderValue};
+use hyper::header::{HOST, HeaderName};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use monsoonring_decision::Time;
-use monsoonring_decision::gateway::mirror::{Answer, Batch, Declined, Log, Outage};
+use monsoonring_decision::gateway::mirror::{Answer, Batch, Declined, Log, Outage, Position};
 use monsoonring_decision::gateway::pace::Pace;
-use monsoonring_decision::gateway::registry::Revision;
 use monsoonring_decision::member::MemberId;
 use snafu::{ResultExt, Snafu};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -29,6 +28,9 @@
 /// Revision up to which an answer goes.
 const TO: HeaderName = HeaderName::from_static("monsoonring-to");
 
+/// Life of the store that the revision of a question or an answer belongs to; the first one where it is missing.
+const ERA: HeaderName = HeaderName::from_static("monsoonring-era");
+
 /// Losses of the store since the reader's start, and milliseconds since the last one ended.
 const OUTAGES: HeaderName = HeaderName::from_static("monsoonring-outages");
 const OUTAGE_ENDED: HeaderName = HeaderName::from_static("monsoonring-outage-ended-ms");
@@ -64,8 +66,8 @@
         }
     }
 
-    /// Everything was read, as of a revision.
-    pub fn read(&self, position: Revision) {
+    /// Everything was read, as of a position.
+    pub fn read(&self, position: Position) {
         let now = self.clock.now();
         self.change(|log| log.read(position, now));
     }
@@ -94,7 +96,7 @@
 
     /// Answers a question; `None` where a message is none.
     pub(super) async fn answer(&self, headers: &HeaderMap) -> Option<Response<Full<Bytes>>> {
-        let after = number(headers, &AFTER)?;
+        let after = position(headers, &AFTER)?;
         let now = self.clock.now();
         *self.asked.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
         let waited = timeout(self.pace.ask(), self.wait(after)).await;
@@ -106,7 +108,7 @@
 
     /// Waits until there is something to say. Who asks may have read the store a moment later than this host, which
     /// catches up with its next answer: declined at once, 180 of 195 hosts that started together asked the store again.
-    async fn wait(&self, after: Revision) -> Answer {
+    async fn wait(&self, after: Position) -> Answer {
         loop {
             let changed = self.changed.notified();
             let answer = self.answer_now(after);
@@ -118,7 +120,7 @@
         }
     }
 
-    fn answer_now(&self, after: Revision) -> Answer {
+    fn answer_now(&self, after: Position) -> Answer {
         self.log().answer(after, self.clock.now())
     }
 
@@ -133,6 +135,19 @@
     }
 }
 
+/// Reads a position whose revision is in this header.
+fn position(headers: &HeaderMap, revision: &HeaderName) -> Option<Position> {
+    Some(Position {
+        era: number(headers, &ERA).unwrap_or_default(),
+        revision: number(headers, revision)?,
+    })
+}
+
+fn set_position(headers: &mut HeaderMap, name: HeaderName, position: Position) {
+    headers.insert(name, position.revision.into());
+    headers.insert(ERA, position.era.into());
+}
+
 fn respond(answer: Answer, outage: Outage) -> Response<Full<Bytes>> {
     let mut response = match answer {
         Answer::Declined(why) => return declined(why.reason()),
@@ -143,7 +158,7 @@
         }
         Answer::Batch(batch) => {
             let mut response = Response::new(Full::new(Bytes::from_owner(batch.body)));
-            response.headers_mut().insert(TO, batch.to.into());
+            set_position(response.headers_mut(), TO, batch.to);
             response
         }
     };
@@ -214,8 +229,8 @@
 /// What a reader told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Told {
-    /// An answer of the store, and the revision up to which it goes; `None` where nothing changed.
-    pub changes: Option<(Revision, Bytes)>,
+    /// An answer of the store, and the position up to which it goes; `None` where nothing changed.
+    pub changes: Option<(Position, Bytes)>,
     /// Losses of the store at the reader.
     pub outage: Outage,
 }
@@ -250,28 +265,28 @@
         self.host
     }
 
-    /// Asks for what changed after a revision, and waits until something has.
+    /// Asks for what changed after a position, and waits until something has.
     ///
     /// # Errors
     ///
     /// There is no answer in time, or somebody else is to be asked.
-    pub async fn ask(&mut self, after: Revision, limit: Duration) -> Result<Told> {
+    pub async fn ask(&mut self, after: Position, limit: Duration) -> Result<Told> {
         let (host, step) = (self.host, "asking what changed");
         let silent = |_| Error::Silent { host, step, limit };
         timeout(limit, self.exchange(after)).await.map_err(silent)?
     }
 
-    async fn exchange(&mut self, after: Revision) -> Result<Told> {
+    async fn exchange(&mut self, after: Position) -> Result<Told> {
         let host = self.host;
         let request = Request::get("/").header(HOST, host.to_string());
-        let request = request.header(AFTER, HeaderValue::from(after));
-        let Ok(request) = request.body(Empty::new()) else {
+        let Ok(mut request) = request.body(Empty::new()) else {
             return UnusableSnafu {
                 host,
                 status: StatusCode::BAD_REQUEST,
             }
             .fail();
         };
+        set_position(request.headers_mut(), AFTER, after);
         let http = HttpSnafu { host };
         self.sender.ready().await.context(http)?;
         let response = self.sender.send_request(request).await.context(http)?;
@@ -285,10 +300,10 @@
         let Ok(body) = body else {
             return UnusableSnafu { host, status }.fail();
         };
-        let to = number(&head.headers, &TO);
+        let to = position(&head.headers, &TO);
         let changes = match (status, to) {
             (StatusCode::NO_CONTENT, _) => None,
-            (StatusCode::OK, Some(to)) => Some((to, body.to_bytes())),
+            (StatusCode::OK, Some(to)) if to.era == after.era => Some((to, body.to_bytes())),
             _ => return UnusableSnafu { host, status }.fail(),
         };
         Ok(Told {
--- a/crates/decision/src/gateway/mirror.rs
+++ b/crates/decision/src/gateway/mirror.rs
@@ -17,6 +17,7 @@
 
 use super::registry::Revision;
 use crate::Time;
+use derive_more::Display;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,19 @@
 /// reads the store.
 const KEPT_BYTES: usize = 2 * 1024 * 1024;
 
+/// Number of the store's lives up to now: it rises each time that the store comes back from an older copy.
+pub type Era = u64;
+
+/// A point in the history of the store. A later one is greater.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[display("{revision} of era {era}")]
+pub struct Position {
+    /// The life of the store.
+    pub era: Era,
+    /// The revision within it.
+    pub revision: Revision,
+}
+
 /// Tells whether a change is one that a host has not taken in that knows everything up to a revision. One that says
 /// no revision is taken in again: what it says holds in any case.
 pub fn is_new(change: Revision, known: Revision) -> bool {
@@ -34,10 +48,10 @@
 /// One answer of the store: all changes after a revision, up to another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Batch {
-    /// The revision after which it begins.
-    pub after: Revision,
-    /// The revision up to which it goes.
-    pub to: Revision,
+    /// Where it begins.
+    pub after: Position,
+    /// Up to where it goes, in the same life of the store.
+    pub to: Position,
     /// The answer as it came; nobody but the reader of the store's format looks into it.
     pub body: Arc<[u8]>,
 }
@@ -95,7 +109,7 @@
 pub struct Log {
     /// Time for which an answer of the store vouches for what is known.
     sure_for: Duration,
-    position: Option<Revision>,
+    position: Option<Position>,
     batches: VecDeque<Batch>,
     bytes: usize,
     answered: Time,
@@ -119,8 +133,8 @@
         }
     }
 
-    /// Everything was read, as of this revision: what was kept does not lead there.
-    pub fn read(&mut self, position: Revision, now: Time) {
+    /// Everything was read, as of this position: what was kept does not lead there.
+    pub fn read(&mut self, position: Position, now: Time) {
         self.batches.clear();
         self.bytes = 0;
         self.position = Some(position);
@@ -162,8 +176,8 @@
         self.position = None;
     }
 
-    /// Returns what a host has to hear that has taken in everything up to a revision.
-    pub fn answer(&self, after: Revision, now: Time) -> Answer {
+    /// Returns what a host has to hear that has taken in everything up to a position.
+    pub fn answer(&self, after: Position, now: Time) -> Answer {
         let Some(position) = self.position else {
             return Answer::Declined(Declined::NoReader);
         };
--- a/crates/decision/src/gateway/mod.rs
+++ b/crates/decision/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! All parts of an answer come from one set, because a home has only one: another set is another
 //! home. That is how an answer keeps to one snapshot while an index is repartitioned.
 
+pub mod evacuation;
 pub mod helper;
 pub mod members;
 pub mod mirror;
--- a/crates/decision/src/gateway/registry.rs
+++ b/crates/decision/src/gateway/registry.rs
@@ -9,6 +9,7 @@
 //! what it says now. Entries of one name are therefore ordered by what the server itself counts
 //! ([`Order`]), and not by when they were written.
 
+use super::evacuation::{self, Evacuations};
 use super::{InstanceId, ServiceId};
 use crate::Time;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
@@ -19,6 +20,10 @@
 /// name about two seconds.
 pub const RETURN: Duration = Duration::from_millis(2_200);
 
+/// Time after the store went back within which the entry of a server that is gone has lapsed there: three heartbeats,
+/// which come every second or so, with as much again.
+const LAPSED: Duration = Duration::from_secs(8);
+
 /// Time for which it is remembered what a server that is gone said last. A heartbeat that was under
 /// way when the entry went would bring a server back that is leaving without a word; they come every
 /// second or so, and one that is late by more than some of them has been given up by the store.
@@ -101,6 +106,15 @@
     Unreadable(InstanceId, Revision),
     /// An entry is gone.
     Deleted(InstanceId),
+    /// Operators have emptied a data centre: its servers are to get no new work.
+    Emptied(evacuation::Order),
+    /// They have taken the order back.
+    Returned(evacuation::Order),
+    /// All orders to empty data centres that there are, as of a revision.
+    EmptiedListed(Vec<evacuation::Order>, Revision),
+    /// The store came back from an older copy: revisions are given out again, and what was written since is
+    /// written again, or gone.
+    WentBack,
     /// The store can't be reached.
     Lost,
     /// The store can be reached again.
@@ -120,6 +134,11 @@
     doubted: BTreeMap<InstanceId, Time>,
     /// What those that are gone said last, and until when that is remembered.
     gone: BTreeMap<InstanceId, (Order, Time)>,
+    /// Entries that an older copy of the store has of servers that were gone, and when they are believed.
+    revived: BTreeMap<InstanceId, (Entry, Time)>,
+    /// Until when the store may hold entries of servers that are gone.
+    copied_until: Time,
+    evacuations: Evacuations,
     listed: bool,
     /// Time from which on a missing entry is gone.
     trusted_from: Time,
@@ -132,9 +151,16 @@
         let ticked = self.tick(now);
         let changed = match event {
             Event::Listed(entries) => self.list(entries, now),
-            Event::Written(entry) => self.write(entry),
+            Event::Written(entry) => self.write(entry, now),
             Event::Unreadable(instance, revision) => self.distrust(&instance, revision, now),
             Event::Deleted(instance) => self.miss(&instance, now),
+            Event::Emptied(order) => self.evacuations.ordered(order, now),
+            Event::Returned(order) => self.evacuations.withdrawn(order, now),
+            Event::EmptiedListed(orders, as_of) => self.evacuations.listed(orders, as_of, now),
+            Event::WentBack => {
+                self.go_back(now);
+                false
+            }
             Event::Lost => {
                 self.lost = true;
                 false
@@ -162,13 +188,21 @@
 
     /// Returns when [`Event::Tick`] has something to do.
     pub fn next_wake(&self) -> Option<Time> {
-        self.doubted.values().min().copied()
+        let doubted = self.doubted.values().min().copied();
+        let revived = self.revived.values().map(|(_, at)| *at).min();
+        let emptied = self.evacuations.next_wake();
+        doubted.into_iter().chain(revived).chain(emptied).min()
+    }
+
+    /// Returns the data centres that operators have emptied.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
     }
 
     /// Returns the servers that may be given new work, in the order of their addresses.
     ///
     /// Where two starts are registered on one address, only the one that started last can be there;
-    /// where they don't say, the one that registered last.
+    /// where they don't say, the one that registered last. Servers of emptied data centres are none of them.
     pub fn usable(&self) -> Usable<'_> {
         let mut usable = Usable::new();
         for entry in self.entries.values() {
@@ -178,7 +212,7 @@
                 *other = entry;
             }
         }
-        usable.retain(|_, entry| entry.state == State::Ready);
+        usable.retain(|_, entry| self.takes_work(entry));
         usable
     }
 
@@ -193,13 +227,18 @@
         (self.entries.len(), self.doubted.len())
     }
 
+    fn takes_work(&self, entry: &Entry) -> bool {
+        entry.state == State::Ready && !self.evacuations.contains(&entry.data_centre)
+    }
+
     fn list(&mut self, entries: Vec<Entry>, now: Time) -> bool {
         self.listed = true;
+        self.revived.clear();
         let mut missing = std::mem::take(&mut self.entries);
         let mut changed = false;
         for entry in entries {
             let old = missing.remove(&entry.instance);
-            changed |= self.put(entry, old);
+            changed |= self.put(entry, old, now);
         }
         for (instance, entry) in missing {
             self.entries.insert(instance.clone(), entry);
@@ -208,16 +247,28 @@
         changed
     }
 
-    fn write(&mut self, entry: Entry) -> bool {
+    fn write(&mut self, entry: Entry, now: Time) -> bool {
         let old = self.entries.remove(&entry.instance);
-        self.put(entry, old)
+        self.put(entry, old, now)
+    }
+
+    /// What is known stays in use. What the older copy lacks is doubted until the servers have written again, and its
+    /// revisions say nothing beside those of before.
+    fn go_back(&mut self, now: Time) {
+        self.trusted_from = now + RETURN;
+        self.copied_until = now + LAPSED;
+        self.evacuations.went_back(now);
+        for entry in self.entries.values_mut() {
+            entry.revision = Revision::default();
+        }
     }
 
     /// Puts an entry in the place of an older one. What was overtaken on its way changes nothing: a
     /// read, or what the server said earlier or before its last start.
-    fn put(&mut self, entry: Entry, old: Option<Entry>) -> bool {
+    fn put(&mut self, entry: Entry, old: Option<Entry>, now: Time) -> bool {
         let instance = entry.instance.clone();
         self.doubted.remove(&instance);
+        self.revived.remove(&instance);
         let said_last = self.gone.get(&instance).map(|(order, _)| *order);
         if let Some(old) = old {
             let is_new = !entry.is_older_than(&old);
@@ -229,6 +280,10 @@
         if said_last.is_some_and(|said_last| entry.order < said_last) {
             return false;
         }
+        if said_last == Some(entry.order) && now < self.copied_until {
+            self.revived.insert(instance, (entry, self.copied_until));
+            return false;
+        }
         self.gone.remove(&instance);
         self.entries.insert(instance, entry);
         true
@@ -245,6 +300,7 @@
 
     fn remove(&mut self, instance: &InstanceId, now: Time) -> bool {
         self.doubted.remove(instance);
+        self.revived.remove(instance);
         let Some(entry) = self.entries.remove(instance) else {
             return false;
         };
@@ -254,6 +310,7 @@
     }
 
     fn miss(&mut self, instance: &InstanceId, now: Time) -> bool {
+        self.revived.remove(instance);
         if now < self.trusted_from {
             if self.entries.contains_key(instance) {
                 self.doubted.insert(instance.clone(), self.trusted_from);
@@ -267,10 +324,24 @@
         self.gone.retain(|_, (_, until)| *until > now);
         let over = self.doubted.iter().filter(|(_, until)| **until <= now);
         let over: Vec<InstanceId> = over.map(|(instance, _)| instance.clone()).collect();
-        let mut changed = false;
+        let mut changed = self.evacuations.tick(now);
         for instance in over {
             changed |= self.remove(&instance, now);
         }
+        changed | self.believe_revived(now)
+    }
+
+    /// Takes in servers that were gone before the store went back, and whose entries have not lapsed since.
+    fn believe_revived(&mut self, now: Time) -> bool {
+        let revived = std::mem::take(&mut self.revived).into_iter();
+        let (due, later): (BTreeMap<_, _>, BTreeMap<_, _>) =
+            revived.partition(|(_, (_, at))| *at <= now);
+        self.revived = later;
+        let changed = !due.is_empty();
+        for (instance, (entry, _)) in due {
+            self.gone.remove(&instance);
+            self.entries.insert(instance, entry);
+        }
         changed
     }
 }
--- a/crates/decision/tests/mirror.rs
+++ b/crates/decision/tests/mirror.rs
@@ -1,11 +1,11 @@
-//! What hosts have taken in, whoever they had it from: everything up to their revision, and nothing else.
+//! What hosts have taken in, whoever they had it from: everything up to their position, and nothing else.
 //!
 //! A store, hosts that read it and hosts that ask those, with every message late, lost, doubled or out of order,
-//! readers that restart under their address, wake late or read anew, and a store that forgets its history.
-//! Seeded walks of many steps; after each step every host is held against the store as it was at the host's
-//! revision. Faults put in on purpose are found by the same walks.
+//! readers that restart under their address, wake late or read anew, and a store that forgets its history or comes
+//! back from an older copy, several times. Seeded walks of many steps; after each step every host is held against the
+//! store as it was at the host's position. Faults put in on purpose are found by the same walks.
 
-use monsoonring_decision::gateway::mirror::{Answer, Batch, Declined, Log, is_new};
+use monsoonring_decision::gateway::mirror::{Answer, Batch, Declined, Era, Log, Position, is_new};
 use monsoonring_decision::gateway::registry::Revision;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -43,37 +43,67 @@
     TellsTheLast,
     /// Who is told takes everything in, and for its revision what the answer says.
     TakesAll,
+    /// All lives of the store count as one.
+    IgnoresEras,
+    /// A reader that finds a later life of the store keeps what it had read before, and goes on from there.
+    GoesOn,
 }
 
-#[derive(Default)]
 struct Store {
-    changes: Vec<Change>,
+    /// All that was ever changed, in each life of the store.
+    lives: Vec<Vec<Change>>,
     forgotten: Revision,
 }
 
 impl Store {
-    fn revision(&self) -> Revision {
-        self.changes.len() as Revision
+    fn era(&self) -> Era {
+        self.lives.len() as Era - 1
     }
 
-    fn contents(&self, at: Revision) -> Contents {
+    fn changes(&self) -> &[Change] {
+        &self.lives[self.lives.len() - 1]
+    }
+
+    fn position(&self) -> Position {
+        Position {
+            era: self.era(),
+            revision: self.changes().len() as Revision,
+        }
+    }
+
+    fn contents(&self, at: Position) -> Contents {
         let mut contents = Contents::new();
-        for change in &self.changes[..at as usize] {
+        for change in &self.lives[at.era as usize][..at.revision as usize] {
             apply(&mut contents, *change);
         }
         contents
     }
 
+    /// Comes back from a copy that lacks the last changes.
+    fn go_back(&mut self, lost: usize) {
+        let kept = self.changes().len().saturating_sub(lost);
+        let copy = self.changes()[..kept].to_vec();
+        self.lives.push(copy);
+        self.forgotten = self.forgotten.min(kept as Revision);
+    }
+
+    /// Answers a watch, as the store does: it knows nothing of the life that the revision is from.
     fn since(&self, after: Revision) -> Option<Batch> {
-        let to = self.revision();
-        let body: Arc<[u8]> = (after..to).map(|revision| revision as u8).collect();
-        (after >= self.forgotten && after <= to).then_some(Batch { after, to, body })
+        let Position { era, revision: to } = self.position();
+        let body: Arc<[u8]> = Arc::from([era as u8]);
+        let at = |revision| Position { era, revision };
+        let is_known = after >= self.forgotten && after <= to;
+        is_known.then(|| Batch {
+            after: at(after),
+            to: at(to),
+            body,
+        })
     }
 
     /// Returns the changes that an answer holds.
     fn decode(&self, batch: &Batch) -> Vec<Change> {
-        let range = batch.after as usize..batch.to as usize;
-        self.changes[range].to_vec()
+        let life = &self.lives[usize::from(batch.body[0])];
+        life[batch.after.revision as usize..batch.to.revision as usize].to_vec()
     }
 }
 
@@ -87,11 +117,11 @@
 /// What a host knows.
 #[derive(Clone, Default)]
 struct Host {
-    known: Option<(Revision, Contents)>,
+    known: Option<(Position, Contents)>,
 }
 
 impl Host {
-    fn read(&mut self, at: Revision, contents: Contents) {
+    fn read(&mut self, at: Position, contents: Contents) {
         let is_newer = self.known.as_ref().is_none_or(|(known, _)| *known <= at);
         if is_newer {
             self.known = Some((at, contents));
@@ -108,7 +138,7 @@
             return;
         }
         for change in changes {
-            if takes_all || is_new(change.revision, *known) {
+            if takes_all || is_new(change.revision, known.revision) {
                 apply(contents, *change);
             }
         }
@@ -137,7 +167,10 @@
 impl World {
     fn new(seed: u64, mutant: Mutant) -> Self {
         Self {
-            store: Store::default(),
+            store: Store {
+                lives: vec![Vec::new()],
+                forgotten: 0,
+            },
             readers: (0..READERS)
                 .map(|_| (Log::new(SURE), Host::default(), 0))
                 .collect(),
@@ -151,7 +184,8 @@
     fn step(&mut self) {
         match self.rng.random_range(0..100) {
             0..20 => self.write(),
-            20..22 => self.store.forgotten = self.store.revision(),
+            20..21 => self.store.forgotten = self.store.position().revision,
+            21..22 => self.go_back(),
             22..40 => self.watch(),
             40..45 => self.read(),
             45..70 => self.ask(),
@@ -165,18 +199,43 @@
     fn write(&mut self) {
         let change = Change {
             key: self.rng.random_range(0..KEYS),
-            revision: self.store.revision() + 1,
+            revision: self.store.position().revision + 1,
             deleted: self.rng.random_bool(0.3),
         };
-        self.store.changes.push(change);
+        let last = self.store.lives.len() - 1;
+        self.store.lives[last].push(change);
+    }
+
+    fn go_back(&mut self) {
+        let lost = self.rng.random_range(0..6);
+        self.store.go_back(lost);
+    }
+
+    /// Returns a position as the host sees it.
+    fn seen(&self, position: Position) -> Position {
+        match self.mutant {
+            Mutant::IgnoresEras => Position { era: 0, ..position },
+            _ => position,
+        }
+    }
+
+    fn seen_batch(&self, batch: &Batch) -> Batch {
+        Batch {
+            after: self.seen(batch.after),
+            to: self.seen(batch.to),
+            body: batch.body.clone(),
+        }
     }
 
     fn watch(&mut self) {
         let index = self.rng.random_range(0..READERS);
         let (_, host, life) = &self.readers[index];
-        let after = host.known.as_ref().map(|(known, _)| *known);
+        let after = host.known.as_ref().map(|(known, _)| known.revision);
         match after.map(|after| self.store.since(after)) {
-            Some(Some(batch)) => self.messages.push(Message::Watched(index, *life, batch)),
+            Some(Some(batch)) => {
+                let batch = self.seen_batch(&batch);
+                self.messages.push(Message::Watched(index, *life, batch));
+            }
             Some(None) => self.read_at(index),
             None => {}
         }
@@ -189,8 +248,9 @@
 
     /// Reads everything at once, as a reader does that starts or whose history is gone.
     fn read_at(&mut self, index: usize) {
-        let at = self.store.revision();
+        let at = self.store.position();
         let contents = self.store.contents(at);
+        let at = self.seen(at);
         let (log, host, _) = &mut self.readers[index];
         host.read(at, contents);
         log.read(at, Duration::ZERO);
@@ -205,7 +265,7 @@
         };
         let log = &self.readers[reader].0;
         let answer = match self.mutant {
-            Mutant::TellsTheLast => last(log, self.store.revision()),
+            Mutant::TellsTheLast => last(log, self.store.position()),
             _ => log.answer(after, Duration::ZERO),
         };
         if let Answer::Batch(batch) = answer {
@@ -215,8 +275,9 @@
 
     fn ask_store(&mut self) {
         let asker = self.rng.random_range(0..ASKERS);
-        let at = self.store.revision();
+        let at = self.store.position();
         let contents = self.store.contents(at);
+        let at = self.seen(at);
         self.askers[asker].0.read(at, contents);
     }
 
@@ -242,9 +303,18 @@
                 let (log, host, now) = &mut self.readers[*index];
                 let known = host.known.as_ref().map(|(known, _)| *known);
                 // One question is open at a time: an answer to an earlier one finds its connection closed.
-                if now == life && known == Some(batch.after) {
+                let is_awaited = now == life;
+                if is_awaited && known == Some(batch.after) {
                     host.take_in(batch, &self.store.decode(batch), Mutant::None);
                     log.watched(batch.clone(), Duration::ZERO);
+                } else if is_awaited && known.is_some_and(|known| known.era < batch.to.era) {
+                    match self.mutant {
+                        Mutant::GoesOn => {
+                            host.take_in(batch, &self.store.decode(batch), Mutant::None);
+                            log.watched(batch.clone(), Duration::ZERO);
+                        }
+                        _ => self.read_at(*index),
+                    }
                 }
             }
             Message::Told(index, life, batch) => {
@@ -271,20 +341,26 @@
                 return Some(format!("host {index} at {known} has {contents:?}"));
             }
             let (earlier, earlier_life) = &before[index];
-            let earlier = earlier.known.as_ref().map_or(0, |(known, _)| *known);
+            let earlier = earlier.known.as_ref().map(|(known, _)| *known);
+            let earlier = earlier.unwrap_or_default();
             if life == earlier_life && *known < earlier {
                 return Some(format!("host {index} went from {earlier} to {known}"));
             }
         }
-        None
+        let readers = self.readers.iter().map(|(_, host, _)| host);
+        let known = readers.filter_map(|host| host.known.as_ref());
+        let mut wrong = known.filter(|(known, contents)| *contents != self.store.contents(*known));
+        wrong
+            .next()
+            .map(|(known, contents)| format!("a reader at {known} has {contents:?}"))
     }
 }
 
 /// Returns the last answer that a reader keeps.
-fn last(log: &Log, newest: Revision) -> Answer {
-    let answers = (0..newest)
-        .rev()
-        .map(|after| log.answer(after, Duration::ZERO));
+fn last(log: &Log, newest: Position) -> Answer {
+    let revisions = (0..newest.revision).rev();
+    let positions = revisions.map(|revision| Position { revision, ..newest });
+    let answers = positions.map(|after| log.answer(after, Duration::ZERO));
     let mut batches = answers.filter(|answer| matches!(answer, Answer::Batch(_)));
     batches.next().unwrap_or(Answer::Nothing)
 }
@@ -319,15 +395,21 @@
 
 #[test_case(Mutant::TellsTheLast; "reader_tells_the_last")]
 #[test_case(Mutant::TakesAll; "asker_takes_all")]
+#[test_case(Mutant::IgnoresEras; "lives_of_the_store_count_as_one")]
+#[test_case(Mutant::GoesOn; "reader_goes_on_in_a_later_life")]
 fn walk_with_mutant_finds_it(mutant: Mutant) {
     let found = (0..WALKS).find_map(|seed| walk(seed, mutant));
     assert!(found.is_some(), "{mutant:?} was not found in {WALKS} walks");
 }
 
+fn at(revision: Revision) -> Position {
+    Position { era: 0, revision }
+}
+
 fn batch(after: Revision, to: Revision) -> Batch {
     Batch {
-        after,
-        to,
+        after: at(after),
+        to: at(to),
         body: Arc::from([0; 100]),
     }
 }
@@ -336,20 +418,23 @@
 fn answer_is_what_leads_on_from_the_asker() {
     let now = Duration::ZERO;
     let mut log = Log::new(Duration::from_secs(3));
-    assert_eq!(log.answer(5, now), Answer::Declined(Declined::NoReader));
-    log.read(5, now);
+    assert_eq!(log.answer(at(5), now), Answer::Declined(Declined::NoReader));
+    log.read(at(5), now);
     log.watched(batch(5, 8), now);
     log.watched(batch(8, 9), now);
-    assert_eq!(log.answer(4, now), Answer::Declined(Declined::Forgotten));
-    assert_eq!(log.answer(5, now), Answer::Batch(batch(5, 8)));
     assert_eq!(
-        log.answer(7, now),
+        log.answer(at(4), now),
+        Answer::Declined(Declined::Forgotten)
+    );
+    assert_eq!(log.answer(at(5), now), Answer::Batch(batch(5, 8)));
+    assert_eq!(
+        log.answer(at(7), now),
         Answer::Batch(batch(5, 8)),
         "it stands within it"
     );
-    assert_eq!(log.answer(8, now), Answer::Batch(batch(8, 9)));
-    assert_eq!(log.answer(9, now), Answer::Nothing);
-    assert_eq!(log.answer(10, now), Answer::Declined(Declined::Behind));
+    assert_eq!(log.answer(at(8), now), Answer::Batch(batch(8, 9)));
+    assert_eq!(log.answer(at(9), now), Answer::Nothing);
+    assert_eq!(log.answer(at(10), now), Answer::Declined(Declined::Behind));
 }
 
 // Symptom: hosts go on with an old configuration although they reach the store.
@@ -359,23 +444,23 @@
 fn answer_of_a_reader_that_is_not_sure_is_none() {
     let sure = Duration::from_secs(3);
     let mut log = Log::new(sure);
-    log.read(5, Duration::ZERO);
-    assert_eq!(log.answer(5, sure), Answer::Nothing);
+    log.read(at(5), Duration::ZERO);
+    assert_eq!(log.answer(at(5), sure), Answer::Nothing);
     let later = sure + Duration::from_millis(1);
-    assert_eq!(log.answer(5, later), Answer::Declined(Declined::Unsure));
+    assert_eq!(log.answer(at(5), later), Answer::Declined(Declined::Unsure));
     log.watched(batch(5, 5), later);
-    assert_eq!(log.answer(5, later), Answer::Nothing);
+    assert_eq!(log.answer(at(5), later), Answer::Nothing);
 }
 
 #[test]
 fn outage_is_told_with_its_end() {
     let mut log = Log::new(Duration::from_secs(3));
-    log.read(5, Duration::ZERO);
+    log.read(at(5), Duration::ZERO);
     assert_eq!((log.outage(SURE).count, log.outage(SURE).ended), (0, None));
     log.lost();
     log.lost();
     assert_eq!(
-        log.answer(5, Duration::ZERO),
+        log.answer(at(5), Duration::ZERO),
         Answer::Declined(Declined::Lost)
     );
     log.watched(batch(5, 6), Duration::from_secs(1));
@@ -390,30 +475,62 @@
 fn watched_more_than_is_kept_forgets_the_oldest() {
     let now = Duration::ZERO;
     let mut log = Log::new(SURE);
-    log.read(0, now);
+    log.read(at(0), now);
     let large: Arc<[u8]> = vec![0; 1_000_000].into();
     for after in 0..5 {
         let body = large.clone();
         log.watched(
             Batch {
-                after,
-                to: after + 1,
+                after: at(after),
+                to: at(after + 1),
                 body,
             },
             now,
         );
     }
-    assert_eq!(log.answer(0, now), Answer::Declined(Declined::Forgotten));
-    assert!(matches!(log.answer(4, now), Answer::Batch(_)));
+    assert_eq!(
+        log.answer(at(0), now),
+        Answer::Declined(Declined::Forgotten)
+    );
+    assert!(matches!(log.answer(at(4), now), Answer::Batch(_)));
 }
 
 #[test]
 fn retire_a_host_that_asks_others_is_no_reader() {
     let mut log = Log::new(SURE);
-    log.read(5, Duration::ZERO);
+    log.read(at(5), Duration::ZERO);
     log.retire();
     assert_eq!(
-        log.answer(5, Duration::ZERO),
+        log.answer(at(5), Duration::ZERO),
         Answer::Declined(Declined::NoReader)
     );
 }
+
+// Symptom: a host serves on with what the store had before it came back from a copy, and takes changes for it that
+//          were written since, or the other way round.
+// Events:  the store goes back; its revisions are given out again; one host has read it anew and the other has not.
+// Cause:   revisions of two lives of the store were compared.
+#[test]
+fn answer_to_a_host_of_another_life_of_the_store_is_none() {
+    let now = Duration::ZERO;
+    let mut log = Log::new(Duration::from_secs(3));
+    let later = |revision| Position { era: 1, revision };
+    log.read(at(5), now);
+    assert_eq!(
+        log.answer(later(3), now),
+        Answer::Declined(Declined::Behind)
+    );
+    log.read(later(3), now);
+    let body: Arc<[u8]> = Arc::from([0; 4]);
+    let batch = Batch {
+        after: later(3),
+        to: later(9),
+        body,
+    };
+    log.watched(batch.clone(), now);
+    for revision in [2, 3, 5, 9, 12] {
+        let answer = log.answer(at(revision), now);
+        assert_eq!(answer, Answer::Declined(Declined::Forgotten), "{revision}");
+    }
+    assert_eq!(log.answer(later(4), now), Answer::Batch(batch));
+}
--- a/crates/decision/tests/mirror_pace.rs
+++ b/crates/decision/tests/mirror_pace.rs
@@ -6,7 +6,7 @@
 //! pace in force.
 
 use monsoonring_decision::Time;
-use monsoonring_decision::gateway::mirror::{Answer, Batch, Log};
+use monsoonring_decision::gateway::mirror::{Answer, Batch, Log, Position};
 use monsoonring_decision::gateway::pace::Pace;
 use monsoonring_decision::gateway::registry::Revision;
 use monsoonring_decision::gateway::source::{Choice, Failure, Readers, Source};
@@ -37,6 +37,10 @@
     Cut,
 }
 
+fn at(revision: Revision) -> Position {
+    Position { era: 0, revision }
+}
+
 /// A reader with its faults.
 struct Reader {
     log: Log,
@@ -117,7 +121,7 @@
     fn answered(&mut self, store: Revision, pace: Pace, began: Time, now: Time) {
         let Some(after) = self.position else {
             self.position = Some(store);
-            self.log.read(store, now - self.slept);
+            self.log.read(at(store), now - self.slept);
             self.call = None;
             return;
         };
@@ -127,8 +131,8 @@
         let body = Arc::from([]);
         self.log.watched(
             Batch {
-                after,
-                to: store,
+                after: at(after),
+                to: at(store),
                 body,
             },
             now - self.slept,
@@ -203,7 +207,7 @@
             }
             return is_late;
         }
-        match reader.log.answer(self.revision, now - reader.slept) {
+        match reader.log.answer(at(self.revision), now - reader.slept) {
             Answer::Nothing => {
                 let is_over = now >= since + pace.ask();
                 if is_over {
@@ -212,7 +216,7 @@
                 is_over
             }
             Answer::Batch(batch) => {
-                self.revision = batch.to;
+                self.revision = batch.to.revision;
                 self.choice.answered(host);
                 true
             }
