Send cold backend servers no more than they bear, summed over all hosts

Cause: what a server says of its warm-up was decoded and left unused, and so were the figures of its service. A server that starts, or a data centre that is given back, got every host's full share at once; the owners say that it crashes above a bound.

Change: backend::cold counts what one home sends a cold server in any second, from the moment that an attempt leaves. Division::cold says how much that may be: the hosts of the server's data centre divide half of what it bears, so that two views with nothing in common still fit; those that fan out for others have three quarters of it; where there are more hosts than requests, some have one each, others for each server. Hosts elsewhere send nothing until it is warm. A server in use that becomes cold gets nothing for a second, as it has had its load; a data centre that was given back counts as cold before its servers say so; a host that has just started sends nothing, as it does not know the others yet. What can't be served before its deadline is told at once, with `cold until` as what stands in the way.

Ways weighed, by arithmetic, for a server that bears 20 a second: an equal share of all hosts is 2.2 at 9 hosts, 0.22 at 91, 0.1 at 195 and 0.005 at 3,800, so below one from some 20 hosts on; hosts drawn with a chance keep to the bound on the average only; asking by way of the hosts that fan out alone leaves single requests without. Taken: the data centre's own hosts, by rank, which is exact in one view.

Two tests of members compared the number of hosts as a whole, which now has the host's own rank; they compare all else, and that the ranks of three hosts are 0, 1 and 2.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -15,6 +15,7 @@
 use crate::route::{self, Facts, Side};
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
+use monsoonring_decision::backend::Cold;
 use monsoonring_decision::backend::suspect::Proof;
 use monsoonring_decision::fact;
 use monsoonring_decision::gateway::registry::Usable;
@@ -35,6 +36,9 @@
 /// Longest time between two looks at what time alone may have changed.
 const IDLE: Duration = Duration::from_secs(60);
 
+/// Time after the start from which on a host knows those that started with it: they find each other within a second.
+const SETTLED: Duration = Duration::from_secs(3);
+
 /// What the control task is started with.
 pub(super) struct Settings<K> {
     pub(super) codec: Box<dyn Fn(Instances) -> K + Send>,
@@ -88,6 +92,7 @@
 struct Home {
     handle: route::Handle<Opaque>,
     route: Arc<document::Route>,
+    cold: BTreeMap<BackendServerId, Cold>,
     instances: Instances,
 }
 
@@ -317,11 +322,19 @@
         let route = shards::route(set, table, usable, self.settings.extra);
         let expected = shards::expected(set, usable);
         let far = shards::far(set, usable, &self.settings.data_centre);
+        let cold = self.cold(set, table, usable);
         let Some(home) = home else {
             let home = self.begin(set, table, route, expected, far);
+            home.handle.tell(Event::Cold(cold.clone()));
             self.brief(&home);
+            let home = Home { cold, ..home };
             return home;
         };
+        // First, so that none of them is sent its full load in between.
+        if home.cold != cold {
+            home.handle.tell(Event::Cold(cold.clone()));
+        }
+        let home = Home { cold, ..home };
         let replaced = home.instances.replace(expected);
         if !replaced.is_empty() {
             home.handle.tell(Event::Replaced(replaced));
@@ -335,6 +348,22 @@
         Home { route, ..home }
     }
 
+    /// Returns which servers of a set are cold, with what they bear. A host that starts does not know yet among how
+    /// many that is divided, so it sends them nothing.
+    fn cold(
+        &self,
+        set: &Shards,
+        table: &Table,
+        usable: &Usable<'_>,
+    ) -> BTreeMap<BackendServerId, Cold> {
+        let now = self.settings.clock.now();
+        let mut cold = shards::cold(set, table, &self.registry, usable, now);
+        if now < SETTLED {
+            cold.values_mut().for_each(|cold| cold.bears = 0.0);
+        }
+        cold
+    }
+
     /// Returns what the home of a set may take: nothing without need, where a larger set has the same
     /// servers.
     fn division(&self, set: &Shards, table: &Table) -> Division {
@@ -383,6 +412,7 @@
         Home {
             handle,
             route,
+            cold: BTreeMap::new(),
             instances,
         }
     }
--- a/crates/daemon/src/gateway/members/tests.rs
+++ b/crates/daemon/src/gateway/members/tests.rs
@@ -6,7 +6,7 @@
 use crate::route::Fact;
 use monsoonring_decision::fact::Key;
 use monsoonring_decision::gateway::Members;
-use monsoonring_decision::placement::Member;
+use monsoonring_decision::placement::{Homes, Member};
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::SeedableRng;
 use slog::{Discard, Logger, o};
@@ -59,16 +59,33 @@
         }
     }
 
-    async fn until(&mut self, wanted: impl Fn(&News) -> bool) {
+    async fn until(&mut self, wanted: impl Fn(&News) -> bool) -> News {
         let waiting = async {
             while let Some(news) = self.news.recv().await {
                 if wanted(&news) {
-                    return;
+                    return news;
                 }
             }
             unreachable!("the host goes on");
         };
-        timeout(HANGS, waiting).await.expect("the news come");
+        timeout(HANGS, waiting).await.expect("the news come")
+    }
+
+    /// Waits until so many hosts are counted that do the same. Returns this one's place among them.
+    async fn until_counted(&mut self, hosts: usize) -> usize {
+        let counted = |homes: &Homes| {
+            let rank = homes.rank;
+            let expected = Homes {
+                rank,
+                ..hosts.into()
+            };
+            *homes == expected
+        };
+        let wanted = |news: &News| matches!(news, News::Hosts(homes) if counted(homes));
+        match self.until(wanted).await {
+            News::Hosts(homes) => homes.rank,
+            _ => unreachable!("it was waited for"),
+        }
     }
 }
 
@@ -77,9 +94,11 @@
     let mut first = Host::start(&[]).await;
     let mut second = Host::start(&[first.address]).await;
     let mut third = Host::start(&[first.address]).await;
+    let mut ranks = BTreeSet::new();
     for host in [&mut first, &mut second, &mut third] {
-        host.until(|news| *news == News::Hosts(3.into())).await;
+        ranks.insert(host.until_counted(3).await);
     }
+    assert_eq!(ranks, BTreeSet::from([0, 1, 2]), "each has its own place");
     let fact = Fact::Suspect(7, Duration::from_secs(60));
     second.found.send(fact).expect("the host goes on");
     let known = |news: &News| matches!(news, News::Fact(entry) if entry.key == Key::Suspect(7));
@@ -101,5 +120,5 @@
             .expect("it is sent");
     }
     let _second = Host::start(&[first.address]).await;
-    first.until(|news| *news == News::Hosts(2.into())).await;
+    first.until_counted(2).await;
 }
--- a/crates/decision/examples/placing.rs
+++ b/crates/decision/examples/placing.rs
@@ -10,6 +10,7 @@
 use monsoonring_decision::gateway::{Shards, shards};
 use std::hint::black_box;
 use std::net::SocketAddr;
+use std::time::Duration;
 use std::time::Instant;
 
 const DATA_CENTRES: usize = 6;
@@ -25,6 +26,7 @@
         data_centre: format!("dc{}", number % DATA_CENTRES).into(),
         slots: 3,
         state: State::Ready,
+        cold_for: Duration::ZERO,
         order: Order::default(),
         revision: 1,
     }
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -41,6 +41,9 @@
         if let Some(state) = self.servers.get_mut(&server) {
             state.outstanding += 1;
             state.probe.sent();
+            if let Some(warming) = &mut state.warming {
+                warming.queue();
+            }
             self.groups[state.group].note_sent(now);
         }
         let record = Attempt {
@@ -49,6 +52,7 @@
             work,
             cancelled: None,
             overdue: false,
+            has_left: false,
             earlier: false,
             reported,
             load,
@@ -56,6 +60,18 @@
         self.attempts.insert(attempt, record);
     }
 
+    /// Records that an attempt has left for its server, for which it waited until now.
+    pub fn left(&mut self, attempt: AttemptId, now: Time) {
+        let Some(record) = self.attempts.get_mut(&attempt) else {
+            return;
+        };
+        record.has_left = true;
+        let server = self.servers.get_mut(&record.server);
+        if let Some(warming) = server.and_then(|server| server.warming.as_mut()) {
+            warming.send(now);
+        }
+    }
+
     /// Records that an attempt takes far longer than its server usually does.
     ///
     /// Its connection may be silent, and the server be idle. While attempts that never end count as
@@ -206,6 +222,12 @@
         }
         let mut open = Vec::new();
         for (id, server) in &mut self.servers {
+            if let Some(warming) = &mut server.warming {
+                // One more may go there now, or any number.
+                open.push(*id);
+                warming.tick(now);
+                server.warming.take_if(|warming| warming.is_over(now));
+            }
             if server.back_off.is_some_and(|until| until <= now) {
                 server.back_off = None;
                 open.push(*id);
@@ -218,7 +240,12 @@
     pub fn next_wake(&self) -> Option<Time> {
         let back_offs = self.servers.values().filter_map(|server| server.back_off);
         let cancelled = self.attempts.values().filter_map(|record| record.cancelled);
+        let warming = self
+            .servers
+            .values()
+            .filter_map(|server| server.warming.as_ref());
         back_offs
+            .chain(warming.map(|warming| warming.next_open()))
             .chain(cancelled.map(|at| at + CANCELLED_FORGOTTEN))
             .min()
     }
@@ -230,6 +257,9 @@
             server.overdue = server.overdue.saturating_sub(usize::from(record.overdue));
             let cancelled = usize::from(record.cancelled.is_some());
             server.cancelling = server.cancelling.saturating_sub(cancelled);
+            if let Some(warming) = server.warming.as_mut().filter(|_| !record.has_left) {
+                warming.withdraw();
+            }
             if !server.configured && server.outstanding == 0 {
                 self.servers.remove(&record.server);
             }
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -1,6 +1,7 @@
 //! All backend servers of one route at one home.
 
 use super::choice::{self, Care, Choice};
+use super::cold::{Cold, Warming};
 use super::latency::Latency;
 use super::leaving::Marks;
 use super::ramp::Ramp;
@@ -17,7 +18,7 @@
 use rustc_hash::FxHashMap;
 use smallvec::{SmallVec, smallvec};
 use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// Bounds of the time after which an attempt is hedged.
@@ -65,6 +66,8 @@
     pub(super) works: FxHashMap<Work, Latency>,
     pub(super) attempts: FxHashMap<AttemptId, Attempt>,
     pub(super) marks: Marks,
+    /// The servers that are cold, of this route or not.
+    cold: BTreeMap<BackendServerId, Cold>,
     pub(super) capacity: Capacity,
     pub(super) division: Division,
     pub(super) deadline: Duration,
@@ -104,6 +107,8 @@
     pub(super) cancelled: Option<Time>,
     /// Whether it takes far longer than its server usually does.
     pub(super) overdue: bool,
+    /// Whether it has left for its server.
+    pub(super) has_left: bool,
     /// Whether another start has come to its server's address since it left: how it ends says nothing
     /// of that one.
     pub(super) earlier: bool,
@@ -123,6 +128,7 @@
             works: FxHashMap::default(),
             attempts: FxHashMap::default(),
             marks: Marks::default(),
+            cold: BTreeMap::new(),
             capacity: route.capacity,
             division: division.into(),
             deadline: Duration::from_millis(route.deadline_ms),
@@ -158,12 +164,70 @@
         }
     }
 
+    /// Takes over which servers are cold, and for how long.
+    pub fn set_cold(&mut self, cold: &BTreeMap<BackendServerId, Cold>, now: Time) {
+        self.cold.clone_from(cold);
+        for (&server, &cold) in cold {
+            let queued = self.queued(server);
+            if let Some(state) = self.servers.get_mut(&server) {
+                match &mut state.warming {
+                    Some(warming) if !warming.is_over(now) => warming.set(cold),
+                    other => *other = Some(Warming::in_use(cold, queued, now)),
+                }
+            }
+        }
+        for (id, server) in &mut self.servers {
+            server.warming.take_if(|_| !cold.contains_key(id));
+        }
+    }
+
+    /// Tells whether what is sent to a server in a second is bounded.
+    pub fn is_cold(&self, server: BackendServerId) -> bool {
+        let state = self.servers.get(&server);
+        state.is_some_and(|state| state.warming.is_some())
+    }
+
+    /// Returns until when a server is cold and bears nothing of this home.
+    pub fn shut_until(&self, server: BackendServerId, now: Time) -> Option<Time> {
+        let warming = self.servers.get(&server)?.warming.as_ref()?;
+        let is_shut = !warming.is_over(now) && self.cold_share(server, warming.cold()) == 0;
+        is_shut.then(|| warming.cold().until)
+    }
+
+    /// Returns the attempts at a server that have not left.
+    fn queued(&self, server: BackendServerId) -> usize {
+        let waits = |record: &&Attempt| record.server == server && !record.has_left;
+        self.attempts.values().filter(waits).count()
+    }
+
+    /// Returns how many attempts this home may send to a cold server in a second.
+    fn cold_share(&self, server: BackendServerId, cold: Cold) -> usize {
+        let is_far = self.servers.get(&server).is_none_or(|state| state.far);
+        match is_far {
+            true => 0,
+            false => self.division.cold(cold.bears, server),
+        }
+    }
+
+    /// Tells whether a cold server bears one more attempt of this home now.
+    fn bears_one(&self, id: BackendServerId, server: &Server, now: Time) -> bool {
+        let Some(warming) = &server.warming else {
+            return true;
+        };
+        warming.is_open(self.cold_share(id, warming.cold()), now)
+    }
+
     /// Another start is at the address of a server: everything learned of the earlier one is
     /// forgotten, and it is ramped up as a new one. Only the attempts that are outstanding stay.
-    pub fn replaced(&mut self, server: BackendServerId, _now: Time) {
+    pub fn replaced(&mut self, server: BackendServerId, now: Time) {
         if let Some(state) = self.servers.get_mut(&server) {
             *state = state.replaced();
         }
+        let queued = self.queued(server);
+        let cold = self.cold.get(&server).copied();
+        if let (Some(state), Some(cold)) = (self.servers.get_mut(&server), cold) {
+            state.warming = Some(Warming::in_use(cold, queued, now));
+        }
         self.marks.forget(server);
         let of_server = |record: &&mut Attempt| record.server == server;
         for record in self.attempts.values_mut().filter(of_server) {
@@ -316,7 +380,8 @@
         let Some(state) = self.servers.get(&server) else {
             return false;
         };
-        !self.is_leaving(server) && state.is_open(self.share(), now)
+        let bears_one = self.bears_one(server, state, now);
+        !self.is_leaving(server) && bears_one && state.is_open(self.share(), now)
     }
 
     /// Returns what is usual in a group.
@@ -424,7 +489,8 @@
         let mut groups: Vec<Group> = Vec::with_capacity(route.groups.len());
         for (index, group) in route.groups.iter().enumerate() {
             for id in &group.backend_servers {
-                let new = || Server::new(index, ramp);
+                let warming = self.cold.get(id).copied().map(Warming::new);
+                let new = || Server::new(index, ramp).warmed_by(warming);
                 let server = self.servers.entry(*id).or_insert_with(new);
                 server.group = index;
                 server.configured = true;
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -7,6 +7,7 @@
 //! pool finds a server unreachable, and asks the table before it sends.
 
 mod choice;
+mod cold;
 mod events;
 mod fleet;
 mod latency;
@@ -23,6 +24,7 @@
 mod verdict;
 
 pub use choice::{Care, Choice};
+pub use cold::Cold;
 pub use fleet::Fleet;
 pub use room::Room;
 pub use snapshot::Snapshot;
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -61,26 +61,27 @@
     }
 
     fn least_wait(&self, group: usize, now: Time) -> Option<Duration> {
-        let usable = self.usable(group);
+        let usable = self.usable(group, now);
         let loads = usable.map(|server| self.expected_load(server, now));
         let least = loads.reduce(f64::min)?;
         let ahead = (least + 1.0 - self.slots()).max(0.0);
         Some(self.usual(group).work.mul_f64(ahead / self.slots()))
     }
 
-    fn usable(&self, group: usize) -> impl Iterator<Item = &Server> {
+    fn usable(&self, group: usize, now: Time) -> impl Iterator<Item = &Server> {
         let servers = self.groups[group].servers.iter();
-        servers.filter_map(|id| {
+        servers.filter_map(move |id| {
             let server = self.servers.get(id)?;
             let is_usable = server.reachable && server.configured && !self.is_leaving(*id);
-            is_usable.then_some(server)
+            let is_shut = self.shut_until(*id, now).is_some();
+            (is_usable && !is_shut).then_some(server)
         })
     }
 
     fn room_of(&self, group: usize, now: Time) -> Option<Room> {
         let mut usable: u32 = 0;
         let mut busy = 0.0;
-        for server in self.usable(group) {
+        for server in self.usable(group, now) {
             usable += 1;
             busy += self.expected_load(server, now);
         }
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -1,5 +1,6 @@
 //! State of one backend server at one home.
 
+use super::cold::Warming;
 use super::latency::Latency;
 use super::probe::Probe;
 use super::ramp::Ramp;
@@ -58,6 +59,8 @@
     pub(crate) trust: Trust,
     pub(crate) reported: Option<Reported>,
     pub(crate) ramp: Option<Ramp>,
+    /// Where it is cold, or was: what is sent to it in a second is bounded.
+    pub(crate) warming: Option<Warming>,
     pub(crate) probe: Probe,
     pub(crate) back_off: Option<Time>,
     /// Refusals for load since the last reply.
@@ -90,6 +93,7 @@
             trust: Trust::default(),
             reported: None,
             ramp,
+            warming: None,
             probe: Probe::default(),
             back_off: None,
             sheds: 0,
@@ -103,6 +107,11 @@
         }
     }
 
+    /// Makes a server that may be cold.
+    pub(crate) fn warmed_by(self, warming: Option<Warming>) -> Self {
+        Self { warming, ..self }
+    }
+
     /// Returns the state of a new start at the same address: what is outstanding stays so.
     pub(crate) fn replaced(&self) -> Self {
         Self {
--- a/crates/decision/src/gateway/members/strength.rs
+++ b/crates/decision/src/gateway/members/strength.rs
@@ -24,6 +24,7 @@
             near: near.max(self.assumed.near),
             strong: self.strong().count(),
             role: self.role(),
+            rank: self.rank(),
         };
         if hosts != self.told {
             self.told = hosts;
@@ -55,6 +56,17 @@
         }
     }
 
+    /// Returns the place of this host among those nearby that do the same.
+    fn rank(&self) -> usize {
+        let own = self.table.own();
+        let strong: BTreeSet<MemberId> = self.strong().collect();
+        let is_alike = |id: &MemberId| strong.contains(id) == strong.contains(&own);
+        let near = self.table.iter();
+        let near = near.filter(|change| change.data_centre == self.data_centre);
+        let before = near.map(|change| change.id).filter(|id| *id < own);
+        before.filter(is_alike).count()
+    }
+
     /// Takes in how strong a host nearby is, and answers.
     pub(super) fn strength(&mut self, from: MemberId, strength: Strength, wish: Wish) {
         if wish == Wish::Answer {
--- a/crates/decision/src/gateway/registry.rs
+++ b/crates/decision/src/gateway/registry.rs
@@ -24,6 +24,9 @@
 /// which come every second or so, with as much again.
 const LAPSED: Duration = Duration::from_secs(8);
 
+/// Time by which heartbeats of a server that is cold for as long as it said before may differ on their way.
+const COLD_LATE: Duration = Duration::from_millis(500);
+
 /// Time for which it is remembered what a server that is gone said last. A heartbeat that was under
 /// way when the entry went would bring a server back that is leaving without a word; they come every
 /// second or so, and one that is late by more than some of them has been given up by the store.
@@ -69,6 +72,8 @@
     pub slots: u32,
     /// Whether it takes new work.
     pub state: State,
+    /// How much longer it is cold, counted from when it was written.
+    pub cold_for: Duration,
     /// Its place among what the server said.
     pub order: Order,
     /// Version of the entry.
@@ -76,7 +81,7 @@
 }
 
 impl Entry {
-    /// Tells whether it says the same as another one, whenever that was.
+    /// Tells whether it says the same as another one, whenever that was. How long it is cold is told apart.
     fn says_the_same(&self, other: &Self) -> bool {
         let said_then = Self {
             order: Order {
@@ -84,6 +89,7 @@
                 ..self.order
             },
             revision: other.revision,
+            cold_for: other.cold_for,
             ..self.clone()
         };
         said_then == *other
@@ -138,6 +144,8 @@
     revived: BTreeMap<InstanceId, (Entry, Time)>,
     /// Until when the store may hold entries of servers that are gone.
     copied_until: Time,
+    /// Until when servers are cold.
+    cold: BTreeMap<InstanceId, Time>,
     evacuations: Evacuations,
     listed: bool,
     /// Time from which on a missing entry is gone.
@@ -216,6 +224,11 @@
         usable
     }
 
+    /// Returns until when a server is cold, if it said that it is. That may be over.
+    pub fn cold_until(&self, instance: &InstanceId) -> Option<Time> {
+        self.cold.get(instance).copied()
+    }
+
     /// Returns the number of entries whose servers take new work.
     pub fn ready(&self) -> usize {
         let ready = |entry: &&Entry| entry.state == State::Ready;
@@ -272,7 +285,10 @@
         let said_last = self.gone.get(&instance).map(|(order, _)| *order);
         if let Some(old) = old {
             let is_new = !entry.is_older_than(&old);
-            let changed = is_new && !entry.says_the_same(&old);
+            let mut changed = is_new && !entry.says_the_same(&old);
+            if is_new && entry.order > old.order {
+                changed |= self.note_cold(&entry, now);
+            }
             self.entries
                 .insert(instance, if is_new { entry } else { old });
             return changed;
@@ -285,10 +301,23 @@
             return false;
         }
         self.gone.remove(&instance);
+        self.note_cold(&entry, now);
         self.entries.insert(instance, entry);
         true
     }
 
+    /// Notes how long a server is cold. Returns whether it became so, or is so no more.
+    ///
+    /// Each heartbeat of a cold server says a little less, and comes a little late; what is noted is never too early.
+    fn note_cold(&mut self, entry: &Entry, now: Time) -> bool {
+        if entry.cold_for.is_zero() {
+            return self.cold.remove(&entry.instance).is_some();
+        }
+        let until = now + entry.cold_for;
+        let before = self.cold.insert(entry.instance.clone(), until);
+        before.is_none_or(|before| before + COLD_LATE < until)
+    }
+
     /// Takes out a server whose entry can't be read any more.
     fn distrust(&mut self, instance: &InstanceId, revision: Revision, now: Time) -> bool {
         let is_older = |entry: &Entry| entry.revision > revision;
@@ -306,6 +335,7 @@
         };
         let until = now + REMEMBERED;
         self.gone.insert(instance.clone(), (entry.order, until));
+        self.cold.remove(instance);
         true
     }
 
@@ -340,6 +370,7 @@
         let changed = !due.is_empty();
         for (instance, (entry, _)) in due {
             self.gone.remove(&instance);
+            self.note_cold(&entry, now);
             self.entries.insert(instance, entry);
         }
         changed
--- a/crates/decision/src/gateway/shards.rs
+++ b/crates/decision/src/gateway/shards.rs
@@ -4,10 +4,11 @@
 //! share of the shards that are in, all of them weigh the same, and what is missing in an answer is
 //! a list of shards. The same core so counts coverage for both interfaces.
 
-use super::registry::{Born, Entry, Usable};
+use super::registry::{Born, Entry, Registry, Usable};
 use super::table::Table;
 use super::{InstanceId, ServiceId, Shards};
 use crate::Time;
+use crate::backend::Cold;
 use crate::query::coverage::Set;
 use monsoonring_configuration::Range;
 use monsoonring_configuration::document::{Capacity, Group, Hedge, Kind, Retry, Route};
@@ -117,6 +118,31 @@
     expected.collect()
 }
 
+/// Returns which servers of a set are cold, with what they bear. Where a data centre was just given back, all its
+/// servers may be, and say so a heartbeat later.
+pub fn cold(
+    shards: &Shards,
+    table: &Table,
+    registry: &Registry,
+    usable: &Usable<'_>,
+    now: Time,
+) -> BTreeMap<BackendServerId, Cold> {
+    if table.cold.is_empty() {
+        return BTreeMap::new();
+    }
+    let places = places(shards);
+    let cold = usable.iter().filter_map(|(address, entry)| {
+        places.get(&entry.service)?;
+        let bound = table.cold.get(&entry.service)?;
+        let said = registry.cold_until(&entry.instance);
+        let given_back = registry.evacuations().given_back(&entry.data_centre);
+        let until = said.max(given_back.map(|at| at + bound.lasts))?;
+        let bears = bound.bears;
+        (until > now).then_some((*address, Cold { until, bears }))
+    });
+    cold.collect()
+}
+
 /// Returns the addresses at which another start is expected now than before: what was learned of the
 /// earlier one does not hold any more.
 pub fn replaced(
--- a/crates/decision/src/gateway/table.rs
+++ b/crates/decision/src/gateway/table.rs
@@ -123,6 +123,15 @@
     pub body_bytes: usize,
 }
 
+/// What the servers of a service bear while they are cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Requests in a second, from all hosts together.
+    pub bears: f64,
+    /// How long a server is cold that does not say.
+    pub lasts: Duration,
+}
+
 /// A version of the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Table {
@@ -132,6 +141,8 @@
     pub limits: Limits,
     /// By service: connections that each of its servers accepts.
     pub connections: FxHashMap<ServiceId, u32>,
+    /// By service whose cold servers bear a bounded number of requests: the bound.
+    pub cold: FxHashMap<ServiceId, Cold>,
     routes: FxHashMap<Box<str>, Vec<Arc<Route>>>,
 }
 
@@ -155,10 +166,17 @@
             version,
             limits,
             connections,
+            cold: FxHashMap::default(),
             routes: by_host,
         }
     }
 
+    /// Bounds what cold servers get, by service.
+    #[must_use]
+    pub fn with_cold(self, cold: FxHashMap<ServiceId, Cold>) -> Self {
+        Self { cold, ..self }
+    }
+
     /// Returns the route of a request: of those of its host, the one with the longest prefix that
     /// its path begins with. A port in `host` is of no account, and neither is its case.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -171,6 +171,8 @@
         let Some(request) = self.depart(&flight) else {
             return;
         };
+        self.fleet.left(id, now);
+        self.fleet_changed |= self.fleet.is_cold(flight.server);
         self.suspects
             .sent(id, flight.fingerprint, flight.server, now);
         self.actions.push(Action::Send(Send {
--- a/crates/decision/src/home/event.rs
+++ b/crates/decision/src/home/event.rs
@@ -2,6 +2,7 @@
 
 use super::terms::Terms;
 use crate::attempt::{AttemptId, ConnectionId, Failure, Unopened};
+use crate::backend::Cold;
 use crate::content::{Content, Json};
 use crate::placement::Homes;
 use crate::query::coverage::Set;
@@ -9,7 +10,7 @@
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::document::{Class, Route};
 use monsoonring_configuration::id::{BackendServerId, CallerId, Incarnation};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// A request that reached its home.
@@ -83,6 +84,8 @@
     Replaced(BTreeSet<BackendServerId>),
     /// The backend servers of the route that are in other data centres than this home.
     Far(BTreeSet<BackendServerId>),
+    /// The backend servers that are cold, of the route or not.
+    Cold(BTreeMap<BackendServerId, Cold>),
     /// The homes of the route, this one included, changed.
     Homes(Homes),
     /// A backend server is leaving; only a start number above `start` undoes it.
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -100,7 +100,7 @@
         let request = &execution.request;
         let deadline = request.deadline;
         let servers = self.placement.servers();
-        let hopeful = |server: &BackendServerId| self.is_hopeful(*server, None, deadline);
+        let hopeful = |server: &BackendServerId| self.is_hopeful(*server, None, deadline, now);
         if !servers.iter().any(hopeful) {
             self.end_unplaced(execution, now);
             return;
--- a/crates/decision/src/home/hindrance.rs
+++ b/crates/decision/src/home/hindrance.rs
@@ -22,6 +22,8 @@
     Version,
     #[display("asked to be left alone until {_0:?}")]
     BackOff(Time),
+    #[display("cold until {_0:?}")]
+    Cold(Time),
     #[display("tried")]
     Tried,
 }
@@ -33,13 +35,14 @@
         group: usize,
         version: Option<IndexVersion>,
         deadline: Time,
+        now: Time,
     ) -> String {
         let Some(group) = self.route.groups.get(group) else {
             return "group gone".to_owned();
         };
         let servers = group.backend_servers.iter();
         let told = servers.map(|server| {
-            let hindrance = self.hindrance(*server, version, deadline);
+            let hindrance = self.hindrance(*server, version, deadline, now);
             format!("{server} {hindrance}")
         });
         let told: Vec<String> = told.collect();
@@ -54,6 +57,7 @@
         server: BackendServerId,
         version: Option<IndexVersion>,
         deadline: Time,
+        now: Time,
     ) -> Hindrance {
         if self.fleet.is_leaving(server) {
             return Hindrance::Leaving;
@@ -66,7 +70,11 @@
             return Hindrance::Version;
         }
         match self.back_offs.get(&server) {
-            Some(until) if *until >= deadline => Hindrance::BackOff(*until),
+            Some(until) if *until >= deadline => return Hindrance::BackOff(*until),
+            _ => {}
+        }
+        match self.fleet.shut_until(server, now) {
+            Some(until) if until >= deadline => Hindrance::Cold(until),
             _ => Hindrance::Tried,
         }
     }
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -255,7 +255,7 @@
                 self.ask(run, id, server, cause, now);
             }
             Some((server, _)) => self.deny(run, id, server, cause),
-            None => self.park(run, id),
+            None => self.park(run, id, now),
         }
     }
 
@@ -346,7 +346,7 @@
     /// Lets a part wait for room. Where none is to be expected in time it counts as given up, so
     /// that the answer waits for nothing; but as long as other parts are in progress, a server that
     /// comes back is asked.
-    fn park(&mut self, run: &mut Run<C>, id: PartId) {
+    fn park(&mut self, run: &mut Run<C>, id: PartId, now: Time) {
         let (version, deadline) = (run.pin, run.request.deadline);
         let waiter = run.waiter(id);
         let Some(part) = run.parts.get_mut(&id) else {
@@ -358,14 +358,14 @@
         let waiting = self.waiting.entry(part.group).or_default();
         waiting.insert(waiter);
         let candidates = self.candidates(part);
-        let hopeful = |server: &BackendServerId| self.is_hopeful(*server, version, deadline);
+        let hopeful = |server: &BackendServerId| self.is_hopeful(*server, version, deadline, now);
         if candidates.iter().any(hopeful) {
             return;
         }
         part.vanished = self.has_vanished(part.group, version);
         part.give_up();
         let group = part.group;
-        let hindrances = self.hindrances(group, version, deadline);
+        let hindrances = self.hindrances(group, version, deadline, now);
         let why = format!("no server for part {id}, {hindrances}");
         self.log(Some(run.request.id), "give_up", None, why);
     }
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -5,15 +5,15 @@
 use super::flight::Owner;
 use super::state::Home;
 use crate::attempt::{ConnectionId, Failure, Unopened};
-use crate::backend::News;
 use crate::backend::pool::Ending;
+use crate::backend::{Cold, News};
 use crate::content::Content;
 use crate::query::pin;
 use crate::query::run::{Cause, Part, PartId};
 use crate::reply::Report;
 use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, Incarnation, IndexVersion};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 impl<C: Content> Home<C> {
@@ -42,8 +42,10 @@
         server: BackendServerId,
         version: Option<IndexVersion>,
         deadline: Time,
+        now: Time,
     ) -> bool {
         let until = self.back_offs.get(&server).copied().unwrap_or_default();
+        let until = until.max(self.fleet.shut_until(server, now).unwrap_or_default());
         self.is_usable(server) && !self.lacks(server, version) && until < deadline
     }
 
@@ -130,6 +132,19 @@
         }
     }
 
+    /// Takes over which servers are cold. Those that are so no more take any number again.
+    pub(super) fn set_cold(&mut self, cold: &BTreeMap<BackendServerId, Cold>, now: Time) {
+        self.fleet.set_cold(cold, now);
+        self.fleet_changed = true;
+        for (&server, cold) in cold {
+            if self.placement.servers().contains(&server) {
+                let why = format!("bears {} a second until {:?}", cold.bears, cold.until);
+                self.log(None, "cold", Some(server), why);
+                self.changed(server);
+            }
+        }
+    }
+
     /// Gives a leaving server no new work, what waits for a connection to it included. What it
     /// works on already, it may finish.
     fn leave(&mut self, server: BackendServerId, now: Time) {
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -203,6 +203,7 @@
             Event::Route(route) => self.reroute(route, now),
             Event::Replaced(servers) => self.replaced(&servers, now),
             Event::Far(far) => self.set_far(far),
+            Event::Cold(cold) => self.set_cold(&cold, now),
             Event::Homes(homes) => {
                 self.fleet.set_homes(homes, now);
                 self.pool.set_homes(homes, now);
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -64,6 +64,9 @@
 const STRONG_CONNECTIONS: f64 = 0.5;
 const STRONG_SLACK: f64 = 0.75;
 
+/// Views of the members that may be acted on at the same time without exceeding what a cold server bears.
+const COLD_VIEWS: f64 = 2.0;
+
 /// Time for which a connection without need is held at most.
 pub(crate) const HELD_AT_MOST: Duration = Duration::from_secs(5);
 
@@ -78,6 +81,8 @@
     pub strong: usize,
     /// What this one does.
     pub role: Role,
+    /// Its place among the near ones that do the same.
+    pub rank: usize,
 }
 
 /// What a home does for others, or others for it.
@@ -110,6 +115,7 @@
             near: homes,
             strong: 0,
             role: Role::Even,
+            rank: 0,
         }
     }
 }
@@ -232,6 +238,31 @@
         self.slack.map(|slack| slack * part)
     }
 
+    /// Returns the requests that a home may send in any second to a cold backend server in its own data centre, which
+    /// `bears` so many from all homes.
+    ///
+    /// The homes of the server's data centre divide half of it, so that two views of the members that have nothing in
+    /// common still fit. Those that fan out for others have the larger part. Where there are more homes than
+    /// requests, some of them may send one each: others for each server, so that all servers of a home are not shut
+    /// at once.
+    pub fn cold(&self, bears: f64, server: BackendServerId) -> usize {
+        if self.floor == 0 {
+            // Another home here has the same servers, and all of this.
+            return 0;
+        }
+        let Homes { near, strong, .. } = self.shared_by;
+        let (part, homes) = match self.shared_by.role {
+            Role::Even => (1.0, near),
+            Role::Strong => (STRONG_SLACK, strong),
+            Role::Weak => (1.0 - STRONG_SLACK, near.saturating_sub(strong)),
+        };
+        let homes = homes.max(1);
+        let all = (bears * part / COLD_VIEWS) as usize;
+        let turn = xxh3_64(server.to_string().as_bytes()) as usize;
+        let place = turn.wrapping_add(self.shared_by.rank) % homes;
+        all / homes + usize::from(place < all % homes)
+    }
+
     /// Returns how many homes are likely to ask a server as often as this one.
     pub fn alike(&self) -> f64 {
         match self.shared_by.role {
--- a/crates/decision/tests/added_routes.rs
+++ b/crates/decision/tests/added_routes.rs
@@ -188,6 +188,7 @@
         near: HOSTS / DATA_CENTRES,
         strong: 2,
         role,
+        rank: 0,
     }
 }
 
--- a/crates/decision/tests/evacuation.rs
+++ b/crates/decision/tests/evacuation.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 use test_case::test_case;
 
 const DATA_CENTRES: [&str; 3] = ["hall", "lac", "port"];
@@ -33,6 +34,7 @@
         data_centre: data_centre.into(),
         slots: 3,
         state: State::Ready,
+        cold_for: Duration::ZERO,
         order: Said::default(),
         revision: 1,
     }
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -30,6 +30,7 @@
         data_centre: "lac".into(),
         slots: 3,
         state: State::Ready,
+        cold_for: Duration::ZERO,
         order: Order::default(),
         revision,
     }
--- a/crates/decision/tests/helper.rs
+++ b/crates/decision/tests/helper.rs
@@ -208,6 +208,7 @@
             all,
             near,
             strong,
+            rank: number,
             role: match () {
                 () if strong == 0 => Role::Even,
                 () if number < strong => Role::Strong,
--- a/crates/decision/tests/restart.rs
+++ b/crates/decision/tests/restart.rs
@@ -10,6 +10,7 @@
 use monsoonring_decision::home::Event;
 use session::{Session, ms, report, route, server};
 use std::collections::BTreeMap;
+use std::time::Duration;
 use test_case::test_case;
 
 const HOSTS: usize = 9;
@@ -23,6 +24,7 @@
         data_centre: "lac".into(),
         slots: 3,
         state,
+        cold_for: Duration::ZERO,
         order: Order { born, sequence },
         revision,
     }
--- a/crates/decision/tests/went_back.rs
+++ b/crates/decision/tests/went_back.rs
@@ -3,6 +3,7 @@
 use monsoonring_decision::Time;
 use monsoonring_decision::gateway::registry::{Entry, Event, Order, Registry, State};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 fn ms(time: u64) -> Time {
     Time::from_millis(time)
@@ -17,6 +18,7 @@
         data_centre: "lac".into(),
         slots: 3,
         state: State::Ready,
+        cold_for: Duration::ZERO,
         order: Order { born: 7, sequence },
         revision,
     }
--- a/crates/experiment/src/simulation/site.rs
+++ b/crates/experiment/src/simulation/site.rs
@@ -272,6 +272,7 @@
                     data_centre: Self::place_name(self.place(shard, replica)).into(),
                     slots: of.slots as u32,
                     state: State::Ready,
+                    cold_for: Duration::ZERO,
                     order: Order::default(),
                     revision: 1,
                 }));
