Let one host of a data centre read everything for those that start with it

Change: store::Contents keeps the store's items as they came; the mirror hands them on whole, with the position that they go up to. gateway::join decides whom to ask: on a first start the readers of the data centre, once hosts have found each other; where a position was lost, readers, as long as what they tell is later; on any other start a few pages of the store, and hosts only where it holds more or does not answer.

Tests: join (who is asked, which of what is told is of use), platform/join (few pages of a large store, a start in the dark, a host that is behind, what became of what was read).

--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -2,7 +2,8 @@
 //!
 //! What is passed on are the store's own answers, which nobody here looks into. A question names the position
 //! up to which the asker knows everything; it waits at the reader until there is more, as a watch of the store
-//! does. What is answered and when is [`mirror::Log`]'s.
+//! does. What is answered and when is [`mirror::Log`]'s. Hosts that know nothing ask for everything, and whom is
+//! [`join`](monsoonring_decision::gateway::join)'s.
 
 use super::relay::{DECLINED, declined, number};
 use crate::client;
@@ -16,7 +17,7 @@
 use monsoonring_decision::gateway::pace::Pace;
 use monsoonring_decision::member::MemberId;
 use snafu::{ResultExt, Snafu};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -25,6 +26,9 @@
 /// Revision up to which the asker knows everything; its presence tells a question from a search.
 const AFTER: HeaderName = HeaderName::from_static("monsoonring-after");
 
+/// Present in a question for everything that the store holds.
+const EVERYTHING: HeaderName = HeaderName::from_static("monsoonring-everything");
+
 /// Revision up to which an answer goes.
 const TO: HeaderName = HeaderName::from_static("monsoonring-to");
 
@@ -38,15 +42,21 @@
 /// Time that a connect to a host in the same data centre may take, and within which it has to acknowledge.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Largest answer, in bytes: one of the store, with room.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Largest answer, in bytes: everything that is registered for a thousand shards, with room.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
 /// Time after the last question for which a host reckons with more.
 const ASKED_FOR: Duration = Duration::from_secs(5);
 
+/// Everything that the store holds, as this host knows it.
+pub trait Archive: Send + Sync + 'static {
+    /// Returns it in the store's own format, with the position that it goes up to; `None` before the first read.
+    fn whole(&self) -> Option<(Position, Bytes)>;
+}
+
 /// What this host read of the store, for the hosts that ask.
-#[derive(Debug)]
 pub struct Mirror {
+    archive: Option<Arc<dyn Archive>>,
     clock: Clock,
     pace: Pace,
     log: Mutex<Log>,
@@ -58,6 +68,7 @@
     /// Makes the mirror of a host that has read nothing.
     pub fn new(pace: Pace) -> Self {
         Self {
+            archive: None,
             clock: Clock::start(),
             pace,
             log: Mutex::new(Log::new(pace.sure())),
@@ -66,6 +77,13 @@
         }
     }
 
+    /// Passes on everything, too.
+    #[must_use]
+    pub fn with(self, archive: Arc<dyn Archive>) -> Self {
+        let archive = Some(archive);
+        Self { archive, ..self }
+    }
+
     /// Everything was read, as of a position.
     pub fn read(&self, position: Position) {
         let now = self.clock.now();
@@ -96,6 +114,9 @@
 
     /// Answers a question; `None` where a message is none.
     pub(super) async fn answer(&self, headers: &HeaderMap) -> Option<Response<Full<Bytes>>> {
+        if headers.contains_key(EVERYTHING) {
+            return Some(self.whole());
+        }
         let after = position(headers, &AFTER)?;
         let now = self.clock.now();
         *self.asked.lock().unwrap_or_else(PoisonError::into_inner) = Some(now);
@@ -106,6 +127,16 @@
         Some(respond(answer, outage))
     }
 
+    fn whole(&self) -> Response<Full<Bytes>> {
+        let archive = self.archive.as_ref();
+        let Some((position, body)) = archive.and_then(|archive| archive.whole()) else {
+            return declined(Declined::NoReader.reason());
+        };
+        let mut response = Response::new(Full::new(body));
+        set_position(response.headers_mut(), TO, position);
+        response
+    }
+
     /// Waits until there is something to say. Who asks may have read the store a moment later than this host, which
     /// catches up with its next answer: declined at once, 180 of 195 hosts that started together asked the store again.
     async fn wait(&self, after: Position) -> Answer {
@@ -276,7 +307,51 @@
         timeout(limit, self.exchange(after)).await.map_err(silent)?
     }
 
+    /// Asks for everything that the store holds. Returns it with the position that it goes up to.
+    ///
+    /// # Errors
+    ///
+    /// There is no answer in time, or the host knows nothing yet.
+    pub async fn everything(&mut self, limit: Duration) -> Result<(Position, Bytes)> {
+        let (host, step) = (self.host, "asking for everything");
+        let silent = |_| Error::Silent { host, step, limit };
+        let request = self.call(|headers| {
+            headers.insert(EVERYTHING, 1_u64.into());
+        });
+        let answer = timeout(limit, request).await.map_err(silent)??;
+        let (head, body) = answer.into_parts();
+        match position(&head.headers, &TO) {
+            Some(to) if head.status == StatusCode::OK => Ok((to, body)),
+            _ => UnusableSnafu {
+                host,
+                status: head.status,
+            }
+            .fail(),
+        }
+    }
+
     async fn exchange(&mut self, after: Position) -> Result<Told> {
+        let host = self.host;
+        let answer = self.call(|headers| set_position(headers, AFTER, after));
+        let (head, body) = answer.await?.into_parts();
+        let status = head.status;
+        let to = position(&head.headers, &TO);
+        let changes = match (status, to) {
+            (StatusCode::NO_CONTENT, _) => None,
+            (StatusCode::OK, Some(to)) if to.era == after.era => Some((to, body)),
+            _ => return UnusableSnafu { host, status }.fail(),
+        };
+        Ok(Told {
+            changes,
+            outage: Outage {
+                count: number(&head.headers, &OUTAGES).unwrap_or_default(),
+                ended: number(&head.headers, &OUTAGE_ENDED).map(Duration::from_millis),
+            },
+        })
+    }
+
+    /// Puts a question, and takes its whole answer.
+    async fn call(&mut self, question: impl FnOnce(&mut HeaderMap)) -> Result<Response<Bytes>> {
         let host = self.host;
         let request = Request::get("/").header(HOST, host.to_string());
         let Ok(mut request) = request.body(Empty::new()) else {
@@ -286,7 +361,7 @@
             }
             .fail();
         };
-        set_position(request.headers_mut(), AFTER, after);
+        question(request.headers_mut());
         let http = HttpSnafu { host };
         self.sender.ready().await.context(http)?;
         let response = self.sender.send_request(request).await.context(http)?;
@@ -297,21 +372,9 @@
         }
         let status = head.status;
         let body = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let Ok(body) = body else {
-            return UnusableSnafu { host, status }.fail();
-        };
-        let to = position(&head.headers, &TO);
-        let changes = match (status, to) {
-            (StatusCode::NO_CONTENT, _) => None,
-            (StatusCode::OK, Some(to)) if to.era == after.era => Some((to, body.to_bytes())),
-            _ => return UnusableSnafu { host, status }.fail(),
-        };
-        Ok(Told {
-            changes,
-            outage: Outage {
-                count: number(&head.headers, &OUTAGES).unwrap_or_default(),
-                ended: number(&head.headers, &OUTAGE_ENDED).map(Duration::from_millis),
-            },
-        })
+        match body {
+            Ok(body) => Ok(Response::from_parts(head, body.to_bytes())),
+            Err(_) => UnusableSnafu { host, status }.fail(),
+        }
     }
 }
--- a/crates/decision/src/gateway/mod.rs
+++ b/crates/decision/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod evacuation;
 pub mod helper;
+pub mod join;
 pub mod members;
 pub mod mirror;
 pub mod pace;
