Soak emptied data centres, cold servers and a store that goes back

Three faults more (15 kinds in place of 12): operators empty a data centre, a server says that it is cold, the store comes back from a copy of one to three faults ago, away for a moment, and everything is written again. A server that says anew that it is cold under the count that it had is heard, as its entry is a later one: stand-ins count nothing.

--- a/crates/decision/src/gateway/registry.rs
+++ b/crates/decision/src/gateway/registry.rs
@@ -286,7 +286,7 @@
         if let Some(old) = old {
             let is_new = !entry.is_older_than(&old);
             let mut changed = is_new && !entry.says_the_same(&old);
-            if is_new && entry.order > old.order {
+            if old.is_older_than(&entry) {
                 changed |= self.note_cold(&entry, now);
             }
             self.entries
--- a/crates/monsoonringd/tests/soak/fault.rs
+++ b/crates/monsoonringd/tests/soak/fault.rs
@@ -2,15 +2,19 @@
 //! them left behind: processes that start, servers that are cold, histories that are read anew.
 
 use super::check::Violation;
-use super::host::Host;
+use super::host::{Host, data_centre};
 use super::support::server::Habit;
-use super::{Result, World};
+use super::{BEARS, Result, World};
 use nix::sys::signal::Signal;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use serde_json::json;
 use std::time::Duration;
 use tokio::time::sleep;
 
+/// Time over which a cold server counts what it gets.
+const COUNTED: Duration = Duration::from_secs(1);
+
 /// Something that goes wrong, or is planned. Hosts and servers are named by number.
 #[derive(Clone, Debug)]
 pub(crate) enum Fault {
@@ -23,6 +27,12 @@
     Misbehave(usize, Habit, Duration),
     Drain(usize, Duration),
     Configure,
+    /// Operators empty a data centre.
+    Empty(usize, Duration),
+    /// All servers of a service and a data centre say that they are cold.
+    Cool(usize, Duration),
+    /// The store is away for a time and comes back from a copy of some faults ago.
+    StoreGoesBack(usize, Duration),
 }
 
 impl Fault {
@@ -30,7 +40,7 @@
         let host = rng.random_range(0..hosts);
         let server = rng.random_range(0..servers);
         let time = Duration::from_millis(rng.random_range(50..900));
-        match rng.random_range(0..12) {
+        match rng.random_range(0..15) {
             0 => Self::Kill(host),
             1 => Self::Pause(host, time),
             2 => Self::Stop(host),
@@ -42,6 +52,9 @@
             8 => Self::Misbehave(server, Habit::Reset, time),
             9 => Self::Misbehave(server, Habit::Twice, time),
             10 => Self::Drain(server, time),
+            11 => Self::Empty(host, time),
+            12 => Self::Cool(server, time),
+            13 => Self::StoreGoesBack(rng.random_range(1..4), time),
             _ => Self::Configure,
         }
     }
@@ -61,6 +74,9 @@
             Self::Misbehave(_, Habit::Well, _) => "server well",
             Self::Drain(..) => "server drains and comes back",
             Self::Configure => "configuration changed",
+            Self::Empty(..) => "data centre emptied",
+            Self::Cool(..) => "server cold",
+            Self::StoreGoesBack(..) => "store goes back",
         }
     }
 
@@ -105,11 +121,59 @@
                 world.servers[server].register(&world.store, "ready");
             }
             Self::Configure => world.configure(),
+            Self::Empty(number, time) => return Ok(empty(world, number, time).await),
+            Self::Cool(server, time) => return Ok(cool(world, server, time).await),
+            Self::StoreGoesBack(ago, time) => {
+                world.store.set_down(true);
+                world.go_back(ago);
+                sleep(time).await;
+                world.store.set_down(false);
+                // Operators and servers write again what they had written.
+                sleep(time).await;
+                world.write_again();
+            }
         }
         Ok(None)
     }
 }
 
+/// Time within which an order, and what a server says of itself, is known at hosts that reach the store: two thirds of
+/// the bound of three seconds.
+const KNOWN: Duration = Duration::from_secs(2);
+
+/// Empties a data centre, and gives it back. Its servers are to get nothing from when the order is known.
+async fn empty(world: &World, number: usize, time: Duration) -> Option<Violation> {
+    let data_centre = data_centre(number);
+    let key = format!("op/evacuate/{data_centre}");
+    world.store.put(&key, &json!({}));
+    sleep(KNOWN).await;
+    let before = world.arrivals_in(data_centre);
+    sleep(time).await;
+    let after = world.arrivals_in(data_centre);
+    world.store.delete(&key);
+    (after > before).then(|| Violation {
+        promise: "nothing new in an emptied data centre",
+        id: data_centre.to_owned(),
+        seen: format!("{} requests after {KNOWN:?}", after - before),
+    })
+}
+
+/// Lets a server be cold. It is not to get more than it bears, from when that is known.
+async fn cool(world: &World, server: usize, time: Duration) -> Option<Violation> {
+    let server = &world.servers[server];
+    server.register_cold(&world.store, KNOWN + COUNTED + time);
+    sleep(KNOWN).await;
+    let before = server.arrivals().len();
+    sleep(COUNTED).await;
+    let got = server.arrivals().len() - before;
+    server.register_cold(&world.store, Duration::ZERO);
+    (got > BEARS).then(|| Violation {
+        promise: "no more than a cold server bears",
+        id: server.address.to_string(),
+        seen: format!("{got} requests in {COUNTED:?}"),
+    })
+}
+
 fn cut_off(host: usize, code: Option<i32>) -> Violation {
     Violation {
         promise: "planned stops cut nothing off",
@@ -127,7 +191,7 @@
     world.store.set_down(false);
     for server in &world.servers {
         server.set(Habit::Well);
-        server.register(&world.store, "ready");
+        server.register_cold(&world.store, Duration::ZERO);
     }
     for host in hosts {
         host.signal(Signal::SIGCONT)?;
--- a/crates/monsoonringd/tests/soak/mod.rs
+++ b/crates/monsoonringd/tests/soak/mod.rs
@@ -16,7 +16,7 @@
 use host::Host;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -25,7 +25,7 @@
 use support::client;
 use support::daemon::{configuration, gather, single};
 use support::server::Server;
-use support::store::Store;
+use support::store::{Copy, Store};
 use tokio::time::{Instant, sleep};
 
 /// Result of a step; what failed is told to whoever runs the soak.
@@ -39,6 +39,9 @@
 /// Servers of each service.
 const REPLICAS: usize = 2;
 
+/// Requests in a second that a cold server bears.
+pub(crate) const BEARS: usize = 12;
+
 /// Callers that ask at the same time.
 const CALLERS: usize = 6;
 
@@ -64,6 +67,8 @@
     store: Store,
     servers: Vec<Server>,
     version: u64,
+    /// What the store held before each of the faults so far.
+    copies: Vec<Copy>,
 }
 
 impl World {
@@ -83,6 +88,7 @@
             store,
             servers,
             version: 1,
+            copies: Vec::new(),
         };
         world.configure();
         world
@@ -96,10 +102,38 @@
             single("once", "/once/", "non_idempotent", LEDGER),
         ];
         let services: Vec<&str> = SHARDS.into_iter().chain([LEDGER]).collect();
-        let document = configuration(self.version, &routes, &services);
+        let mut document = configuration(self.version, &routes, &services);
+        for service in document["services"].as_array_mut().into_iter().flatten() {
+            service["slowStartS"] = json!(1);
+            service["warmupPerS"] = json!(BEARS);
+        }
         self.store.put("op/config", &document);
     }
 
+    /// Puts the store back to what it held before so many faults.
+    fn go_back(&mut self, ago: usize) {
+        let kept = self.copies.len().saturating_sub(ago);
+        if let Some(copy) = self.copies.drain(kept..).next() {
+            self.store.go_back(copy);
+        }
+    }
+
+    /// Writes again what operators and servers had written.
+    fn write_again(&mut self) {
+        for server in &self.servers {
+            server.register(&self.store, "ready");
+        }
+        self.configure();
+    }
+
+    /// Returns how many requests the servers of a data centre got.
+    fn arrivals_in(&self, data_centre: &str) -> usize {
+        let servers = self.servers.iter().enumerate();
+        let there =
+            servers.filter(|(number, _)| host::data_centre(number / REPLICAS) == data_centre);
+        there.map(|(_, server)| server.arrivals().len()).sum()
+    }
+
     /// Returns how often servers ran the request that was sent to this path.
     fn runs(&self, path: &str) -> usize {
         let ran = self.servers.iter().flat_map(Server::ran);
@@ -214,6 +248,7 @@
         .collect();
     while Instant::now() < until {
         sleep(Duration::from_millis(rng.random_range(100..500))).await;
+        world.copies.push(world.store.copy());
         let fault = Fault::draw(&mut rng, usize::from(count), world.servers.len());
         *report.faults.entry(fault.name()).or_default() += 1;
         report
