--- a/crates/decision/src/backend/choice.rs
+++ b/crates/decision/src/backend/choice.rs
@@ -76,23 +76,23 @@
     weight * fading(age, half_life) * (reported.others - server.trust.mean())
 }
 
-/// How much depends on the attempt that a server is chosen for.
+/// Whether another attempt may follow the one that a server is chosen for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Care {
-    /// It may be followed by another one: it also serves to find out how a server stands.
-    Usual,
+pub enum Repeat {
+    /// One may: this one also serves to find out how a server stands.
+    Possible,
     /// It is the only one.
-    Only,
+    Never,
 }
 
 /// Returns the load to expect at a server, in attempts.
-pub(crate) fn score(server: &Server, usual: Usual, care: Care, now: Time) -> f64 {
-    if care == Care::Usual && server.probe.is_wanted() {
+pub(crate) fn score(server: &Server, usual: Usual, repeat: Repeat, now: Time) -> f64 {
+    if repeat == Repeat::Possible && server.probe.is_wanted() {
         return 0.0;
     }
-    let overdue = match care {
-        Care::Usual => 0.0,
-        Care::Only => OVERDUE * server.overdue as f64,
+    let overdue = match repeat {
+        Repeat::Possible => 0.0,
+        Repeat::Never => OVERDUE * server.overdue as f64,
     };
     let distance = match server.far {
         true => DISTANCE.max(usual.slots * DISTANCE_IN_SLOTS),
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -1,6 +1,6 @@
 //! All backend servers of one route at one home.
 
-use super::choice::{self, Care, Choice};
+use super::choice::{self, Choice, Repeat};
 use super::cold::{Cold, Warming};
 use super::latency::Latency;
 use super::leaving::Marks;
@@ -256,7 +256,7 @@
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
-        self.choose_with(candidates, tried, version, Care::Usual, now, rng)
+        self.choose_with(candidates, tried, version, Repeat::Possible, now, rng)
     }
 
     /// Chooses a server as [`Self::choose`] does, for an attempt on which more or less depends.
@@ -265,14 +265,14 @@
         candidates: &[BackendServerId],
         tried: &[BackendServerId],
         version: Option<IndexVersion>,
-        care: Care,
+        repeat: Repeat,
         now: Time,
         rng: &mut impl Rng,
     ) -> Option<Choice> {
         let open = self.open(candidates, tried, version, now);
         let scores = match self.policy.random_replica {
             true => smallvec![0.0; open.len()],
-            false => self.scores(&open, care, now),
+            false => self.scores(&open, repeat, now),
         };
         let index = choice::least(&scores, rng)?;
         let server = open[index];
@@ -460,12 +460,17 @@
             .collect()
     }
 
-    fn scores(&self, servers: &[BackendServerId], care: Care, now: Time) -> SmallVec<[f64; FEW]> {
+    fn scores(
+        &self,
+        servers: &[BackendServerId],
+        repeat: Repeat,
+        now: Time,
+    ) -> SmallVec<[f64; FEW]> {
         servers
             .iter()
             .map(|server| {
                 let state = &self.servers[server];
-                choice::score(state, self.usual(state.group), care, now)
+                choice::score(state, self.usual(state.group), repeat, now)
             })
             .collect()
     }
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -23,7 +23,7 @@
 mod usual;
 mod verdict;
 
-pub use choice::{Care, Choice};
+pub use choice::{Choice, Repeat};
 pub use cold::Cold;
 pub use fleet::Fleet;
 pub use room::Room;
--- a/crates/decision/src/backend/pool/mod.rs
+++ b/crates/decision/src/backend/pool/mod.rs
@@ -12,7 +12,7 @@
 mod line;
 mod silence;
 
-pub use silence::Look;
+pub use silence::Health;
 
 use crate::Time;
 use crate::attempt::ConnectionId;
--- a/crates/decision/src/backend/pool/silence.rs
+++ b/crates/decision/src/backend/pool/silence.rs
@@ -15,9 +15,9 @@
 /// enough where nothing at all was answered meanwhile: all older connections may be silent.
 const LONE_FACTOR: u32 = 4;
 
-/// What a look at a busy connection shows.
+/// How a busy connection stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Look {
+pub enum Health {
     /// Nothing out of the ordinary.
     Fine,
     /// No answer within the patience, and no proof of why.
@@ -32,25 +32,25 @@
     ///
     /// That one was sent later is the point: a server that is slow, or that pauses, answers in about
     /// the order of sending, and its connections must not be closed for it.
-    pub fn look(&self, id: ConnectionId, patience: Duration, now: Time) -> Look {
+    pub fn look(&self, id: ConnectionId, patience: Duration, now: Time) -> Health {
         let Some(connection) = self.connections.get(&id) else {
-            return Look::Fine;
+            return Health::Fine;
         };
         let State::Busy(since) = connection.state else {
-            return Look::Fine;
+            return Health::Fine;
         };
         let Some(line) = self.lines.get(&connection.server) else {
-            return Look::Fine;
+            return Health::Fine;
         };
         let age = now.saturating_sub(since);
         if age < patience {
-            return Look::Fine;
+            return Health::Fine;
         }
         let overtaken = line.overtaken > since;
         let opened = line.connected >= since + patience && line.answered <= since;
         match overtaken || (opened && age >= patience * LONE_FACTOR) {
-            true => Look::Silent,
-            false => Look::Overdue,
+            true => Health::Silent,
+            false => Health::Overdue,
         }
     }
 
--- a/crates/decision/src/gateway/members/mod.rs
+++ b/crates/decision/src/gateway/members/mod.rs
@@ -58,29 +58,29 @@
     Probe(ProbeId, Box<Message>),
     /// The answer to the probe of that number.
     Answer(ProbeId, Box<Message>),
-    /// A wish that the receiver probe somebody in the sender's place.
+    /// A request that the receiver probe somebody in the sender's place.
     ProbeFor(ProbeId, MemberId),
-    /// A wish for a page of the table.
+    /// A request for a page of the table.
     Pull(Span),
-    /// The page wished for.
+    /// The page that was requested.
     Page(Page),
     /// Something found out just now.
     Fact(fact::Entry),
     /// How strong the sender is.
-    Strength(Strength, Wish),
-    /// A wish to be told who fans out for others in the receiver's data centre.
+    Strength(Strength, Reply),
+    /// A question who fans out for others in the receiver's data centre.
     AskCandidates,
     /// Who fans out for others in the sender's data centre.
     Candidates(Vec<Candidate>),
 }
 
-/// Whether an answer is wished for.
+/// Whether the sender waits for a reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Wish {
-    /// It is.
-    Answer,
-    /// It is not.
-    Nothing,
+pub enum Reply {
+    /// It does.
+    Wanted,
+    /// It does not.
+    Unwanted,
 }
 
 /// Something that happened.
@@ -287,7 +287,7 @@
                 }
             }
             Datagram::Fact(entry) => self.learn(vec![entry], now),
-            Datagram::Strength(strength, wish) => self.strength(from, strength, wish),
+            Datagram::Strength(strength, reply) => self.strength(from, strength, reply),
             Datagram::AskCandidates => self.tell_candidates(from),
             Datagram::Candidates(candidates) => self.candidates(from, candidates, now),
         }
--- a/crates/decision/src/gateway/members/strength.rs
+++ b/crates/decision/src/gateway/members/strength.rs
@@ -1,6 +1,6 @@
 //! How strong the hosts of the own data centre are, and what each may take for it.
 
-use super::{Action, Datagram, Members, Wish};
+use super::{Action, Datagram, Members, Reply};
 use crate::Time;
 use crate::gateway::helper::{STRONGER, Strength};
 use crate::member::{Change, MemberId};
@@ -68,9 +68,9 @@
     }
 
     /// Takes in how strong a host nearby is, and answers.
-    pub(super) fn strength(&mut self, from: MemberId, strength: Strength, wish: Wish) {
-        if wish == Wish::Answer {
-            self.send_strength(from, Wish::Nothing);
+    pub(super) fn strength(&mut self, from: MemberId, strength: Strength, reply: Reply) {
+        if reply == Reply::Wanted {
+            self.send_strength(from, Reply::Unwanted);
         }
         self.actions.push(Action::Strength(from, strength));
         if self.strengths.insert(from, strength) != Some(strength) {
@@ -106,15 +106,15 @@
             if *tries < ASKED_AT_MOST && *next <= now {
                 *next = now + ASK_AGAIN * 2_u32.pow(*tries);
                 *tries += 1;
-                self.send_strength(id, Wish::Answer);
+                self.send_strength(id, Reply::Wanted);
             }
         }
     }
 
-    fn send_strength(&mut self, to: MemberId, wish: Wish) {
+    fn send_strength(&mut self, to: MemberId, reply: Reply) {
         let own = self.strengths.get(&self.table.own()).copied();
         if let Some(own) = own.filter(|own| *own > 0) {
-            self.send(to, Datagram::Strength(own, wish));
+            self.send(to, Datagram::Strength(own, reply));
         }
     }
 }
--- a/crates/decision/src/home/ending.rs
+++ b/crates/decision/src/home/ending.rs
@@ -9,7 +9,7 @@
 use super::timer::Timer;
 use crate::attempt::{AttemptId, ConnectionId, Failure, Refusal};
 use crate::backend::Verdict;
-use crate::backend::pool::Look;
+use crate::backend::pool::Health;
 use crate::content::Content;
 use crate::query::merge;
 use crate::query::run::{self, Cause, PartId, Run};
@@ -247,12 +247,12 @@
         let hedges = flight.hedge_at.take_if(|at| *at <= now).is_some();
         let checks = flight.check_at.take_if(|at| *at <= now).is_some();
         let owner = flight.owner;
-        let look = if checks {
+        let health = if checks {
             self.check(id, now)
         } else {
-            Look::Fine
+            Health::Fine
         };
-        if look == Look::Silent {
+        if health == Health::Silent {
             self.give_up_connection(id, now);
             return;
         }
@@ -260,7 +260,7 @@
             if hedges {
                 self.hedge(id, request, part, now);
             }
-            if look == Look::Overdue && self.route.hedge.budget_percent > 0.0 {
+            if health == Health::Overdue && self.route.hedge.budget_percent > 0.0 {
                 self.double(request, part, Cause::Overdue, now);
             }
         }
@@ -301,23 +301,23 @@
     /// A non-idempotent attempt is never given up before its deadline. A wrong guess would end it
     /// as unknown although its result was on the way, and a right one would only end it as unknown
     /// earlier.
-    fn check(&mut self, id: AttemptId, now: Time) -> Look {
+    fn check(&mut self, id: AttemptId, now: Time) -> Health {
         let Some(flight) = self.flights.get_mut(id) else {
-            return Look::Fine;
+            return Health::Fine;
         };
         let Some(connection) = flight.connection else {
-            return Look::Fine;
+            return Health::Fine;
         };
         let patience = self.fleet.patience(flight.server, now);
         flight.check_at = Some(now + patience.mul_f64(LOOK).min(LOOK_AT_MOST));
-        let look = self.pool.look(connection, patience, now);
-        if look != Look::Fine {
+        let health = self.pool.look(connection, patience, now);
+        if health != Health::Fine {
             self.pool.distrust(connection, now);
             self.fleet.overdue(id, now);
         }
         match flight.owner {
-            Owner::Execution(_) => Look::Fine,
-            _ => look,
+            Owner::Execution(_) => Health::Fine,
+            _ => health,
         }
     }
 
--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -8,7 +8,7 @@
 use super::flight::{Flight, Owner};
 use super::state::Home;
 use crate::attempt::Failure;
-use crate::backend::Care;
+use crate::backend::Repeat;
 use crate::budget::Need;
 use crate::content::Content;
 use crate::outcome::{Outcome, Reason};
@@ -64,13 +64,13 @@
         let rng = &mut self.rng;
         let fresh =
             self.fleet
-                .choose_with(candidates, &execution.tried, None, Care::Only, now, rng);
+                .choose_with(candidates, &execution.tried, None, Repeat::Never, now, rng);
         let choice = match fresh {
             Some(choice) => Some(choice),
             None if execution.tried.is_empty() => None,
             None => self
                 .fleet
-                .choose_with(candidates, &[], None, Care::Only, now, rng),
+                .choose_with(candidates, &[], None, Repeat::Never, now, rng),
         };
         choice.map(|choice| (choice.server, choice.why))
     }
--- a/crates/decision/tests/pool.rs
+++ b/crates/decision/tests/pool.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use monsoonring_decision::attempt::ConnectionId;
-use monsoonring_decision::backend::pool::{Command, Look, Pool};
+use monsoonring_decision::backend::pool::{Command, Health, Pool};
 use monsoonring_decision::placement::share;
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -50,7 +50,7 @@
 
 /// Returns those of the connections that are silent, with a patience of 50 ms.
 fn silent(pool: &Pool, ids: &[ConnectionId], now: u64) -> Vec<ConnectionId> {
-    let is_silent = |id: &&ConnectionId| pool.look(**id, ms(50), ms(now)) == Look::Silent;
+    let is_silent = |id: &&ConnectionId| pool.look(**id, ms(50), ms(now)) == Health::Silent;
     ids.iter().filter(is_silent).copied().collect()
 }
 
@@ -162,7 +162,7 @@
     pool.release(ids[1], ms(5));
     let later = pool.acquire(server(0), ms(10)).expect("one is idle");
     pool.release(ids[0], ms(150));
-    assert_eq!(pool.look(later, ms(50), ms(160)), Look::Overdue);
+    assert_eq!(pool.look(later, ms(50), ms(160)), Health::Overdue);
 }
 
 // Symptom: attempts wait to the deadline although new connections work.
