--- a/crates/decision/tests/evacuation.rs
+++ b/crates/decision/tests/evacuation.rs
@@ -1,11 +1,14 @@
 //! Which data centres count as emptied, whatever a host reads and watches, and in which order.
 
+mod registered;
+
 use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::Time;
 use monsoonring_decision::gateway::evacuation::{Evacuations, Order};
 use monsoonring_decision::gateway::registry::{Entry, Event, Order as Said, Registry, State};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use registered::{listed, usable};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -41,18 +44,7 @@
 }
 
 fn registry() -> Registry {
-    let mut registry = Registry::default();
-    let entries = vec![entry("a", 1, "hall"), entry("b", 2, "lac")];
-    registry.on(Event::Listed(entries), ms(0));
-    registry
-}
-
-fn usable(registry: &Registry) -> Vec<String> {
-    let usable = registry.usable();
-    usable
-        .values()
-        .map(|one| one.instance.to_string())
-        .collect()
+    listed(&[entry("a", 1, "hall"), entry("b", 2, "lac")])
 }
 
 // Symptom: requests reach the servers of a data centre that operators have emptied.
--- a/crates/decision/tests/gateway.rs
+++ b/crates/decision/tests/gateway.rs
@@ -1,5 +1,7 @@
 //! Routes, shards and registered backend servers of a gateway.
 
+mod registered;
+
 use monsoonring_configuration::Range;
 use monsoonring_configuration::document::Kind;
 use monsoonring_decision::Time;
@@ -10,6 +12,7 @@
 use monsoonring_decision::query::coverage::Set;
 use monsoonring_decision::query::greatest::greatest;
 use proptest::prelude::*;
+use registered::{listed, usable};
 use std::net::SocketAddr;
 use std::time::Duration;
 use test_case::test_case;
@@ -36,20 +39,6 @@
     }
 }
 
-fn usable(registry: &Registry) -> Vec<String> {
-    let usable = registry.usable();
-    usable
-        .values()
-        .map(|one| one.instance.to_string())
-        .collect()
-}
-
-fn listed(entries: &[Entry]) -> Registry {
-    let mut registry = Registry::default();
-    registry.on(Event::Listed(entries.to_vec()), ms(0));
-    registry
-}
-
 // Symptom: all requests are refused just when the store is back.
 // Events:  the store is down; entries lapse in it; the first list after it is empty, and the servers
 //          write their entries again over the next two seconds.
--- a/crates/decision/tests/went_back.rs
+++ b/crates/decision/tests/went_back.rs
@@ -1,7 +1,10 @@
 //! Registered backend servers after the store came back from an older copy.
 
+mod registered;
+
 use monsoonring_decision::Time;
 use monsoonring_decision::gateway::registry::{Entry, Event, Order, Registry, State};
+use registered::{listed, usable};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,20 +27,6 @@
     }
 }
 
-fn usable(registry: &Registry) -> Vec<String> {
-    let usable = registry.usable();
-    usable
-        .values()
-        .map(|one| one.instance.to_string())
-        .collect()
-}
-
-fn listed(entries: &[Entry]) -> Registry {
-    let mut registry = Registry::default();
-    registry.on(Event::Listed(entries.to_vec()), ms(0));
-    registry
-}
-
 fn go_back_to(registry: &mut Registry, copy: &[Entry], now: Time) {
     registry.on(Event::WentBack, now);
     registry.on(Event::Listed(copy.to_vec()), now);
