Untie the callers' headers from their problems, and the codec between daemons from the peer

Names of headers are read by problems and by what reads headers, which makes problems; the largest frame stands where frames are read. No behaviour changed.

--- a/crates/daemon/src/caller/filter/deadline.rs
+++ b/crates/daemon/src/caller/filter/deadline.rs
@@ -2,8 +2,8 @@
 
 use super::{Filter, Result};
 use crate::caller::exchange::{Exchange, Routed, Timed};
-use crate::caller::header;
 use crate::caller::problem::Problem;
+use crate::caller::{header, read};
 use std::time::Duration;
 
 /// No request is kept longer, whatever its caller says.
@@ -16,7 +16,7 @@
     type After = Exchange<Timed>;
 
     async fn apply(&self, before: Exchange<Routed>) -> Result<Self::After> {
-        let sent = header::single(&before.head.headers, header::DEADLINE_MS)?;
+        let sent = read::single(&before.head.headers, header::DEADLINE_MS)?;
         let milliseconds = match sent {
             Some(text) => text.trim().parse().map_err(|_| not_a_number())?,
             None => before.stage.route.deadline_ms,
--- a/crates/daemon/src/caller/filter/identify.rs
+++ b/crates/daemon/src/caller/filter/identify.rs
@@ -2,8 +2,8 @@
 
 use super::{Filter, Result};
 use crate::caller::exchange::{Arrived, Exchange, Identified};
-use crate::caller::header;
 use crate::caller::problem::Problem;
+use crate::caller::{header, read};
 use hyper::HeaderMap;
 use monsoonring_configuration::document::Caller;
 use sha2::{Digest, Sha256};
@@ -19,7 +19,7 @@
 
     async fn apply(&self, before: Exchange<Arrived>) -> Result<Self::After> {
         let head = &before.head;
-        let name = header::single(&head.headers, header::CALLER)?
+        let name = read::single(&head.headers, header::CALLER)?
             .ok_or_else(|| Problem::unidentified("`monsoonring-caller` is missing"))?;
         // An unknown name and a wrong token give the same answer, so that names can't be found by
         // trying.
@@ -40,7 +40,7 @@
     let Some(expected) = &caller.token_sha256 else {
         return Ok(());
     };
-    let token = header::single(headers, "authorization")?.and_then(bearer);
+    let token = read::single(headers, "authorization")?.and_then(bearer);
     let digest = token.map(digest);
     // What is compared is the digest: how long the comparison takes tells nothing of the token.
     if digest.is_some_and(|digest| digest.eq_ignore_ascii_case(expected)) {
--- a/crates/daemon/src/caller/filter/key.rs
+++ b/crates/daemon/src/caller/filter/key.rs
@@ -2,9 +2,9 @@
 
 use super::{Filter, Result};
 use crate::caller::exchange::{Exchange, Keyed, Order, Timed};
-use crate::caller::header;
 use crate::caller::problem::Problem;
 use crate::caller::target::Action;
+use crate::caller::{header, read};
 use hyper::HeaderMap;
 
 /// Keys are kept for as long as they may come back, so their size is bounded.
@@ -30,7 +30,7 @@
 }
 
 fn execute(headers: &HeaderMap) -> Result<Order> {
-    let sent = header::single(headers, header::IDEMPOTENCY_KEY)?
+    let sent = read::single(headers, header::IDEMPOTENCY_KEY)?
         .ok_or_else(|| Problem::header(header::IDEMPOTENCY_KEY, "is missing"))?;
     let key = unquoted(sent.trim());
     let valid = !key.is_empty()
@@ -72,7 +72,7 @@
 }
 
 fn send(headers: &HeaderMap) -> Result<Option<u32>> {
-    let Some(text) = header::single(headers, header::SEND)? else {
+    let Some(text) = read::single(headers, header::SEND)? else {
         return Ok(None);
     };
     match text.trim().parse() {
--- a/crates/daemon/src/caller/front.rs
+++ b/crates/daemon/src/caller/front.rs
@@ -3,9 +3,10 @@
 use super::answer::{self, Reply};
 use super::exchange::{Arrived, Exchange, Head, Order};
 use super::filter::{self, Deadline, Filter, Find, Identify, Key, Print, Read, Result};
-use super::header::{self, IDEMPOTENCY_KEY};
+use super::header::IDEMPOTENCY_KEY;
 use super::ledger::{Entry, Ledger};
 use super::problem::Problem;
+use super::read;
 use super::status;
 use super::target::{Action, Target};
 use crate::server::stop::{Stage, Watch};
@@ -88,7 +89,7 @@
         let arrived = Instant::now();
         let mut entry = self
             .ledger
-            .open(id, header::trace(request.headers()), arrived);
+            .open(id, read::trace(request.headers()), arrived);
         let repeated = action == Action::Execute && filter::may_be_repeated(request.headers());
         let answered = async {
             let exchange = self.arrive(id, arrived, request, (name, action), standing)?;
--- a/crates/daemon/src/caller/mod.rs
+++ b/crates/daemon/src/caller/mod.rs
@@ -14,6 +14,7 @@
 mod header;
 mod ledger;
 mod problem;
+mod read;
 mod status;
 mod target;
 
--- /dev/null
+++ b/crates/daemon/src/caller/read.rs
@@ -0,0 +1,45 @@
+//! Reading the headers of callers' requests.
+
+use super::header::TRACEPARENT;
+use super::problem::Problem;
+use hyper::HeaderMap;
+
+/// Returns the value of a header that is given once at most.
+///
+/// A header that is given twice is refused: two programs on the way might each heed another one of
+/// the two, and the request would run for another caller, or under another key, than was checked.
+pub(crate) fn single<'a>(
+    headers: &'a HeaderMap,
+    name: &'static str,
+) -> Result<Option<&'a str>, Problem> {
+    let mut values = headers.get_all(name).iter();
+    let first = values.next();
+    if values.next().is_some() {
+        return Err(Problem::header(name, "is given more than once"));
+    }
+    first
+        .map(|value| value.to_str())
+        .transpose()
+        .map_err(|_| Problem::header(name, "has characters outside ASCII"))
+}
+
+/// Returns the trace id of a valid `traceparent` header.
+pub(crate) fn trace(headers: &HeaderMap) -> Option<u128> {
+    let value = single(headers, TRACEPARENT).ok()??;
+    let mut parts = value.split('-');
+    let version = hexadecimal(parts.next()?, 2)?;
+    let trace = hexadecimal(parts.next()?, 32)?;
+    let parent = hexadecimal(parts.next()?, 16)?;
+    hexadecimal(parts.next()?, 2)?;
+    let known = version != 0xff && (version != 0 || parts.next().is_none());
+    (known && trace != 0 && parent != 0).then_some(trace)
+}
+
+/// The number that a text of exactly so many lower-case hexadecimal digits stands for.
+fn hexadecimal(text: &str, digits: usize) -> Option<u128> {
+    let valid = text.len() == digits
+        && text
+            .bytes()
+            .all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+    valid.then(|| u128::from_str_radix(text, 16).ok()).flatten()
+}
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -5,7 +5,6 @@
 //! closed, and with it end all calls of that peer which are in flight, queries of callers among them.
 //! Here a call whose body can't be read is [`Heard::Unknown`]: it alone is refused.
 
-use crate::peer::MAX_FRAME;
 use bincode::Options;
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Deserializer, Serialize};
@@ -17,6 +16,9 @@
 use tarpc::server::Serve;
 use tarpc::{ClientMessage, RequestName, ServerError};
 
+/// Largest call or answer between daemons, in bytes. An answer over 160 backend servers has to fit.
+pub const MAX_FRAME: usize = 64 * 1024 * 1024;
+
 /// Longest time that a call may be given; no route has a longer deadline.
 pub const MAX_DEADLINE: Duration = Duration::from_secs(60 * 60);
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,7 +1,7 @@
 //! The calls that daemons make to each other.
 
 use crate::channel::{Endpoint, Result as Opened, Stream};
-use crate::codec::{Codec, Tolerant};
+use crate::codec::{Codec, MAX_FRAME, Tolerant};
 use crate::message::{Declined, Request, Sections, Send, Sent};
 use monsoonring_configuration::section::transfer::Base;
 use monsoonring_decision::configuration::Version;
@@ -19,9 +19,6 @@
 use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tarpc::{ClientMessage, Response};
 
-/// Largest call or answer between daemons, in bytes. An answer over 160 backend servers has to fit.
-pub const MAX_FRAME: usize = 64 * 1024 * 1024;
-
 /// Most calls of one peer that are worked on at the same time; a client makes no more than half of it.
 const MAX_CALLS: usize = 2_000;
 
