Count what waits for a connection as a need, where nothing is held without one

Cause: how long a connection is held without need goes to zero where the hosts near a server are more than the connections that it may have kept ready (0.45 of its limit; 75 hosts and 90 connections there). At zero the need itself was taken for over in the same step in which it arose, before a connection was asked for: a weak host never opened one on demand, and what waited for it waited for its deadline. Ruled out: pauses after refused connections (at most 6.4 s, and servers were not full).

Change: a line does not shrink below what is in use and waited for. A failed connect ends the wait, and so does a connection that is there and that nobody takes.

Before: weak_host_opens_a_connection_that_it_needs fails where 75 hosts are near ("request 1 reaches the server"), and passes with 10.

--- a/crates/decision/src/backend/pool/line.rs
+++ b/crates/decision/src/backend/pool/line.rs
@@ -183,7 +183,11 @@
         self.paused = self.paused.filter(|until| now < *until);
         self.peak = self.peak.min(share.most);
         self.held_for = share.held_for;
-        if now >= self.shrunk + self.held_for && self.peak > self.busy {
+        if !self.idle.is_empty() {
+            // What waited has had its chance.
+            self.misses = 0;
+        }
+        if now >= self.shrunk + self.held_for && self.peak > self.needed() {
             self.peak -= 1;
             self.shrunk = now;
         }
@@ -215,7 +219,7 @@
     }
 
     pub(super) fn wake(&self) -> Option<Time> {
-        let shrinks = (self.peak > self.busy).then_some(self.shrunk + self.held_for);
+        let shrinks = (self.peak > self.needed()).then_some(self.shrunk + self.held_for);
         shrinks.into_iter().chain(self.paused).min()
     }
 
@@ -224,6 +228,12 @@
         need.max(share.floor).min(share.most)
     }
 
+    /// Returns the connections in use, and those that are waited for. Without the latter, where nothing is held without
+    /// need the need would be over before a connection is asked for, and what waits would never be sent.
+    fn needed(&self) -> usize {
+        self.busy + self.misses
+    }
+
     fn raise_peak(&mut self, needed: usize, now: Time) {
         if needed >= self.peak {
             self.peak = needed;
@@ -231,7 +241,9 @@
         }
     }
 
+    /// Leaves the server alone after a failed connect. What waited for it goes elsewhere, or waits for one in use.
     fn pause(&mut self, now: Time) {
+        self.misses = 0;
         let time = PAUSE * 2_u32.pow(self.failures.min(PAUSE_DOUBLINGS));
         self.failures = self.failures.saturating_add(1);
         self.paused = Some(now + time);
