Say the platform's words for orders and cold servers in one place of the stand-ins

Orders to empty a data centre, what hosts know of them and the figures of cold servers were written out in four test files and twice in the soak, outside platform/. The stand-in of the store, the daemon's and the configuration's have them now; all assertions stay (one that looked for a name in a list compares the list). Test code only.

--- a/crates/monsoonringd/tests/soak/fault.rs
+++ b/crates/monsoonringd/tests/soak/fault.rs
@@ -8,7 +8,6 @@
 use nix::sys::signal::Signal;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use serde_json::json;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -144,13 +143,12 @@
 /// Empties a data centre, and gives it back. Its servers are to get nothing from when the order is known.
 async fn empty(world: &World, number: usize, time: Duration) -> Option<Violation> {
     let data_centre = data_centre(number);
-    let key = format!("op/evacuate/{data_centre}");
-    world.store.put(&key, &json!({}));
+    world.store.empty(data_centre);
     sleep(KNOWN).await;
     let before = world.ran_in(data_centre);
     sleep(time).await;
     let after = world.ran_in(data_centre);
-    world.store.delete(&key);
+    world.store.give_back(data_centre);
     let new = after
         .iter()
         .zip(&before)
--- a/crates/monsoonringd/tests/soak/mod.rs
+++ b/crates/monsoonringd/tests/soak/mod.rs
@@ -16,14 +16,14 @@
 use host::Host;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use support::client;
-use support::daemon::{configuration, gather, single};
+use support::daemon::{bound_cold, configuration, gather, single};
 use support::server::Server;
 use support::store::{Copy, Store};
 use tokio::time::{Instant, sleep};
@@ -104,10 +104,7 @@
         ];
         let services: Vec<&str> = SHARDS.into_iter().chain([LEDGER]).collect();
         let mut document = configuration(self.version, &routes, &services);
-        for service in document["services"].as_array_mut().into_iter().flatten() {
-            service["slowStartS"] = json!(1);
-            service["warmupPerS"] = json!(BEARS);
-        }
+        bound_cold(&mut document, BEARS, Duration::from_secs(1));
         self.store.put("op/config", &document);
     }
 
