Let searches in by rank and by the wait that servers report

Cause: ranks 0 and 1 were one class, admission asked for the deadline (ten objectives) and not the objective, saw the load of other hosts only as a deviation, and hosts that fan out for others had 20 places for half a core: searches were declined for want of places and fanned out by hosts that know nothing of the servers' load. Change: admission::rank holds the wait that the tightest needed shard reports against a third of the objective, and a fifth of more urgent kinds' objectives; 150 places a core.

--- a/crates/daemon/src/gateway/relay/helper.rs
+++ b/crates/daemon/src/gateway/relay/helper.rs
@@ -13,9 +13,10 @@
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
-/// Searches of others that a host of one core takes on at once. One takes about 4 ms of a core and is
-/// answered within 200 ms, so that this many use up four fifths of it.
-const TAKEN_BY_A_CORE: f64 = 40.0;
+/// Searches of others that a host of one core takes on at once. One takes 2 ms of a core, and up to 300 ms where servers have much
+/// to do, so that this many use up a core. With fewer places searches are declined while servers are short of room, and hosts
+/// that know little of the servers' load fan them out instead of refusing them.
+const TAKEN_BY_A_CORE: f64 = 150.0;
 
 /// Answers the searches of other hosts.
 pub(in crate::gateway) struct Helper<I> {
--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -11,6 +11,7 @@
 
 mod limit;
 mod pace;
+mod rank;
 
 use crate::Time;
 use crate::backend::Room;
@@ -18,6 +19,8 @@
 use limit::Limit;
 use monsoonring_configuration::document::{Class, Route};
 use pace::Pace;
+use rank::Ranks;
+pub use rank::{Rank, Urgency};
 use std::time::Duration;
 
 /// Share of the route's deadline within which requests are to be answered. The rest is for what
@@ -29,6 +32,18 @@
 const NORMAL_SHARE: f64 = 0.8;
 const BACKGROUND_SHARE: f64 = 0.4;
 
+/// Share of the limit that a rank may fill of what the next more urgent one may.
+const RANK_SHARE: f64 = 0.8;
+
+/// A request whose rank is known, as admission sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ranked {
+    /// How urgent it is.
+    pub urgency: Urgency,
+    /// Time that it would wait at the backend servers, by what these report.
+    pub wait: Duration,
+}
+
 /// What is done with a new request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -48,6 +63,7 @@
 pub struct Gate {
     limit: Limit,
     pace: Pace,
+    ranks: Ranks,
     target: Duration,
     in_flight: usize,
     /// Whether work was waiting at the backend servers when last looked at.
@@ -60,6 +76,7 @@
         Self {
             limit: Limit::new(),
             pace: Pace::default(),
+            ranks: Ranks::default(),
             target: target(route),
             in_flight: 0,
             waiting: false,
@@ -74,7 +91,23 @@
     /// Decides about a request that has to be answered by `deadline`. One that is admitted counts
     /// as in flight until [`Self::finished`].
     pub fn admit(&mut self, class: Class, deadline: Time, room: &Room, now: Time) -> Admission {
+        self.admit_ranked(class, None, deadline, room, now)
+    }
+
+    /// Decides about a request as [`Self::admit`] does. Where its rank is known, what it would wait is held against its objective
+    /// and those of more urgent ones.
+    pub fn admit_ranked(
+        &mut self,
+        class: Class,
+        ranked: Option<Ranked>,
+        deadline: Time,
+        room: &Room,
+        now: Time,
+    ) -> Admission {
         self.waiting = !room.wait.is_zero();
+        if let Some(ranked) = &ranked {
+            self.ranks.asked(ranked.urgency, now);
+        }
         let remaining = deadline.saturating_sub(now);
         if remaining <= room.work {
             // Coming back with as little time left would be as useless.
@@ -84,12 +117,16 @@
             };
         }
         let in_time = room.wait + room.work < remaining;
-        let fits = self.in_flight as f64 + 1.0 <= self.allowed(class);
-        if in_time && fits {
+        let allowed = self.allowed(class, ranked.as_ref(), now);
+        let fits = self.in_flight as f64 + 1.0 <= allowed;
+        if in_time && fits && self.is_bearable(ranked.as_ref(), now) {
             self.in_flight += 1;
+            if let Some(ranked) = &ranked {
+                self.ranks.admitted(ranked.urgency, now);
+            }
             return Admission::Admit;
         }
-        let excess = self.in_flight as f64 + 1.0 - self.allowed(class);
+        let excess = self.in_flight as f64 + 1.0 - allowed;
         let turn = self.pace.refused(excess.max(1.0), now);
         Admission::Refuse {
             reason: Reason::Overload,
@@ -97,6 +134,20 @@
         }
     }
 
+    /// Returns the wait at the backend servers up to which a request is let in.
+    pub fn bearable(&self, urgency: Urgency, now: Time) -> Duration {
+        self.ranks.bearable(urgency, now)
+    }
+
+    /// Tells whether the servers are expected to answer in time, and others more urgent too. With nothing in flight, a request shows
+    /// how the servers stand.
+    fn is_bearable(&self, ranked: Option<&Ranked>, now: Time) -> bool {
+        let Some(Ranked { urgency, wait }) = ranked else {
+            return true;
+        };
+        self.in_flight == 0 || *wait <= self.ranks.bearable(*urgency, now)
+    }
+
     /// Records that an admitted request has ended, after `took`, whatever its outcome.
     pub fn finished(&mut self, _class: Class, took: Duration, now: Time) {
         let in_flight = self.in_flight;
@@ -121,12 +172,15 @@
 
     /// Returns how many requests may be in flight for one of `class` to be admitted. At least one:
     /// with nothing in flight there is room for anybody.
-    fn allowed(&self, class: Class) -> f64 {
-        let share = match class {
+    fn allowed(&self, class: Class, ranked: Option<&Ranked>, now: Time) -> f64 {
+        let of_class = match class {
             Class::Urgent => URGENT_SHARE,
             Class::Normal => NORMAL_SHARE,
             Class::Background => BACKGROUND_SHARE,
         };
+        let before = ranked.map_or(0, |ranked| self.ranks.before(ranked.urgency.rank, now));
+        let of_rank = RANK_SHARE.powi(before as i32);
+        let share = f64::min(of_class, of_rank);
         (self.limit.get() * share).max(1.0)
     }
 }
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -60,6 +60,26 @@
         shares.sum::<f64>() / self.servers.len().max(1) as f64
     }
 
+    /// Returns the time that a new attempt would wait in the tightest group that is left when so many of the tightest are left out,
+    /// at its least busy server, by what servers report of all homes' work.
+    pub fn reported_wait(&self, dispensable: usize, now: Time) -> Duration {
+        let groups = 0..self.groups.len();
+        let mut waits: Vec<Duration> = groups
+            .filter_map(|group| self.least_reported_wait(group, now))
+            .collect();
+        let Some(last) = waits.len().checked_sub(1) else {
+            return Duration::ZERO;
+        };
+        let (_, wait, _) = waits.select_nth_unstable_by(dispensable.min(last), |one, other| other.cmp(one));
+        *wait
+    }
+
+    fn least_reported_wait(&self, group: usize, now: Time) -> Option<Duration> {
+        let usual = self.usual(group);
+        let usable = self.usable(group, now);
+        usable.map(|server| server.reported_wait(usual, now)).min()
+    }
+
     fn least_wait(&self, group: usize, now: Time) -> Option<Duration> {
         let usable = self.usable(group, now);
         let loads = usable.map(|server| self.expected_load(server, now));
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -31,6 +31,12 @@
 /// as a few of these succeed.
 const FAILING_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Time after which what a server reported of others' load has halved.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(200);
+
+/// Wait that a report may tell of, as a multiple of the recent latency. A queue that builds up is reported before answers show it.
+const BORNE_OUT: f64 = 3.0;
+
 /// Share of an attempt that still counts as load while it is being cancelled: most servers drop a
 /// queued attempt at once and end a running one soon.
 const CANCELLING_LOAD: f64 = 0.5;
@@ -188,6 +194,24 @@
         share * (-age / FAILING_HALF_LIFE.as_secs_f64()).exp2()
     }
 
+    /// Returns the time that a new attempt would wait here, by its last report and what this home has here. Reports count for at most
+    /// what the latest answers show: one that tells of a queue through which answers come in no time is wrong.
+    pub(crate) fn reported_wait(&self, usual: Usual, now: Time) -> Duration {
+        let wait = |load: f64| {
+            let ahead = (load + 1.0 - usual.slots).max(0.0);
+            usual.work.as_secs_f64() * ahead / usual.slots
+        };
+        let own = wait(self.own());
+        let Some(reported) = self.reported else {
+            return Duration::from_secs_f64(own);
+        };
+        let age = now.saturating_sub(reported.at).as_secs_f64();
+        let fading = (-age / REPORT_HALF_LIFE.as_secs_f64()).exp2();
+        let said = wait(self.own() + reported.others * fading);
+        let recent = self.recent.map_or(0.0, |(recent, _)| recent);
+        Duration::from_secs_f64(said.min(own.max(recent * BORNE_OUT)))
+    }
+
     /// Takes in the load that the server reports.
     pub(crate) fn take_load(&mut self, load: Load, now: Time) {
         let all = f64::from(load.busy) + f64::from(load.queued);
--- a/crates/decision/src/gateway/table.rs
+++ b/crates/decision/src/gateway/table.rs
@@ -1,6 +1,7 @@
 //! The routes of one version of the configuration, and which of them a request takes.
 
 use super::{ServiceId, Shards, way};
+use crate::admission::Urgency;
 use crate::home::Terms;
 use crate::query::coverage;
 use monsoonring_configuration::document::{Class, Kind, SoftDeadline};
@@ -101,6 +102,10 @@
             soft_deadline: soft,
             least_coverage: soft.map_or(0.0, |soft| soft.coverage),
             work: xxh3_64(self.name.as_bytes()),
+            urgency: Some(Urgency {
+                rank: self.priority,
+                objective: way::leaves_after(self.objective, on_the_way),
+            }),
         }
     }
 
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -8,7 +8,7 @@
 use super::placement::Placement;
 use super::terms::Terms;
 use super::timer::{self, Timer};
-use crate::admission::{Admission, Gate};
+use crate::admission::{Admission, Gate, Ranked};
 use crate::attempt::AttemptId;
 use crate::backend::pool::Pool;
 use crate::backend::suspect::{Standing, Table};
@@ -286,7 +286,12 @@
         }
         let dispensable = self.dispensable(request);
         let room = self.fleet.room_without(dispensable, now);
-        match self.gate.admit(request.class, request.deadline, &room, now) {
+        let ranked = self.terms(request).urgency.map(|urgency| Ranked {
+            urgency,
+            wait: self.fleet.reported_wait(dispensable, now),
+        });
+        let (class, deadline) = (request.class, request.deadline);
+        match self.gate.admit_ranked(class, ranked, deadline, &room, now) {
             Admission::Admit => None,
             Admission::Refuse {
                 reason,
--- a/crates/decision/src/home/terms.rs
+++ b/crates/decision/src/home/terms.rs
@@ -5,6 +5,7 @@
 //! know less of their load, so that they share one, and each request brings what its route says.
 
 use crate::Work;
+use crate::admission::Urgency;
 use crate::query::coverage;
 use monsoonring_configuration::document::{Kind, Route, SoftDeadline};
 
@@ -22,6 +23,8 @@
     pub least_coverage: f64,
     /// What it asks of the backend servers.
     pub work: Work,
+    /// How urgent it is, where requests of other ranks share the backend servers.
+    pub urgency: Option<Urgency>,
 }
 
 impl Terms {
@@ -52,6 +55,7 @@
             soft_deadline: route.soft_deadline,
             least_coverage: 0.0,
             work: 0,
+            urgency: None,
         }
     }
 }
