--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -235,7 +235,7 @@
         }
         if let Some((reason, retry_after)) = self.refusal(&request, now) {
             let outcome = Unrun::arrived().outcome(reason, retry_after);
-            let why = format!("{reason} class={:?}", request.class);
+            let why = format!("{reason} {}", self.refused_by(&request, now));
             self.log(Some(request.id), "refuse", None, why);
             self.actions.push(Action::Finish(request.id, outcome));
             return;
@@ -300,6 +300,17 @@
         }
     }
 
+    /// Returns what a refusal was decided by, for the log.
+    fn refused_by(&self, request: &Request<C>, now: Time) -> String {
+        let in_flight = format!("in_flight={}/{:.0}", self.gate.in_flight(), self.gate.limit());
+        let Some(urgency) = self.terms(request).urgency else {
+            return format!("class={:?} {in_flight}", request.class);
+        };
+        let wait = self.fleet.reported_wait(self.dispensable(request), now);
+        let bearable = self.gate.bearable(urgency, now);
+        format!("rank={} wait={wait:.1?} bearable={bearable:.1?} {in_flight}", urgency.rank)
+    }
+
     fn abandoned(&mut self, id: RequestId, now: Time) {
         if let Some(run) = self.runs.remove(&id) {
             self.finish_search(run, Reason::Abandoned, now);
