Let less urgent parts wait at the host until a server has a slot free

Cause: servers work in the order of arrival, so that protecting the urgent kind meant short queues for all, while one shard in eight has a paused server at any moment. Change: where a more urgent rank is asked for of late, parts of the others wait in the home, and go to a server that reports a free slot; admission counts that wait for the kind itself only.

--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -14,7 +14,7 @@
 mod rank;
 
 use crate::Time;
-use crate::backend::Room;
+use crate::backend::{Room, Waits};
 use crate::outcome::Reason;
 use limit::Limit;
 use monsoonring_configuration::document::{Class, Route};
@@ -36,12 +36,16 @@
 const RANK_SHARE: f64 = 0.8;
 
 /// A request whose rank is known, as admission sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ranked {
     /// How urgent it is.
     pub urgency: Urgency,
-    /// Time that it would wait at the backend servers, by what these report.
-    pub wait: Duration,
+    /// How many groups its answer can do without.
+    pub dispensable: usize,
+    /// Times that it would wait before it is worked on.
+    pub own: Waits,
+    /// Times that any request waits at the backend servers, by what these report.
+    pub waits: Waits,
 }
 
 /// What is done with a new request.
@@ -99,14 +103,14 @@
     pub fn admit_ranked(
         &mut self,
         class: Class,
-        ranked: Option<Ranked>,
+        ranked: Option<&Ranked>,
         deadline: Time,
         room: &Room,
         now: Time,
     ) -> Admission {
         self.waiting = !room.wait.is_zero();
-        if let Some(ranked) = &ranked {
-            self.ranks.asked(ranked.urgency, now);
+        if let Some(ranked) = ranked {
+            self.ranks.asked(ranked, now);
         }
         let remaining = deadline.saturating_sub(now);
         if remaining <= room.work {
@@ -117,11 +121,11 @@
             };
         }
         let in_time = room.wait + room.work < remaining;
-        let allowed = self.allowed(class, ranked.as_ref(), now);
+        let allowed = self.allowed(class, ranked, now);
         let fits = self.in_flight as f64 + 1.0 <= allowed;
-        if in_time && fits && self.is_bearable(ranked.as_ref(), now) {
+        if in_time && fits && self.is_bearable(ranked, now) {
             self.in_flight += 1;
-            if let Some(ranked) = &ranked {
+            if let Some(ranked) = ranked {
                 self.ranks.admitted(ranked.urgency, now);
             }
             return Admission::Admit;
@@ -134,18 +138,26 @@
         }
     }
 
-    /// Returns the wait at the backend servers up to which a request is let in.
-    pub fn bearable(&self, urgency: Urgency, now: Time) -> Duration {
-        self.ranks.bearable(urgency, now)
+    /// Returns what a request that is refused would have made too long: for the log.
+    pub fn unbearable(&self, ranked: &Ranked, now: Time) -> String {
+        match self.ranks.unbearable(ranked, now) {
+            Some(unbearable) => format!("rank={} {unbearable}", ranked.urgency.rank),
+            None => format!("rank={}", ranked.urgency.rank),
+        }
+    }
+
+    /// Tells whether more urgent ranks than this one are asked for of late.
+    pub fn yields(&self, rank: Rank, now: Time) -> bool {
+        self.ranks.before(rank, now) > 0
     }
 
     /// Tells whether the servers are expected to answer in time, and others more urgent too. With nothing in flight, a request shows
     /// how the servers stand.
     fn is_bearable(&self, ranked: Option<&Ranked>, now: Time) -> bool {
-        let Some(Ranked { urgency, wait }) = ranked else {
+        let Some(ranked) = ranked else {
             return true;
         };
-        self.in_flight == 0 || *wait <= self.ranks.bearable(*urgency, now)
+        self.in_flight == 0 || self.ranks.unbearable(ranked, now).is_none()
     }
 
     /// Records that an admitted request has ended, after `took`, whatever its outcome.
--- a/crates/decision/src/admission/rank.rs
+++ b/crates/decision/src/admission/rank.rs
@@ -7,7 +7,9 @@
 //!
 //! No kind starves: one that is served far less than all together is held only to what it bears itself.
 
+use super::Ranked;
 use crate::Time;
+use derive_more::Display;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -42,6 +44,15 @@
     pub objective: Duration,
 }
 
+/// A kind of request for which the servers have too much waiting.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display("rank {rank} would wait {wait:.1?}, bears {bearable:.1?}")]
+pub(super) struct Unbearable {
+    rank: Rank,
+    wait: Duration,
+    bearable: Duration,
+}
+
 /// A count that halves with time.
 #[derive(Clone, Copy, Debug, Default)]
 struct Decaying {
@@ -66,6 +77,8 @@
 struct Kind {
     /// The shortest objective of its requests of late.
     objective: Duration,
+    /// The fewest groups that their answers can do without.
+    dispensable: usize,
     asked: Decaying,
     admitted: Decaying,
     last: Time,
@@ -85,12 +98,16 @@
 
 impl Ranks {
     /// Records that a request is asked for.
-    pub(super) fn asked(&mut self, urgency: Urgency, now: Time) {
+    pub(super) fn asked(&mut self, ranked: &Ranked, now: Time) {
+        let Ranked { urgency, dispensable, .. } = ranked;
         let kind = self.kinds.entry(self.known_as(urgency.rank)).or_default();
-        kind.objective = match kind.is_recent(now) && kind.asked.count > 0.0 {
-            true => kind.objective.min(urgency.objective),
-            false => urgency.objective,
-        };
+        if kind.is_recent(now) && kind.asked.count > 0.0 {
+            kind.objective = kind.objective.min(urgency.objective);
+            kind.dispensable = kind.dispensable.min(dispensable / 2);
+        } else {
+            kind.objective = urgency.objective;
+            kind.dispensable = dispensable / 2;
+        }
         kind.last = now;
         kind.asked.add(now);
     }
@@ -103,17 +120,27 @@
         }
     }
 
-    /// Returns the wait at the servers up to which a request is let in.
-    pub(super) fn bearable(&self, urgency: Urgency, now: Time) -> Duration {
-        let own = urgency.objective.mul_f64(OWN);
+    /// Returns for whom the servers have too much waiting to let a request in; `None` where it may come in.
+    pub(super) fn unbearable(&self, ranked: &Ranked, now: Time) -> Option<Unbearable> {
+        let Ranked { urgency, dispensable, own, waits } = ranked;
+        let own = Unbearable {
+            rank: urgency.rank,
+            wait: own.without(*dispensable),
+            bearable: urgency.objective.mul_f64(OWN),
+        };
         let share = match self.is_starved(urgency.rank, now) {
             true => OWN,
             false => OTHERS,
         };
         let before = self.kinds.range(..urgency.rank);
         let before = before.filter(|(_, kind)| kind.is_recent(now));
-        let others = before.map(|(_, kind)| kind.objective.mul_f64(share)).min();
-        others.map_or(own, |others| others.min(own))
+        let before = before.map(|(rank, kind)| Unbearable {
+            rank: *rank,
+            wait: waits.without(kind.dispensable),
+            bearable: kind.objective.mul_f64(share),
+        });
+        let mut all = before.chain([own]);
+        all.find(|one| one.wait > one.bearable)
     }
 
     /// Returns how many more urgent ranks are asked for of late.
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -3,8 +3,32 @@
 use super::fleet::Fleet;
 use super::server::Server;
 use crate::Time;
+use monsoonring_configuration::id::BackendServerId;
 use std::time::Duration;
 
+/// Attempts on their way to a server of which all slots are taken, so that none stays empty until the next one arrives.
+const ON_THE_WAY: f64 = 1.0;
+
+/// Times that a new attempt would wait in each group, the longest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Waits(Vec<Duration>);
+
+impl Waits {
+    /// Returns the wait in the tightest group that is left when so many of the tightest are left out.
+    pub fn without(&self, dispensable: usize) -> Duration {
+        let last = self.0.len().saturating_sub(1);
+        self.0.get(dispensable.min(last)).copied().unwrap_or_default()
+    }
+}
+
+impl FromIterator<Duration> for Waits {
+    fn from_iter<I: IntoIterator<Item = Duration>>(waits: I) -> Self {
+        let mut waits: Vec<Duration> = waits.into_iter().collect();
+        waits.sort_unstable_by(|one, other| other.cmp(one));
+        Self(waits)
+    }
+}
+
 /// Room for work, taken from the group that has the least of it.
 ///
 /// A search needs every group, so the busiest group decides how long a query waits.
@@ -60,18 +84,27 @@
         shares.sum::<f64>() / self.servers.len().max(1) as f64
     }
 
-    /// Returns the time that a new attempt would wait in the tightest group that is left when so many of the tightest are left out,
-    /// at its least busy server, by what servers report of all homes' work.
-    pub fn reported_wait(&self, dispensable: usize, now: Time) -> Duration {
+    /// Returns the time that a new attempt would wait in each group, at its least busy server, by what servers report of all
+    /// homes' work.
+    pub fn reported_waits(&self, now: Time) -> Vec<(usize, Duration)> {
         let groups = 0..self.groups.len();
-        let mut waits: Vec<Duration> = groups
-            .filter_map(|group| self.least_reported_wait(group, now))
-            .collect();
-        let Some(last) = waits.len().checked_sub(1) else {
-            return Duration::ZERO;
-        };
-        let (_, wait, _) = waits.select_nth_unstable_by(dispensable.min(last), |one, other| other.cmp(one));
-        *wait
+        let wait = |group| Some((group, self.least_reported_wait(group, now)?));
+        groups.filter_map(wait).collect()
+    }
+
+    /// Returns the time that the servers of a group take for so many attempts of this home, beside those of homes that have as many.
+    pub fn time_for(&self, group: usize, attempts: usize, now: Time) -> Duration {
+        let usable = self.usable(group, now).count().max(1) as f64;
+        let ahead = attempts as f64 * self.division.alike();
+        self.usual(group).work.mul_f64(ahead / (usable * self.slots()))
+    }
+
+    /// Tells whether a server has a slot free, or about to be, by what it reports of all homes' work. One that has nothing of this home
+    /// has: else a home that hears nothing of a server would never ask it again.
+    pub fn has_free_slot(&self, server: BackendServerId, now: Time) -> bool {
+        self.servers
+            .get(&server)
+            .is_some_and(|state| state.own() == 0.0 || state.reported_load(now) < self.slots() + ON_THE_WAY)
     }
 
     fn least_reported_wait(&self, group: usize, now: Time) -> Option<Duration> {
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -202,14 +202,19 @@
             usual.work.as_secs_f64() * ahead / usual.slots
         };
         let own = wait(self.own());
+        let said = wait(self.reported_load(now));
+        let recent = self.recent.map_or(0.0, |(recent, _)| recent);
+        Duration::from_secs_f64(said.min(own.max(recent * BORNE_OUT)))
+    }
+
+    /// Returns the attempts of all homes here, by its last report and what this home has here.
+    pub(crate) fn reported_load(&self, now: Time) -> f64 {
         let Some(reported) = self.reported else {
-            return Duration::from_secs_f64(own);
+            return self.own();
         };
         let age = now.saturating_sub(reported.at).as_secs_f64();
         let fading = (-age / REPORT_HALF_LIFE.as_secs_f64()).exp2();
-        let said = wait(self.own() + reported.others * fading);
-        let recent = self.recent.map_or(0.0, |(recent, _)| recent);
-        Duration::from_secs_f64(said.min(own.max(recent * BORNE_OUT)))
+        self.own() + reported.others * fading
     }
 
     /// Takes in the load that the server reports.
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -262,7 +262,10 @@
     /// Chooses a server that was not tried for the part; if there is none, one that was.
     fn pick(&mut self, run: &Run<C>, id: PartId, now: Time) -> Option<(BackendServerId, Least)> {
         let part = run.parts.get(&id)?;
-        let candidates = self.candidates(part);
+        let mut candidates = self.candidates(part);
+        if self.yields(&run.request, now) {
+            candidates.retain(|server| self.fleet.has_free_slot(*server, now));
+        }
         let version = run.pin;
         let fleet = &mut self.fleet;
         let fresh = fleet.choose(&candidates, &part.tried, version, now, &mut self.rng);
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -286,12 +286,9 @@
         }
         let dispensable = self.dispensable(request);
         let room = self.fleet.room_without(dispensable, now);
-        let ranked = self.terms(request).urgency.map(|urgency| Ranked {
-            urgency,
-            wait: self.fleet.reported_wait(dispensable, now),
-        });
+        let ranked = self.ranked(request, now);
         let (class, deadline) = (request.class, request.deadline);
-        match self.gate.admit_ranked(class, ranked, deadline, &room, now) {
+        match self.gate.admit_ranked(class, ranked.as_ref(), deadline, &room, now) {
             Admission::Admit => None,
             Admission::Refuse {
                 reason,
@@ -303,12 +300,37 @@
     /// Returns what a refusal was decided by, for the log.
     fn refused_by(&self, request: &Request<C>, now: Time) -> String {
         let in_flight = format!("in_flight={}/{:.0}", self.gate.in_flight(), self.gate.limit());
-        let Some(urgency) = self.terms(request).urgency else {
-            return format!("class={:?} {in_flight}", request.class);
-        };
-        let wait = self.fleet.reported_wait(self.dispensable(request), now);
-        let bearable = self.gate.bearable(urgency, now);
-        format!("rank={} wait={wait:.1?} bearable={bearable:.1?} {in_flight}", urgency.rank)
+        match self.ranked(request, now) {
+            Some(ranked) => format!("{} {in_flight}", self.gate.unbearable(&ranked, now)),
+            None => format!("class={:?} {in_flight}", request.class),
+        }
+    }
+
+    /// Returns what admission holds against each other for a request whose rank is known.
+    fn ranked(&self, request: &Request<C>, now: Time) -> Option<Ranked> {
+        let urgency = self.terms(request).urgency?;
+        let at_servers = self.fleet.reported_waits(now);
+        let parked = |group| self.waiting.get(group).map_or(0, BTreeSet::len);
+        let own = at_servers.iter().map(|(group, wait)| {
+            let before = match self.yields(request, now) {
+                true => self.fleet.time_for(*group, parked(group), now),
+                false => Duration::ZERO,
+            };
+            *wait + before
+        });
+        Some(Ranked {
+            urgency,
+            dispensable: self.dispensable(request),
+            own: own.collect(),
+            waits: at_servers.iter().map(|(_, wait)| *wait).collect(),
+        })
+    }
+
+    /// Tells whether a request leaves the servers' queues to more urgent ones: what has been sent there can't be put in order any more,
+    /// so that its parts wait here until a slot is free.
+    pub(super) fn yields(&self, request: &Request<C>, now: Time) -> bool {
+        let urgency = self.terms(request).urgency;
+        urgency.is_some_and(|urgency| self.gate.yields(urgency.rank, now))
     }
 
     fn abandoned(&mut self, id: RequestId, now: Time) {
