--- a/crates/decision/src/admission/rank.rs
+++ b/crates/decision/src/admission/rank.rs
@@ -21,10 +21,10 @@
 
 /// Share of its own objective that a request may wait at the servers. The rest is for its work there, which the slowest of many
 /// shards takes two to three times as long for as the mean, and for the way.
-const OWN: f64 = 0.33;
+const OWN: f64 = 0.5;
 
 /// Share of a more urgent kind's objective that a request may make that kind wait.
-const OTHERS: f64 = 0.2;
+const OTHERS: f64 = 0.4;
 
 /// Time after which a kind that nobody asks for any more does not hold others back.
 const RECENT: Duration = Duration::from_secs(5);
@@ -99,7 +99,11 @@
 impl Ranks {
     /// Records that a request is asked for.
     pub(super) fn asked(&mut self, ranked: &Ranked, now: Time) {
-        let Ranked { urgency, dispensable, .. } = ranked;
+        let Ranked {
+            urgency,
+            dispensable,
+            ..
+        } = ranked;
         let kind = self.kinds.entry(self.known_as(urgency.rank)).or_default();
         if kind.is_recent(now) && kind.asked.count > 0.0 {
             kind.objective = kind.objective.min(urgency.objective);
@@ -122,7 +126,12 @@
 
     /// Returns for whom the servers have too much waiting to let a request in; `None` where it may come in.
     pub(super) fn unbearable(&self, ranked: &Ranked, now: Time) -> Option<Unbearable> {
-        let Ranked { urgency, dispensable, own, waits } = ranked;
+        let Ranked {
+            urgency,
+            dispensable,
+            own,
+            waits,
+        } = ranked;
         let own = Unbearable {
             rank: urgency.rank,
             wait: own.without(*dispensable),
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -17,7 +17,10 @@
     /// Returns the wait in the tightest group that is left when so many of the tightest are left out.
     pub fn without(&self, dispensable: usize) -> Duration {
         let last = self.0.len().saturating_sub(1);
-        self.0.get(dispensable.min(last)).copied().unwrap_or_default()
+        self.0
+            .get(dispensable.min(last))
+            .copied()
+            .unwrap_or_default()
     }
 }
 
@@ -96,15 +99,17 @@
     pub fn time_for(&self, group: usize, attempts: usize, now: Time) -> Duration {
         let usable = self.usable(group, now).count().max(1) as f64;
         let ahead = attempts as f64 * self.division.alike();
-        self.usual(group).work.mul_f64(ahead / (usable * self.slots()))
+        self.usual(group)
+            .work
+            .mul_f64(ahead / (usable * self.slots()))
     }
 
     /// Tells whether a server has a slot free, or about to be, by what it reports of all homes' work. One that has nothing of this home
     /// has: else a home that hears nothing of a server would never ask it again.
     pub fn has_free_slot(&self, server: BackendServerId, now: Time) -> bool {
-        self.servers
-            .get(&server)
-            .is_some_and(|state| state.own() == 0.0 || state.reported_load(now) < self.slots() + ON_THE_WAY)
+        self.servers.get(&server).is_some_and(|state| {
+            state.own() == 0.0 || state.reported_load(now) < self.slots() + ON_THE_WAY
+        })
     }
 
     fn least_reported_wait(&self, group: usize, now: Time) -> Option<Duration> {
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -288,7 +288,10 @@
         let room = self.fleet.room_without(dispensable, now);
         let ranked = self.ranked(request, now);
         let (class, deadline) = (request.class, request.deadline);
-        match self.gate.admit_ranked(class, ranked.as_ref(), deadline, &room, now) {
+        match self
+            .gate
+            .admit_ranked(class, ranked.as_ref(), deadline, &room, now)
+        {
             Admission::Admit => None,
             Admission::Refuse {
                 reason,
@@ -299,7 +302,11 @@
 
     /// Returns what a refusal was decided by, for the log.
     fn refused_by(&self, request: &Request<C>, now: Time) -> String {
-        let in_flight = format!("in_flight={}/{:.0}", self.gate.in_flight(), self.gate.limit());
+        let in_flight = format!(
+            "in_flight={}/{:.0}",
+            self.gate.in_flight(),
+            self.gate.limit()
+        );
         match self.ranked(request, now) {
             Some(ranked) => format!("{} {in_flight}", self.gate.unbearable(&ranked, now)),
             None => format!("class={:?} {in_flight}", request.class),
