Tell kinds apart by objective as well as by rank, and limit by reports where there are any

Cause: on the notice boards the kind with the shorter objective (alerts, 80 ms) has the lower rank; the other filled the servers' queues up to what it bears itself, 90 ms. And the limit on requests in flight, led by late answers, fell to 11 for each host although servers' reports tell what there is room for. Change: who has the longer objective leaves the servers' queues; the limit stands in only where most servers have not reported of late.

--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -13,9 +13,9 @@
 mod pace;
 mod rank;
 
-use crate::Time;
-use crate::backend::{Room, Waits};
+use crate::backend::{self, Room};
 use crate::outcome::Reason;
+use crate::{Time, Work};
 use limit::Limit;
 use monsoonring_configuration::document::{Class, Route};
 use pace::Pace;
@@ -38,16 +38,27 @@
 /// A request whose rank is known, as admission sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ranked {
+    /// What it asks of the backend servers; requests that ask for the same are of one kind.
+    pub work: Work,
     /// How urgent it is.
     pub urgency: Urgency,
     /// How many groups its answer can do without.
     pub dispensable: usize,
-    /// Times that it would wait before it is worked on.
-    pub own: Waits,
-    /// Times that any request waits at the backend servers, by what these report.
+    /// How long requests wait now.
     pub waits: Waits,
 }
 
+/// How long requests wait in each group before they are worked on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Waits {
+    /// At the backend servers, by what these report.
+    pub at_servers: backend::Waits,
+    /// Here and at the backend servers, for requests that leave the servers' queues to others.
+    pub in_all: backend::Waits,
+    /// Whether most backend servers have reported their load of late.
+    pub are_reported: bool,
+}
+
 /// What is done with a new request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -122,11 +133,13 @@
         }
         let in_time = room.wait + room.work < remaining;
         let allowed = self.allowed(class, ranked, now);
-        let fits = self.in_flight as f64 + 1.0 <= allowed;
+        // The limit stands in for what is not reported.
+        let is_reported = ranked.is_some_and(|ranked| ranked.waits.are_reported);
+        let fits = is_reported || self.in_flight as f64 + 1.0 <= allowed;
         if in_time && fits && self.is_bearable(ranked, now) {
             self.in_flight += 1;
             if let Some(ranked) = ranked {
-                self.ranks.admitted(ranked.urgency, now);
+                self.ranks.admitted(ranked, now);
             }
             return Admission::Admit;
         }
@@ -146,9 +159,9 @@
         }
     }
 
-    /// Tells whether more urgent ranks than this one are asked for of late.
-    pub fn yields(&self, rank: Rank, now: Time) -> bool {
-        self.ranks.before(rank, now) > 0
+    /// Tells whether requests with a shorter objective than this one are asked for of late.
+    pub fn yields(&self, urgency: Urgency, now: Time) -> bool {
+        self.ranks.yields(urgency.objective, now)
     }
 
     /// Tells whether the servers are expected to answer in time, and others more urgent too. With nothing in flight, a request shows
--- a/crates/decision/src/admission/rank.rs
+++ b/crates/decision/src/admission/rank.rs
@@ -7,8 +7,8 @@
 //!
 //! No kind starves: one that is served far less than all together is held only to what it bears itself.
 
-use super::Ranked;
-use crate::Time;
+use super::{Ranked, Waits};
+use crate::{Time, Work};
 use derive_more::Display;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,8 +16,8 @@
 /// Rank of a kind of request; 0 is the most urgent.
 pub type Rank = u32;
 
-/// Ranks that are told apart; those beyond count as the last of them.
-const RANKS_AT_MOST: usize = 32;
+/// Kinds that are told apart.
+const KINDS_AT_MOST: usize = 32;
 
 /// Share of its own objective that a request may wait at the servers. The rest is for its work there, which the slowest of many
 /// shards takes two to three times as long for as the mean, and for the way.
@@ -32,6 +32,12 @@
 /// Time after which what was counted has halved.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Part of the groups that a more urgent kind's answers can do without on which it may be made to wait: the rest is for what fails.
+const DISPENSABLE_PART: usize = 2;
+
+/// An objective is the shorter one below this share of another.
+const SHORTER: f64 = 0.75;
+
 /// A kind that is served less than this share of what all kinds are served together is not held back for others.
 const STARVED: f64 = 0.34;
 
@@ -72,101 +78,116 @@
     }
 }
 
-/// What is known of one rank.
+/// What is known of one kind of request.
 #[derive(Clone, Copy, Debug, Default)]
 struct Kind {
+    rank: Rank,
     /// The shortest objective of its requests of late.
     objective: Duration,
-    /// The fewest groups that their answers can do without.
+    /// The groups that their answers can do without.
     dispensable: usize,
     asked: Decaying,
     admitted: Decaying,
-    last: Time,
+    last: Option<Time>,
 }
 
 impl Kind {
     fn is_recent(&self, now: Time) -> bool {
-        self.last + RECENT > now
+        self.last.is_some_and(|last| last + RECENT > now)
     }
 }
 
-/// The ranks that share a set of servers.
+/// The kinds of request that share a set of servers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Ranks {
-    kinds: BTreeMap<Rank, Kind>,
+    kinds: BTreeMap<Work, Kind>,
 }
 
 impl Ranks {
     /// Records that a request is asked for.
     pub(super) fn asked(&mut self, ranked: &Ranked, now: Time) {
-        let Ranked {
-            urgency,
-            dispensable,
-            ..
-        } = ranked;
-        let kind = self.kinds.entry(self.known_as(urgency.rank)).or_default();
-        if kind.is_recent(now) && kind.asked.count > 0.0 {
-            kind.objective = kind.objective.min(urgency.objective);
-            kind.dispensable = kind.dispensable.min(dispensable / 2);
-        } else {
-            kind.objective = urgency.objective;
-            kind.dispensable = dispensable / 2;
-        }
-        kind.last = now;
+        self.make_room(ranked.work);
+        let Urgency { rank, objective } = ranked.urgency;
+        let kind = self.kinds.entry(ranked.work).or_default();
+        let is_new = !kind.is_recent(now);
+        kind.rank = rank;
+        kind.objective = match is_new {
+            true => objective,
+            false => kind.objective.min(objective),
+        };
+        kind.dispensable = ranked.dispensable;
+        kind.last = Some(now);
         kind.asked.add(now);
     }
 
     /// Records that a request was let in.
-    pub(super) fn admitted(&mut self, urgency: Urgency, now: Time) {
-        let rank = self.known_as(urgency.rank);
-        if let Some(kind) = self.kinds.get_mut(&rank) {
+    pub(super) fn admitted(&mut self, ranked: &Ranked, now: Time) {
+        if let Some(kind) = self.kinds.get_mut(&ranked.work) {
             kind.admitted.add(now);
         }
     }
 
-    /// Returns for whom the servers have too much waiting to let a request in; `None` where it may come in.
+    /// Returns for whom too much is waiting to let a request in; `None` where it may come in.
     pub(super) fn unbearable(&self, ranked: &Ranked, now: Time) -> Option<Unbearable> {
-        let Ranked {
-            urgency,
-            dispensable,
-            own,
-            waits,
-        } = ranked;
+        let Urgency { rank, objective } = ranked.urgency;
         let own = Unbearable {
-            rank: urgency.rank,
-            wait: own.without(*dispensable),
-            bearable: urgency.objective.mul_f64(OWN),
+            rank,
+            wait: self.wait(objective, &ranked.waits, ranked.dispensable, now),
+            bearable: objective.mul_f64(OWN),
         };
-        let share = match self.is_starved(urgency.rank, now) {
+        let share = match self.is_starved(ranked.work, now) {
             true => OWN,
             false => OTHERS,
         };
-        let before = self.kinds.range(..urgency.rank);
-        let before = before.filter(|(_, kind)| kind.is_recent(now));
-        let before = before.map(|(rank, kind)| Unbearable {
-            rank: *rank,
-            wait: waits.without(kind.dispensable),
-            bearable: kind.objective.mul_f64(share),
+        let before = self.recent(now).filter(|kind| kind.rank < rank);
+        let before = before.map(|kind| {
+            let dispensable = kind.dispensable / DISPENSABLE_PART;
+            Unbearable {
+                rank: kind.rank,
+                wait: self.wait(kind.objective, &ranked.waits, dispensable, now),
+                bearable: kind.objective.mul_f64(share),
+            }
         });
         let mut all = before.chain([own]);
         all.find(|one| one.wait > one.bearable)
     }
 
-    /// Returns how many more urgent ranks are asked for of late.
+    /// Tells whether kinds with a shorter objective than this one are asked for of late.
+    pub(super) fn yields(&self, objective: Duration, now: Time) -> bool {
+        let most = objective.mul_f64(SHORTER);
+        self.recent(now).any(|kind| kind.objective < most)
+    }
+
+    /// Returns how many more urgent kinds are asked for of late.
     pub(super) fn before(&self, rank: Rank, now: Time) -> usize {
-        let before = self.kinds.range(..rank);
-        before.filter(|(_, kind)| kind.is_recent(now)).count()
+        self.recent(now).filter(|kind| kind.rank < rank).count()
     }
 
-    fn known_as(&self, rank: Rank) -> Rank {
-        match self.kinds.len() < RANKS_AT_MOST || self.kinds.contains_key(&rank) {
-            true => rank,
-            false => self.kinds.keys().next_back().copied().unwrap_or(rank),
+    fn recent(&self, now: Time) -> impl Iterator<Item = &Kind> {
+        self.kinds.values().filter(move |kind| kind.is_recent(now))
+    }
+
+    /// Returns how long a kind with this objective waits before it is worked on.
+    fn wait(&self, objective: Duration, waits: &Waits, dispensable: usize, now: Time) -> Duration {
+        match self.yields(objective, now) {
+            true => waits.in_all.without(dispensable),
+            false => waits.at_servers.without(dispensable),
+        }
+    }
+
+    /// Forgets the kind that was asked for the longest ago where there are too many to add one.
+    fn make_room(&mut self, work: Work) {
+        if self.kinds.len() < KINDS_AT_MOST || self.kinds.contains_key(&work) {
+            return;
+        }
+        let oldest = self.kinds.iter().min_by_key(|(_, kind)| kind.last);
+        if let Some(oldest) = oldest.map(|(work, _)| *work) {
+            self.kinds.remove(&oldest);
         }
     }
 
-    fn is_starved(&self, rank: Rank, now: Time) -> bool {
-        let Some(kind) = self.kinds.get(&rank) else {
+    fn is_starved(&self, work: Work, now: Time) -> bool {
+        let Some(kind) = self.kinds.get(&work) else {
             return false;
         };
         let all = |of: fn(&Kind) -> Decaying| -> f64 {
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -104,6 +104,15 @@
             .mul_f64(ahead / (usable * self.slots()))
     }
 
+    /// Tells whether most servers have reported their load of late.
+    pub fn is_reported(&self, now: Time) -> bool {
+        let reported = self
+            .servers
+            .values()
+            .filter(|server| server.is_reported(now));
+        reported.count() * 2 > self.servers.len()
+    }
+
     /// Tells whether a server has a slot free, or about to be, by what it reports of all homes' work. One that has nothing of this home
     /// has: else a home that hears nothing of a server would never ask it again.
     pub fn has_free_slot(&self, server: BackendServerId, now: Time) -> bool {
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -34,6 +34,9 @@
 /// Time after which what a server reported of others' load has halved.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(200);
 
+/// Age up to which a report tells how a server stands.
+const REPORT_RECENT: Duration = Duration::from_millis(500);
+
 /// Wait that a report may tell of, as a multiple of the recent latency. A queue that builds up is reported before answers show it.
 const BORNE_OUT: f64 = 3.0;
 
@@ -207,6 +210,12 @@
         Duration::from_secs_f64(said.min(own.max(recent * BORNE_OUT)))
     }
 
+    /// Tells whether it has reported its load of late.
+    pub(crate) fn is_reported(&self, now: Time) -> bool {
+        self.reported
+            .is_some_and(|reported| now.saturating_sub(reported.at) < REPORT_RECENT)
+    }
+
     /// Returns the attempts of all homes here, by its last report and what this home has here.
     pub(crate) fn reported_load(&self, now: Time) -> f64 {
         let Some(reported) = self.reported else {
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -8,7 +8,7 @@
 use super::placement::Placement;
 use super::terms::Terms;
 use super::timer::{self, Timer};
-use crate::admission::{Admission, Gate, Ranked};
+use crate::admission::{Admission, Gate, Ranked, Waits};
 use crate::attempt::AttemptId;
 use crate::backend::pool::Pool;
 use crate::backend::suspect::{Standing, Table};
@@ -315,29 +315,36 @@
 
     /// Returns what admission holds against each other for a request whose rank is known.
     fn ranked(&self, request: &Request<C>, now: Time) -> Option<Ranked> {
-        let urgency = self.terms(request).urgency?;
-        let at_servers = self.fleet.reported_waits(now);
-        let parked = |group| self.waiting.get(group).map_or(0, BTreeSet::len);
-        let own = at_servers.iter().map(|(group, wait)| {
-            let before = match self.yields(request, now) {
-                true => self.fleet.time_for(*group, parked(group), now),
-                false => Duration::ZERO,
-            };
-            *wait + before
-        });
+        let terms = self.terms(request);
         Some(Ranked {
-            urgency,
+            work: terms.work,
+            urgency: terms.urgency?,
             dispensable: self.dispensable(request),
-            own: own.collect(),
-            waits: at_servers.iter().map(|(_, wait)| *wait).collect(),
+            waits: self.waits(now),
         })
     }
 
-    /// Tells whether a request leaves the servers' queues to more urgent ones: what has been sent there can't be put in order any more,
-    /// so that its parts wait here until a slot is free.
+    fn waits(&self, now: Time) -> Waits {
+        let at_servers = self.fleet.reported_waits(now);
+        let here = |group| {
+            let waiting = self.waiting.get(&group).map_or(0, BTreeSet::len);
+            self.fleet.time_for(group, waiting, now)
+        };
+        Waits {
+            in_all: at_servers
+                .iter()
+                .map(|(group, wait)| *wait + here(*group))
+                .collect(),
+            at_servers: at_servers.iter().map(|(_, wait)| *wait).collect(),
+            are_reported: self.fleet.is_reported(now),
+        }
+    }
+
+    /// Tells whether a request leaves the servers' queues to others with shorter objectives: what has been sent there can't be put in
+    /// order any more, so that its parts wait here until a slot is free.
     pub(super) fn yields(&self, request: &Request<C>, now: Time) -> bool {
         let urgency = self.terms(request).urgency;
-        urgency.is_some_and(|urgency| self.gate.yields(urgency.rank, now))
+        urgency.is_some_and(|urgency| self.gate.yields(urgency, now))
     }
 
     fn abandoned(&mut self, id: RequestId, now: Time) {
