Take the time that parts wait at a host from the pace of those before them

Hosts of a pressed data centre have more waiting than others, so that counting all hosts as alike told too long a wait.

--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -95,13 +95,10 @@
         groups.filter_map(wait).collect()
     }
 
-    /// Returns the time that the servers of a group take for so many attempts of this home, beside those of homes that have as many.
-    pub fn time_for(&self, group: usize, attempts: usize, now: Time) -> Duration {
-        let usable = self.usable(group, now).count().max(1) as f64;
-        let ahead = attempts as f64 * self.division.alike();
-        self.usual(group)
-            .work
-            .mul_f64(ahead / (usable * self.slots()))
+    /// Returns the time until so many attempts of this home have left for a group, at the pace of those before them: how much of the
+    /// servers others leave to it is not to be known otherwise.
+    pub fn time_for(&self, group: usize, attempts: usize) -> Duration {
+        Duration::from_secs_f64(self.groups[group].interval).mul_f64(attempts as f64)
     }
 
     /// Tells whether most servers have reported their load of late.
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -328,7 +328,7 @@
         let at_servers = self.fleet.reported_waits(now);
         let here = |group| {
             let waiting = self.waiting.get(&group).map_or(0, BTreeSet::len);
-            self.fleet.time_for(group, waiting, now)
+            self.fleet.time_for(group, waiting)
         };
         Waits {
             in_all: at_servers
