Refuse no search for shards that its answer does without, and name the shard that binds

Cause: alerts, whose answers can lack five of 36 shards, were refused for a queue at the one or two shards that had lost servers, which they leave out.

--- a/crates/decision/src/admission/rank.rs
+++ b/crates/decision/src/admission/rank.rs
@@ -8,6 +8,7 @@
 //! No kind starves: one that is served far less than all together is held only to what it bears itself.
 
 use super::{Ranked, Waits};
+use crate::backend::Wait;
 use crate::{Time, Work};
 use derive_more::Display;
 use std::collections::BTreeMap;
@@ -52,10 +53,10 @@
 
 /// A kind of request for which the servers have too much waiting.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("rank {rank} would wait {wait:.1?}, bears {bearable:.1?}")]
+#[display("rank {rank} would wait {:.1?} for group {}, bears {bearable:.1?}", wait.time, wait.group)]
 pub(super) struct Unbearable {
     rank: Rank,
-    wait: Duration,
+    wait: Wait,
     bearable: Duration,
 }
 
@@ -141,7 +142,8 @@
         };
         let before = self.recent(now).filter(|kind| kind.rank < rank);
         let before = before.map(|kind| {
-            let dispensable = kind.dispensable / DISPENSABLE_PART;
+            // It asks nothing of the groups that it leaves out itself.
+            let dispensable = (kind.dispensable / DISPENSABLE_PART).max(ranked.dispensable);
             Unbearable {
                 rank: kind.rank,
                 wait: self.wait(kind.objective, &ranked.waits, dispensable, now),
@@ -149,7 +151,7 @@
             }
         });
         let mut all = before.chain([own]);
-        all.find(|one| one.wait > one.bearable)
+        all.find(|one| one.wait.time > one.bearable)
     }
 
     /// Tells whether kinds with a shorter objective than this one are asked for of late.
@@ -168,7 +170,7 @@
     }
 
     /// Returns how long a kind with this objective waits before it is worked on.
-    fn wait(&self, objective: Duration, waits: &Waits, dispensable: usize, now: Time) -> Duration {
+    fn wait(&self, objective: Duration, waits: &Waits, dispensable: usize, now: Time) -> Wait {
         match self.yields(objective, now) {
             true => waits.in_all.without(dispensable),
             false => waits.at_servers.without(dispensable),
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -26,6 +26,6 @@
 pub use choice::{Choice, Repeat};
 pub use cold::Cold;
 pub use fleet::Fleet;
-pub use room::{Room, Waits};
+pub use room::{Room, Wait, Waits};
 pub use snapshot::Snapshot;
 pub use verdict::{News, Verdict};
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -9,13 +9,22 @@
 /// Attempts on their way to a server of which all slots are taken, so that none stays empty until the next one arrives.
 const ON_THE_WAY: f64 = 1.0;
 
+/// The time that a new attempt would wait in a group.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Wait {
+    /// The time.
+    pub time: Duration,
+    /// Index of the group.
+    pub group: usize,
+}
+
 /// Times that a new attempt would wait in each group, the longest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Waits(Vec<Duration>);
+pub struct Waits(Vec<Wait>);
 
 impl Waits {
     /// Returns the wait in the tightest group that is left when so many of the tightest are left out.
-    pub fn without(&self, dispensable: usize) -> Duration {
+    pub fn without(&self, dispensable: usize) -> Wait {
         let last = self.0.len().saturating_sub(1);
         self.0
             .get(dispensable.min(last))
@@ -24,9 +33,9 @@
     }
 }
 
-impl FromIterator<Duration> for Waits {
-    fn from_iter<I: IntoIterator<Item = Duration>>(waits: I) -> Self {
-        let mut waits: Vec<Duration> = waits.into_iter().collect();
+impl FromIterator<Wait> for Waits {
+    fn from_iter<I: IntoIterator<Item = Wait>>(waits: I) -> Self {
+        let mut waits: Vec<Wait> = waits.into_iter().collect();
         waits.sort_unstable_by(|one, other| other.cmp(one));
         Self(waits)
     }
@@ -89,9 +98,12 @@
 
     /// Returns the time that a new attempt would wait in each group, at its least busy server, by what servers report of all
     /// homes' work.
-    pub fn reported_waits(&self, now: Time) -> Vec<(usize, Duration)> {
+    pub fn reported_waits(&self, now: Time) -> Vec<Wait> {
         let groups = 0..self.groups.len();
-        let wait = |group| Some((group, self.least_reported_wait(group, now)?));
+        let wait = |group| {
+            let time = self.least_reported_wait(group, now)?;
+            Some(Wait { time, group })
+        };
         groups.filter_map(wait).collect()
     }
 
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -12,7 +12,7 @@
 use crate::attempt::AttemptId;
 use crate::backend::pool::Pool;
 use crate::backend::suspect::{Standing, Table};
-use crate::backend::{Fleet, Room};
+use crate::backend::{Fleet, Room, Wait};
 use crate::budget::{Budgets, Purse};
 use crate::content::{Content, Json};
 use crate::outcome::{Outcome, Reason};
@@ -333,9 +333,12 @@
         Waits {
             in_all: at_servers
                 .iter()
-                .map(|(group, wait)| *wait + here(*group))
+                .map(|wait| Wait {
+                    time: wait.time + here(wait.group),
+                    ..*wait
+                })
                 .collect(),
-            at_servers: at_servers.iter().map(|(_, wait)| *wait).collect(),
+            at_servers: at_servers.into_iter().collect(),
             are_reported: self.fleet.is_reported(now),
         }
     }
