--- a/crates/daemon/src/metrics/home.rs
+++ b/crates/daemon/src/metrics/home.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use std::sync::Arc;
+use std::time::Duration;
 
 type ByRouteCounter = Family<ByRoute, Counter>;
 
@@ -34,6 +35,21 @@
     server_events: Family<ServerEvent, Counter>,
     leaving: Family<ByRoute, Gauge>,
     in_progress: Family<ByRoute, Gauge>,
+    parts_waiting: Family<ByRoute, Gauge>,
+    longest_wait: Family<ByRoute, Gauge>,
+}
+
+/// How a home stands at a moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standing {
+    /// Requests in progress.
+    pub in_progress: usize,
+    /// Backend servers that are leaving.
+    pub leaving: usize,
+    /// Parts of searches that wait here for room at a server.
+    pub parts_waiting: usize,
+    /// The longest time that an attempt would wait at the servers of a group, by their reports.
+    pub longest_wait: Duration,
 }
 
 impl Home {
@@ -84,6 +100,16 @@
             "Requests in progress at this home, by route",
             self.in_progress.clone(),
         );
+        registrar.add(
+            "home_parts_waiting",
+            "Parts of searches that wait at this home for room at a backend server, by route",
+            self.parts_waiting.clone(),
+        );
+        registrar.add(
+            "home_longest_wait_milliseconds",
+            "Longest time that an attempt would wait at the backend servers of a group, by their reports, by route",
+            self.longest_wait.clone(),
+        );
     }
 
     fn register_snapshots(&self, registrar: &mut Registrar) {
@@ -206,14 +232,22 @@
         }
     }
 
-    /// Sets the number of requests in progress and of leaving backend servers.
-    pub fn stands(&self, route: &RouteId, in_progress: usize, leaving: usize) {
+    /// Sets how a home stands.
+    pub fn stands(&self, route: &RouteId, standing: &Standing) {
         let label = ByRoute {
             route: self.routes.label(route),
         };
-        let in_progress = gauge_value(in_progress);
-        self.in_progress.get_or_create(&label).set(in_progress);
-        self.leaving.get_or_create(&label).set(gauge_value(leaving));
+        let set = |gauge: &Family<ByRoute, Gauge>, value| {
+            gauge.get_or_create(&label).set(value);
+        };
+        set(&self.in_progress, gauge_value(standing.in_progress));
+        set(&self.leaving, gauge_value(standing.leaving));
+        set(&self.parts_waiting, gauge_value(standing.parts_waiting));
+        let longest_wait = standing.longest_wait.as_millis();
+        set(
+            &self.longest_wait,
+            longest_wait.try_into().unwrap_or(i64::MAX),
+        );
     }
 
     fn attempted(&self, route: &RouteId, kind: Sending) {
--- a/crates/daemon/src/route/gauges.rs
+++ b/crates/daemon/src/route/gauges.rs
@@ -1,5 +1,6 @@
 //! Keeps the metrics of a route in step with its home.
 
+use crate::metrics::home::Standing;
 use crate::metrics::label::Side;
 use crate::metrics::{Metrics, gauge_value};
 use monsoonring_configuration::id::RouteId;
@@ -45,10 +46,13 @@
         self.set_open(gauge_value(connections));
         if now >= self.next {
             self.next = now + PERIOD;
-            let leaving = home.leaving();
-            self.metrics
-                .home
-                .stands(&self.route, home.in_progress(), leaving);
+            let stands = Standing {
+                in_progress: home.in_progress(),
+                leaving: home.leaving(),
+                parts_waiting: home.parts_waiting(),
+                longest_wait: home.longest_wait(now),
+            };
+            self.metrics.home.stands(&self.route, &stands);
         }
     }
 
@@ -62,6 +66,6 @@
     /// A home that ended has nothing any more: its last values would stand for ever.
     fn drop(&mut self) {
         self.set_open(0);
-        self.metrics.home.stands(&self.route, 0, 0);
+        self.metrics.home.stands(&self.route, &Standing::default());
     }
 }
--- a/crates/daemon/tests/metrics.rs
+++ b/crates/daemon/tests/metrics.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use monsoonring_daemon::metrics::Metrics;
+use monsoonring_daemon::metrics::home::Standing;
 use monsoonring_daemon::metrics::label::Side;
 use monsoonring_daemon::metrics::routes::{MAX_ROUTES, OTHERS};
 use monsoonring_decision::attempt::Failure;
@@ -10,6 +11,7 @@
 use monsoonring_decision::home::Counts;
 use monsoonring_decision::member::State;
 use std::collections::BTreeSet;
+use std::time::Duration;
 use support::Daemon;
 use support::http::{ask, get, post, search};
 use support::service::Fake;
@@ -66,7 +68,13 @@
         retries_denied: 4,
     };
     metrics.home.counted(&route, Counts::default(), counts);
-    metrics.home.stands(&route, 1, 1);
+    let standing = Standing {
+        in_progress: 1,
+        leaving: 1,
+        parts_waiting: 1,
+        longest_wait: Duration::from_millis(1),
+    };
+    metrics.home.stands(&route, &standing);
 }
 
 /// The lines of all metrics, without their values and without the buckets of histograms.
--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -12,6 +12,7 @@
 mod limit;
 mod pace;
 mod rank;
+mod shortage;
 
 use crate::backend::{self, Room};
 use crate::outcome::Reason;
@@ -21,6 +22,7 @@
 use pace::Pace;
 use rank::Ranks;
 pub use rank::{Rank, Urgency};
+pub use shortage::{Change, Shortage};
 use std::time::Duration;
 
 /// Share of the route's deadline within which requests are to be answered. The rest is for what
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -8,7 +8,7 @@
 use super::placement::Placement;
 use super::terms::Terms;
 use super::timer::{self, Timer};
-use crate::admission::{Admission, Gate, Ranked, Waits};
+use crate::admission::{self, Admission, Gate, Ranked, Shortage, Waits};
 use crate::attempt::AttemptId;
 use crate::backend::pool::Pool;
 use crate::backend::suspect::{Standing, Table};
@@ -47,6 +47,7 @@
     pub(super) fleet: Fleet,
     pub(super) pool: Pool,
     pub(super) gate: Gate,
+    pub(super) shortage: Shortage,
     pub(super) suspects: Table,
     pub(super) budgets: Purse,
     pub(super) pin: Pin,
@@ -109,6 +110,7 @@
             fleet: Fleet::new(&route, division, now),
             pool: Pool::new(&route, division, FIRST_CONNECTION, now),
             gate: Gate::new(&route),
+            shortage: Shortage::default(),
             suspects: Table::with_proof(policy.proof),
             budgets: Purse::new(&route, &division),
             pin: Pin::default(),
@@ -237,9 +239,15 @@
             let outcome = Unrun::arrived().outcome(reason, retry_after);
             let why = format!("{reason} {}", self.refused_by(&request, now));
             self.log(Some(request.id), "refuse", None, why);
+            if reason == Reason::Overload {
+                let change = self.shortage.refused(now);
+                self.log_shortage(change);
+            }
             self.actions.push(Action::Finish(request.id, outcome));
             return;
         }
+        let change = self.shortage.admitted(now);
+        self.log_shortage(change);
         self.timers
             .set(request.deadline, Timer::Deadline(request.id));
         match self.terms(&request).kind {
@@ -300,6 +308,23 @@
         }
     }
 
+    fn log_shortage(&mut self, change: Option<admission::Change>) {
+        if let Some(change) = change {
+            self.log(None, "room", None, change.to_string());
+        }
+    }
+
+    /// Returns the longest time that a new attempt waits at the servers of a group, by their reports.
+    pub fn longest_wait(&self, now: Time) -> Duration {
+        let waits = self.fleet.reported_waits(now).into_iter();
+        waits.map(|wait| wait.time).max().unwrap_or_default()
+    }
+
+    /// Returns how many parts of searches wait here for room at a server.
+    pub fn parts_waiting(&self) -> usize {
+        self.waiting.values().map(BTreeSet::len).sum()
+    }
+
     /// Returns what a refusal was decided by, for the log.
     fn refused_by(&self, request: &Request<C>, now: Time) -> String {
         let in_flight = format!(
--- /dev/null
+++ b/crates/decision/tests/shortage.rs
@@ -0,0 +1,40 @@
+//! When requests are refused for want of room, as the log tells it.
+
+use monsoonring_decision::Time;
+use monsoonring_decision::admission::{Change, Shortage};
+use test_case::test_case;
+
+fn ms(value: u64) -> Time {
+    Time::from_millis(value)
+}
+
+// Symptom: a surge writes two lines for each request to the log.
+// Events:  requests are refused and let in by turns, hundreds in a second.
+// Cause:   each change between the two counts as one of the state.
+#[test]
+fn shortage_of_a_surge_is_told_twice() {
+    let mut shortage = Shortage::default();
+    let mut told = Vec::new();
+    for now in 0..3_000 {
+        let change = match now % 2 {
+            0 => shortage.refused(ms(now)),
+            _ => shortage.admitted(ms(now)),
+        };
+        told.extend(change);
+    }
+    told.extend(shortage.admitted(ms(4_500)));
+    let ended = Change::Ended {
+        refused: 1_500,
+        lasted: ms(2_998),
+    };
+    assert_eq!(told, [Change::Began, ended]);
+}
+
+#[test_case(999, false; "before_a_second_is_over")]
+#[test_case(1_000, true; "after_a_second")]
+fn shortage_is_over(after: u64, is_told: bool) {
+    let mut shortage = Shortage::default();
+    assert_eq!(shortage.admitted(ms(0)), None, "none has begun");
+    assert_eq!(shortage.refused(ms(0)), Some(Change::Began));
+    assert_eq!(shortage.admitted(ms(after)).is_some(), is_told);
+}
