--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -237,9 +237,13 @@
         }
         if let Some((reason, retry_after)) = self.refusal(&request, now) {
             let outcome = Unrun::arrived().outcome(reason, retry_after);
-            let why = format!("{reason} {}", self.refused_by(&request, now));
+            let is_overload = reason == Reason::Overload;
+            let why = match is_overload {
+                true => format!("{reason} {}", self.refused_by(&request, now)),
+                false => format!("{reason} class={:?}", request.class),
+            };
             self.log(Some(request.id), "refuse", None, why);
-            if reason == Reason::Overload {
+            if is_overload {
                 let change = self.shortage.refused(now);
                 self.log_shortage(change);
             }
