--- a/crates/decision/examples/instructions.rs
+++ b/crates/decision/examples/instructions.rs
@@ -6,8 +6,10 @@
 //!
 //! Divided by the sub-queries that it prints, the total is the instructions of each.
 
-use monsoonring_configuration::document::Class;
+use monsoonring_configuration::document::{Class, Kind};
 use monsoonring_decision::Time;
+use monsoonring_decision::admission::Urgency;
+use monsoonring_decision::home::Terms;
 use monsoonring_decision::home::event::{Request, Scope};
 use monsoonring_decision::home::{Action, Event, Home};
 use monsoonring_decision::reply::{Item, Load, Reply, Report};
@@ -203,11 +205,31 @@
         fingerprint: u64::from(number),
         body: "{\"near\":[1,2]}".into(),
         execute_key: None,
-        terms: None,
+        terms: ranked().then(|| terms(number)),
         scope: Scope::default(),
     }
 }
 
+/// Tells whether requests have ranks: `--ranked` alternates two of them.
+fn ranked() -> bool {
+    std::env::args().any(|argument| argument == "--ranked")
+}
+
+fn terms(number: u32) -> Terms {
+    let rank = number % 2;
+    Terms {
+        kind: Kind::Search,
+        runs_at_most: u32::MAX,
+        soft_deadline: None,
+        least_coverage: 0.0,
+        work: u64::from(rank),
+        urgency: Some(Urgency {
+            rank,
+            objective: DEADLINE / (4 - 2 * rank),
+        }),
+    }
+}
+
 fn main() {
     let queries = std::env::args()
         .skip_while(|argument| argument != "--queries")
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -187,6 +187,7 @@
     }
 
     pub(super) fn assign_all(&mut self, run: &mut Run<C>, cause: Cause, now: Time) {
+        run.yields = self.yields(&run.request, now);
         let wanted = run.parts.iter().filter(|(_, part)| part.given_up.is_none());
         for part in wanted.map(|(id, _)| *id).collect::<Vec<_>>() {
             self.assign(run, part, cause, now);
@@ -196,6 +197,7 @@
     /// Tries again for a part that waited, or for which no server was in sight.
     pub(super) fn resume_part(&mut self, request: RequestId, id: PartId, now: Time) {
         self.with_run(request, now, |home, run| {
+            run.yields = home.yields(&run.request, now);
             let Some(part) = run.parts.get_mut(&id) else {
                 return;
             };
@@ -263,7 +265,7 @@
     fn pick(&mut self, run: &Run<C>, id: PartId, now: Time) -> Option<(BackendServerId, Least)> {
         let part = run.parts.get(&id)?;
         let mut candidates = self.candidates(part);
-        if self.yields(&run.request, now) {
+        if run.yields {
             candidates.retain(|server| self.fleet.has_free_slot(*server, now));
         }
         let version = run.pin;
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -132,6 +132,8 @@
     pub(crate) retries: u32,
     /// Failed parts that wait for what becomes of the others.
     pub(crate) deferred: BTreeSet<PartId>,
+    /// Whether its parts leave the servers' queues to requests with shorter objectives, when last looked at.
+    pub(crate) yields: bool,
     /// Whether the run has begun again at a newer version.
     pub(crate) restarted: bool,
     /// Attempts whose part was dealt out again; their replies are still welcome.
@@ -159,6 +161,7 @@
             fanout: Fanout::default(),
             retries: 0,
             deferred: BTreeSet::new(),
+            yields: false,
             restarted: false,
             detached: Vec::new(),
             elsewhere: Set::default(),
