--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -12,7 +12,7 @@
 mod limit;
 mod pace;
 mod rank;
-mod shortage;
+pub mod shortage;
 
 use crate::backend::{self, Room};
 use crate::outcome::Reason;
@@ -22,7 +22,7 @@
 use pace::Pace;
 use rank::Ranks;
 pub use rank::{Rank, Urgency};
-pub use shortage::{Change, Shortage};
+pub use shortage::Shortage;
 use std::time::Duration;
 
 /// Share of the route's deadline within which requests are to be answered. The rest is for what
@@ -46,18 +46,18 @@
     pub urgency: Urgency,
     /// How many groups its answer can do without.
     pub dispensable: usize,
-    /// How long requests wait now.
+    /// The queueing delays now.
     pub waits: Waits,
 }
 
-/// How long requests wait in each group before they are worked on.
+/// Queueing delays in each group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Waits {
     /// At the backend servers, by what these report.
     pub at_servers: backend::Waits,
-    /// Here and at the backend servers, for requests that leave the servers' queues to others.
+    /// Here and at the backend servers, for requests that keep out of the servers' queues.
     pub in_all: backend::Waits,
-    /// Whether most backend servers have reported their load of late.
+    /// Whether most backend servers have reported their load recently.
     pub are_reported: bool,
 }
 
@@ -111,8 +111,8 @@
         self.admit_ranked(class, None, deadline, room, now)
     }
 
-    /// Decides about a request as [`Self::admit`] does. Where its rank is known, what it would wait is held against its objective
-    /// and those of more urgent ones.
+    /// Decides about a request as [`Self::admit`] does. If its rank is known, its queueing delay has to be within its own budget and those
+    /// of more urgent requests.
     pub fn admit_ranked(
         &mut self,
         class: Class,
@@ -135,10 +135,10 @@
         }
         let in_time = room.wait + room.work < remaining;
         let allowed = self.allowed(class, ranked, now);
-        // The limit stands in for what is not reported.
+        // Reports of all hosts' load replace the limit, which is learned from this host's requests alone.
         let is_reported = ranked.is_some_and(|ranked| ranked.waits.are_reported);
         let fits = is_reported || self.in_flight as f64 + 1.0 <= allowed;
-        if in_time && fits && self.is_bearable(ranked, now) {
+        if in_time && fits && self.is_in_budget(ranked, now) {
             self.in_flight += 1;
             return Admission::Admit;
         }
@@ -150,26 +150,26 @@
         }
     }
 
-    /// Returns what a request that is refused would have made too long: for the log.
-    pub fn unbearable(&self, ranked: &Ranked, now: Time) -> String {
-        match self.ranks.unbearable(ranked, now) {
-            Some(unbearable) => format!("rank={} {unbearable}", ranked.urgency.rank),
+    /// Describes which delay budget a request exceeds, for the log.
+    pub fn describe(&self, ranked: &Ranked, now: Time) -> String {
+        match self.ranks.excess(ranked, now) {
+            Some(excess) => format!("rank={} {excess}", ranked.urgency.rank),
             None => format!("rank={}", ranked.urgency.rank),
         }
     }
 
-    /// Tells whether requests of a kind leave the servers' queues to others with shorter objectives.
+    /// Tells whether requests of a kind keep out of the servers' queues, for others with shorter objectives.
     pub fn yields(&self, work: Work, urgency: Urgency, now: Time) -> bool {
         self.ranks.yields(work, urgency.objective, now)
     }
 
-    /// Tells whether the servers are expected to answer in time, and others more urgent too. With nothing in flight, a request shows
-    /// how the servers stand.
-    fn is_bearable(&self, ranked: Option<&Ranked>, now: Time) -> bool {
+    /// Tells whether a request exceeds no delay budget. With nothing in flight one is let in all the same: its answers tell the servers'
+    /// load.
+    fn is_in_budget(&self, ranked: Option<&Ranked>, now: Time) -> bool {
         let Some(ranked) = ranked else {
             return true;
         };
-        self.in_flight == 0 || self.ranks.unbearable(ranked, now).is_none()
+        self.in_flight == 0 || self.ranks.excess(ranked, now).is_none()
     }
 
     /// Records that an admitted request has ended, after `took`, whatever its outcome.
@@ -184,7 +184,7 @@
         }
     }
 
-    /// Records that a request of a kind was answered. Kinds that hardly ever are do not wait for others any more.
+    /// Records that a request of a kind was answered, by which starvation is noticed.
     pub fn answered(&mut self, work: Work, now: Time) {
         self.ranks.answered(work, now);
     }
--- a/crates/decision/src/admission/rank.rs
+++ b/crates/decision/src/admission/rank.rs
@@ -1,11 +1,11 @@
-//! Which kinds of request are let in when servers that several of them share run short of room.
+//! Delay budgets of the kinds of request that share backend servers.
 //!
 //! The load: more is asked of a set of servers than they can do, by kinds of request with different ranks and objectives.
-//! Servers work in the order of arrival, so that what has been sent can't be put in order any more. A kind that bears a
-//! queue of 100 ms makes each more urgent one, which bears 20, late. So the wait that is expected at the servers is held
-//! against the objectives of the kind itself and of all more urgent ones that are asked for of late.
+//! Servers work first in, first out, so that a request can't overtake what was sent before it. Where one kind can afford to queue for
+//! 100 ms, a more urgent one that can afford 20 ms is late. So the queueing delay that is expected at the servers is compared with
+//! the budget of the kind itself and with those of all more urgent kinds that were requested recently.
 //!
-//! No kind starves: one that is served far less than all together is held only to what it bears itself.
+//! Starvation is prevented: a kind that is answered far less often than all together has only its own budget to keep.
 
 use super::{Ranked, Waits};
 use crate::backend::Wait;
@@ -20,30 +20,30 @@
 /// Kinds that are told apart.
 const KINDS_AT_MOST: usize = 32;
 
-/// Share of its own objective that a request may wait at the servers. The rest is for its work there, which the slowest of many
-/// shards takes two to three times as long for as the mean, and for the way.
-const OWN: f64 = 0.42;
+/// Delay budget of a kind for its own requests, as a share of its objective. The rest is for the work at the slowest of many shards, two
+/// to three times the mean, and for the network.
+const OWN_BUDGET: f64 = 0.42;
 
-/// Share of a more urgent kind's objective that a request may make that kind wait.
-const OTHERS: f64 = 0.4;
+/// Delay budget of a kind against less urgent requests, as a share of its objective.
+const OTHERS_BUDGET: f64 = 0.4;
 
-/// What that is multiplied by for each kind of a rank between the two, so that the last of many ranks is refused before the others.
-const STEP: f64 = 0.85;
+/// Factor on that budget for each kind with a rank between the two, so that the lowest of many ranks is refused first.
+const BUDGET_PER_RANK: f64 = 0.85;
 
-/// Time after which a kind that nobody asks for any more does not hold others back.
+/// Time after its last request for which a kind counts.
 const RECENT: Duration = Duration::from_secs(5);
 
 /// Time after which what was counted has halved.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Part of the groups that a more urgent kind's answers can do without on which it may be made to wait: the rest is for what fails.
-const DISPENSABLE_PART: usize = 2;
+/// Divides the groups that a more urgent answer can lack: so many may exceed its budget. The others are kept for failures.
+const DISPENSABLE_DIVISOR: usize = 2;
 
-/// An objective is the shorter one below this share of another.
+/// Share of an objective below which another one counts as shorter.
 const SHORTER: f64 = 0.75;
 
-/// A kind that is served less than this share of what all kinds are served together is not held back for others.
-const STARVED: f64 = 0.34;
+/// Share of the overall answer rate below which a kind starves.
+const STARVATION: f64 = 0.34;
 
 /// How urgent a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,13 +54,13 @@
     pub objective: Duration,
 }
 
-/// A kind of request for which the servers have too much waiting.
+/// A delay budget that is exceeded.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-#[display("rank {rank} would wait {:.1?} for group {}, bears {bearable:.1?}", wait.time, wait.group)]
-pub(super) struct Unbearable {
+#[display("rank {rank} would wait {:.1?} at group {}, budget {budget:.1?}", wait.time, wait.group)]
+pub(super) struct Excess {
     rank: Rank,
     wait: Wait,
-    bearable: Duration,
+    budget: Duration,
 }
 
 /// A count that halves with time.
@@ -86,7 +86,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Kind {
     rank: Rank,
-    /// The shortest objective of its requests of late.
+    /// The shortest objective of its recent requests.
     objective: Duration,
     /// The groups that their answers can do without.
     dispensable: usize,
@@ -131,10 +131,10 @@
         }
     }
 
-    /// Returns for whom too much is waiting to let a request in; `None` where it may come in.
-    pub(super) fn unbearable(&self, ranked: &Ranked, now: Time) -> Option<Unbearable> {
+    /// Returns the first delay budget that is exceeded for a request, more urgent kinds' first.
+    pub(super) fn excess(&self, ranked: &Ranked, now: Time) -> Option<Excess> {
         let Urgency { rank, objective } = ranked.urgency;
-        let own = Unbearable {
+        let own = Excess {
             rank,
             wait: self.wait(
                 ranked.work,
@@ -143,42 +143,44 @@
                 ranked.dispensable,
                 now,
             ),
-            bearable: objective.mul_f64(OWN),
+            budget: objective.mul_f64(OWN_BUDGET),
         };
         let share = match self.is_starved(ranked.work, now) {
-            true => OWN,
-            false => OTHERS,
+            true => OWN_BUDGET,
+            false => OTHERS_BUDGET,
         };
         let before = self.kinds.iter();
         let before = before.filter(|(_, kind)| kind.is_recent(now) && kind.rank < rank);
         let before = before.map(|(work, kind)| {
-            // It asks nothing of the groups that it leaves out itself.
-            let dispensable = (kind.dispensable / DISPENSABLE_PART).max(ranked.dispensable);
+            // It adds no load to the groups that it leaves out itself.
+            let dispensable = (kind.dispensable / DISPENSABLE_DIVISOR).max(ranked.dispensable);
             let between = self.between(kind.rank, rank, now);
-            Unbearable {
+            Excess {
                 rank: kind.rank,
                 wait: self.wait(*work, kind.objective, &ranked.waits, dispensable, now),
-                bearable: kind.objective.mul_f64(share * STEP.powi(between as i32)),
+                budget: kind
+                    .objective
+                    .mul_f64(share * BUDGET_PER_RANK.powi(between as i32)),
             }
         });
         let mut all = before.chain([own]);
-        all.find(|one| one.wait.time > one.bearable)
+        all.find(|one| one.wait.time > one.budget)
     }
 
-    /// Tells whether a kind leaves the servers' queues to others: such with a shorter objective are asked for of late, and it does not
-    /// starve behind them.
+    /// Tells whether a kind keeps out of the servers' queues: one with a shorter objective was requested recently, and this one does not
+    /// starve behind it.
     pub(super) fn yields(&self, work: Work, objective: Duration, now: Time) -> bool {
         let most = objective.mul_f64(SHORTER);
         self.recent(now).any(|kind| kind.objective < most) && !self.is_starved(work, now)
     }
 
-    /// Returns how many kinds of ranks between two are asked for of late.
+    /// Returns how many kinds with ranks between two were requested recently.
     fn between(&self, first: Rank, last: Rank, now: Time) -> usize {
         let between = |kind: &&Kind| (first + 1..last).contains(&kind.rank);
         self.recent(now).filter(between).count()
     }
 
-    /// Returns how many more urgent kinds are asked for of late.
+    /// Returns how many more urgent kinds were requested recently.
     pub(super) fn before(&self, rank: Rank, now: Time) -> usize {
         self.recent(now).filter(|kind| kind.rank < rank).count()
     }
@@ -187,7 +189,7 @@
         self.kinds.values().filter(move |kind| kind.is_recent(now))
     }
 
-    /// Returns how long a kind with this objective waits before it is worked on.
+    /// Returns the queueing delay of a kind with this objective.
     fn wait(
         &self,
         work: Work,
@@ -202,7 +204,7 @@
         }
     }
 
-    /// Forgets the kind that was asked for the longest ago where there are too many to add one.
+    /// Forgets the kind that was requested the longest ago if there is no room for another.
     fn make_room(&mut self, work: Work) {
         if self.kinds.len() < KINDS_AT_MOST || self.kinds.contains_key(&work) {
             return;
@@ -222,6 +224,6 @@
         };
         let served = |answered: f64, asked: f64| answered / asked.max(1.0);
         let own = served(kind.answered.get(now), kind.asked.get(now));
-        own < STARVED * served(all(|kind| kind.answered), all(|kind| kind.asked))
+        own < STARVATION * served(all(|kind| kind.answered), all(|kind| kind.asked))
     }
 }
--- a/crates/decision/src/admission/shortage.rs
+++ b/crates/decision/src/admission/shortage.rs
@@ -1,20 +1,20 @@
-//! Times in which requests are refused for want of room, for the log: one line when such a time begins, one when it is over.
+//! Periods in which requests are refused for overload, for the log: one line at the start of a period, one at its end.
 
 use crate::Time;
 use derive_more::Display;
 use std::time::Duration;
 
-/// Time without a refusal after which there is room again. A surge refuses some and lets others in many times a second.
+/// Time without a refusal that ends a period. In an overload refusals and admissions alternate many times a second.
 const OVER_AFTER: Duration = Duration::from_secs(1);
 
 /// What changed.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Change {
-    /// Requests are refused from now on.
-    #[display("requests are refused for want of room")]
+    /// The first refusal.
+    #[display("overload began")]
     Began,
-    /// None has been for a while.
-    #[display("room again after {refused} refusals in {lasted:.1?}")]
+    /// No refusal for [`OVER_AFTER`].
+    #[display("overload over, {refused} refused in {lasted:.1?}")]
     Ended {
         /// Requests that were refused meanwhile.
         refused: u64,
@@ -23,7 +23,7 @@
     },
 }
 
-/// Whether requests are being refused for want of room.
+/// Tracks whether requests are being refused for overload.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Shortage {
     began: Option<Time>,
@@ -32,7 +32,7 @@
 }
 
 impl Shortage {
-    /// Takes in that a request was refused for want of room.
+    /// Records that a request was refused for overload.
     pub fn refused(&mut self, now: Time) -> Option<Change> {
         self.last = now;
         self.refused += 1;
@@ -41,7 +41,7 @@
         is_new.then_some(Change::Began)
     }
 
-    /// Takes in that a request was let in.
+    /// Records that a request was admitted.
     pub fn admitted(&mut self, now: Time) -> Option<Change> {
         let began = self.began?;
         if now < self.last + OVER_AFTER {
--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -6,7 +6,7 @@
 use monsoonring_configuration::id::BackendServerId;
 use std::time::Duration;
 
-/// Attempts on their way to a server of which all slots are taken, so that none stays empty until the next one arrives.
+/// Attempts sent to a server beyond its slots, so that none is idle for the time of a round trip.
 const ON_THE_WAY: f64 = 1.0;
 
 /// The time that a new attempt would wait in a group.
@@ -107,13 +107,13 @@
         groups.filter_map(wait).collect()
     }
 
-    /// Returns the time until so many attempts of this home have left for a group, at the pace of those before them: how much of the
-    /// servers others leave to it is not to be known otherwise.
+    /// Returns the time until so many attempts of this home have left for a group, at the rate of the recent ones: that shows what share
+    /// of the servers other homes leave to this one.
     pub fn time_for(&self, group: usize, attempts: usize) -> Duration {
         Duration::from_secs_f64(self.groups[group].interval).mul_f64(attempts as f64)
     }
 
-    /// Tells whether most servers have reported their load of late.
+    /// Tells whether most servers have reported their load recently.
     pub fn is_reported(&self, now: Time) -> bool {
         let reported = self
             .servers
@@ -122,8 +122,8 @@
         reported.count() * 2 > self.servers.len()
     }
 
-    /// Tells whether a server has a slot free, or about to be, by what it reports of all homes' work. One that has nothing of this home
-    /// has: else a home that hears nothing of a server would never ask it again.
+    /// Tells whether a server has a slot free, or will soon, by its reported load. A server without attempts of this home always counts as
+    /// free: it sends no replies, so its report would never be renewed.
     pub fn has_free_slot(&self, server: BackendServerId, now: Time) -> bool {
         self.servers.get(&server).is_some_and(|state| {
             state.own() == 0.0 || state.reported_load(now) < self.slots() + ON_THE_WAY
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -37,8 +37,8 @@
 /// Age up to which a report tells how a server stands.
 const REPORT_RECENT: Duration = Duration::from_millis(500);
 
-/// Wait that a report may tell of, as a multiple of the recent latency. A queue that builds up is reported before answers show it.
-const BORNE_OUT: f64 = 3.0;
+/// Cap on a reported queueing delay, as a multiple of the recent latency. Reports run ahead of latencies while a queue builds up.
+const REPORT_CAP: f64 = 3.0;
 
 /// Share of an attempt that still counts as load while it is being cancelled: most servers drop a
 /// queued attempt at once and end a running one soon.
@@ -197,8 +197,8 @@
         share * (-age / FAILING_HALF_LIFE.as_secs_f64()).exp2()
     }
 
-    /// Returns the time that a new attempt would wait here, by its last report and what this home has here. Reports count for at most
-    /// what the latest answers show: one that tells of a queue through which answers come in no time is wrong.
+    /// Returns the queueing delay of a new attempt here, by the last report and this home's own attempts. It is capped by a multiple of
+    /// the recent latency: a server that reports a long queue and answers quickly reports wrongly.
     pub(crate) fn reported_wait(&self, usual: Usual, now: Time) -> Duration {
         let wait = |load: f64| {
             let ahead = (load + 1.0 - usual.slots).max(0.0);
@@ -207,10 +207,10 @@
         let own = wait(self.own());
         let said = wait(self.reported_load(now));
         let recent = self.recent.map_or(0.0, |(recent, _)| recent);
-        Duration::from_secs_f64(said.min(own.max(recent * BORNE_OUT)))
+        Duration::from_secs_f64(said.min(own.max(recent * REPORT_CAP)))
     }
 
-    /// Tells whether it has reported its load of late.
+    /// Tells whether it has reported its load recently.
     pub(crate) fn is_reported(&self, now: Time) -> bool {
         self.reported
             .is_some_and(|reported| now.saturating_sub(reported.at) < REPORT_RECENT)
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -8,7 +8,8 @@
 use super::placement::Placement;
 use super::terms::Terms;
 use super::timer::{self, Timer};
-use crate::admission::{self, Admission, Gate, Ranked, Shortage, Waits};
+use crate::admission::shortage;
+use crate::admission::{Admission, Gate, Ranked, Shortage, Waits};
 use crate::attempt::AttemptId;
 use crate::backend::pool::Pool;
 use crate::backend::suspect::{Standing, Table};
@@ -312,9 +313,9 @@
         }
     }
 
-    fn log_shortage(&mut self, change: Option<admission::Change>) {
+    fn log_shortage(&mut self, change: Option<shortage::Change>) {
         if let Some(change) = change {
-            self.log(None, "room", None, change.to_string());
+            self.log(None, "overload", None, change.to_string());
         }
     }
 
@@ -337,12 +338,12 @@
             self.gate.limit()
         );
         match self.ranked(request, now) {
-            Some(ranked) => format!("{} {in_flight}", self.gate.unbearable(&ranked, now)),
+            Some(ranked) => format!("{} {in_flight}", self.gate.describe(&ranked, now)),
             None => format!("class={:?} {in_flight}", request.class),
         }
     }
 
-    /// Returns what admission holds against each other for a request whose rank is known.
+    /// Returns what admission has to know of a request whose rank is known.
     fn ranked(&self, request: &Request<C>, now: Time) -> Option<Ranked> {
         let terms = self.terms(request);
         Some(Ranked {
@@ -372,8 +373,8 @@
         }
     }
 
-    /// Tells whether a request leaves the servers' queues to others with shorter objectives: what has been sent there can't be put in
-    /// order any more, so that its parts wait here until a slot is free.
+    /// Tells whether a request keeps out of the servers' queues. Parts that were sent can't be overtaken any more, so that its parts are
+    /// held here until a slot is free.
     pub(super) fn yields(&self, request: &Request<C>, now: Time) -> bool {
         let terms = self.terms(request);
         let yields = |urgency| self.gate.yields(terms.work, urgency, now);
--- a/crates/decision/src/query/run.rs
+++ b/crates/decision/src/query/run.rs
@@ -132,7 +132,7 @@
     pub(crate) retries: u32,
     /// Failed parts that wait for what becomes of the others.
     pub(crate) deferred: BTreeSet<PartId>,
-    /// Whether its parts leave the servers' queues to requests with shorter objectives, when last looked at.
+    /// Whether its parts are held back until a server has a slot free, when last decided.
     pub(crate) yields: bool,
     /// Whether the run has begun again at a newer version.
     pub(crate) restarted: bool,
--- a/crates/decision/tests/shortage.rs
+++ b/crates/decision/tests/shortage.rs
@@ -1,7 +1,8 @@
-//! When requests are refused for want of room, as the log tells it.
+//! Periods of overload, as the log tells of them.
 
 use monsoonring_decision::Time;
-use monsoonring_decision::admission::{Change, Shortage};
+use monsoonring_decision::admission::Shortage;
+use monsoonring_decision::admission::shortage::Change;
 use test_case::test_case;
 
 fn ms(value: u64) -> Time {
