Compute the time that an attempt waits behind others in one place

The wait of a group's least busy server and the wait by a server's report were the same formula twice; both call Usual::wait now. No behaviour changes but for rounding below a nanosecond step.

--- a/crates/decision/src/backend/room.rs
+++ b/crates/decision/src/backend/room.rs
@@ -140,8 +140,7 @@
         let usable = self.usable(group, now);
         let loads = usable.map(|server| self.expected_load(server, now));
         let least = loads.reduce(f64::min)?;
-        let ahead = (least + 1.0 - self.slots()).max(0.0);
-        Some(self.usual(group).work.mul_f64(ahead / self.slots()))
+        Some(self.usual(group).wait(least))
     }
 
     fn usable(&self, group: usize, now: Time) -> impl Iterator<Item = &Server> {
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -200,14 +200,10 @@
     /// Returns the queueing delay of a new attempt here, by the last report and this home's own attempts. It is capped by a multiple of
     /// the recent latency: a server that reports a long queue and answers quickly reports wrongly.
     pub(crate) fn reported_wait(&self, usual: Usual, now: Time) -> Duration {
-        let wait = |load: f64| {
-            let ahead = (load + 1.0 - usual.slots).max(0.0);
-            usual.work.as_secs_f64() * ahead / usual.slots
-        };
-        let own = wait(self.own());
-        let said = wait(self.reported_load(now));
+        let own = usual.wait(self.own());
+        let said = usual.wait(self.reported_load(now));
         let recent = self.recent.map_or(0.0, |(recent, _)| recent);
-        Duration::from_secs_f64(said.min(own.max(recent * REPORT_CAP)))
+        said.min(own.max(Duration::from_secs_f64(recent * REPORT_CAP)))
     }
 
     /// Tells whether it has reported its load recently.
--- a/crates/decision/src/backend/usual.rs
+++ b/crates/decision/src/backend/usual.rs
@@ -14,3 +14,11 @@
     /// Time between two attempts of this home at the group.
     pub(crate) interval: Duration,
 }
+
+impl Usual {
+    /// Returns how long a new attempt waits at a server with so many attempts: it starts when all but `slots - 1` of them have ended.
+    pub(crate) fn wait(&self, load: f64) -> Duration {
+        let ahead = (load + 1.0 - self.slots).max(0.0);
+        self.work.mul_f64(ahead / self.slots)
+    }
+}
