Log the evidence that a request crashes servers

What callers saw: searches over the dispatch map failed while a request ended server after server, and no log line or metric said which host held what against it.

Cause: evidence was kept without a line; only a refusal had one. Request lines did not name the fingerprint, and the text of the metrics begins with histograms by route, behind which the counters of the homes were cut off where a reader takes the first kilobytes.

Change: a decision crash_evidence for each loss, confirmation and withdrawal, with the fingerprint and the sum of what the home holds; an event of that name in monsoonring_backend_server_events_total; the fingerprint in the request line of the platform; the callers' metrics last.

Evidence: connection_lost_logs_evidence_with_fingerprint.

--- a/crates/daemon/src/gateway/front/mod.rs
+++ b/crates/daemon/src/gateway/front/mod.rs
@@ -162,6 +162,7 @@
             log: &self.log,
             metrics: &self.metrics,
             id,
+            fingerprint: home_request.fingerprint,
             context: &context,
             written: false,
         };
@@ -386,6 +387,7 @@
     log: &'a Logger,
     metrics: &'a Metrics,
     id: RequestId,
+    fingerprint: Fingerprint,
     context: &'a Context<'a>,
     written: bool,
 }
@@ -404,6 +406,7 @@
         front.record_outcome(Some(&route.name), Some(route.class()), outcome, took);
         info!(self.log, "request"; "id" => &info.id,
             "request" => format!("{:032x}", self.id),
+            "fingerprint" => format!("{:016x}", self.fingerprint),
             "route" => &*route.name, "configuration" => version,
             "patience_ms" => info.timeout.map(|timeout| timeout.as_millis()),
             "took_us" => took.as_micros(), "outcome" => outcome.to_string(),
--- a/crates/daemon/src/metrics/home.rs
+++ b/crates/daemon/src/metrics/home.rs
@@ -181,6 +181,7 @@
             "unreachable" => self.record_server_event(route, "unreachable"),
             "back_off" => self.record_server_event(route, "back_off"),
             "unopened" => self.record_server_event(route, "unopened"),
+            "crash_evidence" => self.record_server_event(route, "crash_evidence"),
             _ => {}
         }
     }
--- a/crates/daemon/src/metrics/label.rs
+++ b/crates/daemon/src/metrics/label.rs
@@ -157,7 +157,7 @@
 pub struct ServerEvent {
     /// The route.
     pub route: RouteId,
-    /// `leaving`, `unreachable`, `back_off` or `unopened`.
+    /// `leaving`, `unreachable`, `back_off`, `unopened` or `crash_evidence`.
     pub event: &'static str,
 }
 
--- a/crates/daemon/src/metrics/mod.rs
+++ b/crates/daemon/src/metrics/mod.rs
@@ -56,8 +56,7 @@
         let connections: Family<Connection, Gauge> = Family::default();
         let log_dropped = Counter::default();
         let peer_bytes = Meter::default();
-        let front = front::Front::register(&mut registrar, routes.clone());
-        let home = home::Home::register(&mut registrar, routes);
+        let home = home::Home::register(&mut registrar, routes.clone());
         let node = node::Node::register(&mut registrar);
         let control = control::Control::register(&mut registrar);
         registrar.add(
@@ -71,6 +70,8 @@
             log_dropped.clone(),
         );
         process::register(&mut registrar, peer_bytes.clone());
+        // Last, because its histograms by route make up most of the text and a reader may cut it.
+        let front = front::Front::register(&mut registrar, routes);
         let (registry, names) = registrar.finish();
         Self {
             registry,
--- a/crates/decision/src/backend/suspect.rs
+++ b/crates/decision/src/backend/suspect.rs
@@ -20,6 +20,7 @@
 
 use crate::attempt::AttemptId;
 use crate::{Fingerprint, Time};
+use derive_more::Display;
 use monsoonring_configuration::id::BackendServerId;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
@@ -73,6 +74,27 @@
     Refused(Time),
 }
 
+/// The evidence against a fingerprint, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Display)]
+#[display("{confirmed} crashes confirmed, {unconfirmed} not, weight {weight:.2}")]
+pub struct Summary {
+    /// Number of confirmed deaths that the fingerprint has a part in.
+    pub confirmed: usize,
+    /// Number of lost connections that no failed connect has confirmed.
+    pub unconfirmed: usize,
+    /// Weight of the confirmed evidence, in deaths.
+    pub weight: f64,
+}
+
+/// Evidence that was confirmed by a failed connect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Confirmation {
+    /// Fingerprint that the evidence is about.
+    pub fingerprint: Fingerprint,
+    /// Time for which the fingerprint is refused from now on, if the evidence is sufficient.
+    pub refusal: Option<Duration>,
+}
+
 /// Collects evidence against fingerprints.
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
@@ -122,13 +144,9 @@
         }
     }
 
-    /// Records that a server can't be connected to, which confirms its death. Returns the
-    /// fingerprints that are refused from now on, each with the duration.
-    pub fn unreachable(
-        &mut self,
-        server: BackendServerId,
-        now: Time,
-    ) -> Vec<(Fingerprint, Duration)> {
+    /// Records that a server can't be connected to, which confirms its death. Returns the evidence
+    /// that this confirms.
+    pub fn unreachable(&mut self, server: BackendServerId, now: Time) -> Vec<Confirmation> {
         if self.crash_signal == CrashSignal::ConnectionLost {
             return Vec::new();
         }
@@ -144,12 +162,34 @@
                 confirmed.push(*fingerprint);
             }
         }
-        let refused = confirmed.into_iter();
-        refused
-            .filter_map(|fingerprint| self.refuse_if_due(fingerprint, now))
+        let confirmed = confirmed.into_iter();
+        confirmed
+            .map(|fingerprint| Confirmation {
+                fingerprint,
+                refusal: self
+                    .refuse_if_due(fingerprint, now)
+                    .map(|(_, period)| period),
+            })
             .collect()
     }
 
+    /// Returns a summary of the evidence against a fingerprint.
+    pub fn summary(&self, fingerprint: Fingerprint, now: Time) -> Summary {
+        let entries = self
+            .evidence
+            .get(&fingerprint)
+            .map_or(&[][..], Vec::as_slice);
+        let blames = |evidence: &&Evidence| evidence.confirmed && evidence.weight > 0.0;
+        Summary {
+            confirmed: entries.iter().filter(blames).count(),
+            unconfirmed: entries
+                .iter()
+                .filter(|evidence| !evidence.confirmed)
+                .count(),
+            weight: self.weight(fingerprint, now),
+        }
+    }
+
     /// Returns whether requests with a fingerprint may be sent.
     pub fn status(&self, fingerprint: Fingerprint, now: Time) -> Status {
         let refused = self.refused.get(&fingerprint);
@@ -190,14 +230,19 @@
     }
 
     /// Records that an attempt succeeded. This clears the evidence from its server and from the
-    /// other `replicas` of the shard.
-    pub fn succeeded(&mut self, attempt: AttemptId, replicas: &[BackendServerId], _now: Time) {
+    /// other `replicas` of the shard. Returns whether there was any.
+    pub fn succeeded(
+        &mut self,
+        attempt: AttemptId,
+        replicas: &[BackendServerId],
+        _now: Time,
+    ) -> bool {
         let Some(running) = self.running.remove(&attempt) else {
-            return;
+            return false;
         };
         self.remove_evidence(running.fingerprint, |evidence| {
             evidence.server == running.server || replicas.contains(&evidence.server)
-        });
+        })
     }
 
     /// Records that an attempt ended without information about crashes.
@@ -365,12 +410,21 @@
         Some((fingerprint, time))
     }
 
-    fn remove_evidence(&mut self, fingerprint: Fingerprint, of: impl Fn(&Evidence) -> bool) {
-        if let Some(entries) = self.evidence.get_mut(&fingerprint) {
-            entries.retain(|evidence| !of(evidence));
-            if entries.is_empty() {
-                self.evidence.remove(&fingerprint);
-            }
+    /// Removes the evidence that `of` selects. Returns whether there was any.
+    fn remove_evidence(
+        &mut self,
+        fingerprint: Fingerprint,
+        of: impl Fn(&Evidence) -> bool,
+    ) -> bool {
+        let Some(entries) = self.evidence.get_mut(&fingerprint) else {
+            return false;
+        };
+        let before = entries.len();
+        entries.retain(|evidence| !of(evidence));
+        let is_removed = entries.len() < before;
+        if entries.is_empty() {
+            self.evidence.remove(&fingerprint);
         }
+        is_removed
     }
 }
--- a/crates/decision/src/home/completion.rs
+++ b/crates/decision/src/home/completion.rs
@@ -73,7 +73,9 @@
     fn record_success(&mut self, flight: &Flight, report: &Report, now: Time) {
         let change = self.fleet.replied(flight.id, report, now);
         let replicas = self.placement.replicas(flight.server);
-        self.suspects.succeeded(flight.id, replicas, now);
+        if self.suspects.succeeded(flight.id, replicas, now) {
+            self.log_crash_evidence(flight.fingerprint, flight.server, "a replica answered", now);
+        }
         if let Some(budgets) = self.budgets_of(flight.server) {
             budgets.succeeded(now);
         }
@@ -173,7 +175,11 @@
         self.apply_status_change(flight.server, verdict.status_change, now);
         if !verdict.crash_evidence {
             self.suspects.ended(flight.id, now);
-        } else if let Some((fingerprint, period)) = self.suspects.lost(flight.id, now) {
+            return;
+        }
+        let refused = self.suspects.lost(flight.id, now);
+        self.log_crash_evidence(flight.fingerprint, flight.server, "connection lost", now);
+        if let Some((fingerprint, period)) = refused {
             self.announce_suspect(fingerprint, period, flight.server, now);
         }
     }
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -270,11 +270,28 @@
     /// Announces the fingerprints that may have crashed a server that refuses connections: those in
     /// flight when its connections were lost.
     fn announce_crash_suspects(&mut self, server: BackendServerId, now: Time) {
-        for (fingerprint, period) in self.suspects.unreachable(server, now) {
-            self.announce_suspect(fingerprint, period, server, now);
+        for confirmation in self.suspects.unreachable(server, now) {
+            let fingerprint = confirmation.fingerprint;
+            self.log_crash_evidence(fingerprint, server, "connect failed", now);
+            if let Some(period) = confirmation.refusal {
+                self.announce_suspect(fingerprint, period, server, now);
+            }
         }
     }
 
+    /// Logs the evidence against a fingerprint after a change, and the cause of the change.
+    pub(super) fn log_crash_evidence(
+        &mut self,
+        fingerprint: Fingerprint,
+        server: BackendServerId,
+        cause: &'static str,
+        now: Time,
+    ) {
+        let summary = self.suspects.summary(fingerprint, now);
+        let rationale = format!("{cause}, fingerprint {fingerprint:016x}: {summary}");
+        self.log(None, "crash_evidence", Some(server), rationale);
+    }
+
     /// Refuses requests of a fingerprint from now on, and announces it to the other homes.
     pub(super) fn announce_suspect(
         &mut self,
--- a/crates/decision/tests/home_shared_servers.rs
+++ b/crates/decision/tests/home_shared_servers.rs
@@ -118,6 +118,31 @@
     );
 }
 
+// Guards against a crashing request that the log can't tell from a harmless one.
+#[test]
+fn connection_lost_logs_evidence_with_fingerprint() {
+    let mut session = Session::with_hosts(without_hedges(1, 2), HOSTS);
+    submit(&mut session, 1, search_params(1.0));
+    let send = session.sends[0].clone();
+    session.refusing.insert(send.backend_server);
+    session.fail(send.attempt, Failure::Lost);
+    session.answer_from(1);
+    let evidence = session.log.iter();
+    let evidence = evidence.filter(|decision| decision.label == "crash_evidence");
+    let reasons: Vec<String> = evidence
+        .map(|decision| decision.rationale.to_string())
+        .collect();
+    let of = "fingerprint 0000000000000001";
+    assert_eq!(
+        reasons,
+        [
+            format!("connection lost, {of}: 0 crashes confirmed, 1 not, weight 0.00"),
+            format!("connect failed, {of}: 1 crashes confirmed, 0 not, weight 1.00"),
+            format!("a replica answered, {of}: 0 crashes confirmed, 0 not, weight 0.00"),
+        ]
+    );
+}
+
 // Guards against a reconnect storm at a server that is at its connection limit and closes each new
 // connection.
 #[test]
