Announce the evidence that a request crashes servers to all hosts

What callers saw: a search that crashes each server that runs it was sent on after 58 servers had ended under it. For eleven seconds nearly no search over the dispatch map was answered.

Cause: evidence stayed at the home that lost a connection, and only a refusal was announced. A refusal needs two deaths that count separately. The caller and its repeats reach another host each time, so each of nine hosts could lose servers twice, and a search loses one of each shard. All deaths within half a second count once, so the first burst of 30 never led to a refusal. The class: a judgement on what all hosts do, made from what one of them has seen. Ruled out by the test, which shares no home and changes no route: evidence that a new home starts without.

Change: a home announces confirmed evidence of at least half a death, at most two servers for simultaneous ones, as a fact of its own. Others hold the request in quarantine and count the announced death, so that the next one under it is sufficient anywhere. A death counts beside simultaneous ones if the request was sent in quarantine 0.1 s or more after the first of them. A success on a replica refutes the evidence and that of simultaneous deaths, and is announced too. A request in quarantine is sent first to a group with evidence, so that one success ends its quarantine. Homes that start get the evidence as well.

Facts of the new kind are not attached to probes, which hosts of an older version could not decode (found_crash_evidence_is_not_attached_to_probes); existing encodings are unchanged.

--- a/crates/daemon/src/control/controller.rs
+++ b/crates/daemon/src/control/controller.rs
@@ -291,7 +291,9 @@
             by: by.unwrap_or(self.own.id),
             age,
         });
-        message.attachment.facts = self.facts.pick(MAX_FACT_BYTES, now);
+        // The others are pushed to the homes when they are found.
+        let facts = self.facts.pick(MAX_FACT_BYTES, now).into_iter();
+        message.attachment.facts = facts.filter(|entry| entry.key.is_attachable()).collect();
         message
     }
 
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -15,8 +15,9 @@
 use crate::route::{self, Facts, Management};
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
+use monsoonring_decision::Time;
 use monsoonring_decision::backend::ColdLimit;
-use monsoonring_decision::backend::suspect::CrashSignal;
+use monsoonring_decision::backend::suspect::{Announcement, CrashSignal};
 use monsoonring_decision::fact;
 use monsoonring_decision::gateway::registry::Usable;
 use monsoonring_decision::gateway::shards::Expected;
@@ -25,7 +26,6 @@
 use monsoonring_decision::home::Event;
 use monsoonring_decision::placement::{Allocation, Division};
 use monsoonring_decision::policy::Policy;
-use monsoonring_decision::{Fingerprint, Time};
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -104,8 +104,8 @@
     /// When the configuration came into force.
     adopted: Time,
     homes: HashMap<Shards, Home>,
-    /// Fingerprints of requests that crash servers, with the end of their refusal; sent to new homes.
-    crashing: BTreeMap<Fingerprint, Time>,
+    /// What is known about requests that crash servers, and until when; sent to new homes.
+    crash_facts: BTreeMap<fact::Key, (Time, Event<Opaque>)>,
     /// Evacuated data centres, as last written to the log.
     evacuated: BTreeSet<DataCentreId>,
 }
@@ -123,7 +123,7 @@
         table: None,
         adopted: Time::ZERO,
         homes: HashMap::new(),
-        crashing: BTreeMap::new(),
+        crash_facts: BTreeMap::new(),
         evacuated: BTreeSet::new(),
     };
     loop {
@@ -215,17 +215,10 @@
                 self.settings.division = self.settings.division.with_homes(hosts);
                 Event::Homes(hosts)
             }
-            &members::Update::Fact(fact::Entry {
-                key: fact::Key::Suspect(fingerprint),
-                life,
-                ..
-            }) => {
-                let now = self.settings.clock.now();
-                let until = now + life;
-                self.crashing.retain(|_, until| *until > now);
-                self.crashing.insert(fingerprint, until);
-                Event::Suspect { fingerprint, until }
-            }
+            members::Update::Fact(entry) => match self.record_crash_fact(entry) {
+                Some(event) => event,
+                None => return,
+            },
             members::Update::Remote(remote) => {
                 self.settings.relay.set_remote(remote.clone());
                 return;
@@ -238,8 +231,6 @@
                 self.settings.relay.set_strength(host, strength);
                 return;
             }
-            // The registry reports leaving servers.
-            members::Update::Fact(_) => return,
         };
         for home in self.homes.values() {
             home.handle.send(event.clone());
@@ -264,10 +255,33 @@
         remote_shards
     }
 
-    /// Sends a new home the fingerprints of requests that crash servers.
-    fn send_crashing(&self, home: &Home) {
-        for (&fingerprint, &until) in &self.crashing {
-            home.handle.send(Event::Suspect { fingerprint, until });
+    /// Records a fact about requests that crash servers. Returns the event for the homes.
+    fn record_crash_fact(&mut self, entry: &fact::Entry) -> Option<Event<Opaque>> {
+        let now = self.settings.clock.now();
+        let until = now + entry.life;
+        let event = match entry.key {
+            fact::Key::Suspect(fingerprint) => Event::Suspect { fingerprint, until },
+            fact::Key::CrashEvidence(fingerprint, server) => {
+                let announcement = Announcement {
+                    fingerprint,
+                    server,
+                    version: entry.stamp.version,
+                };
+                Event::CrashEvidence(announcement, until)
+            }
+            // The registry reports leaving servers.
+            fact::Key::Leaving(_) => return None,
+        };
+        self.crash_facts.retain(|_, (until, _)| *until > now);
+        self.crash_facts
+            .insert(entry.key.clone(), (until, event.clone()));
+        Some(event)
+    }
+
+    /// Sends a new home what is known about requests that crash servers.
+    fn send_crash_facts(&self, home: &Home) {
+        for (_, event) in self.crash_facts.values() {
+            home.handle.send(event.clone());
         }
     }
 
@@ -335,7 +349,7 @@
         let Some(home) = home else {
             let home = self.start_home(set, table, route, expected, remote_servers);
             home.handle.send(Event::Cold(cold.clone()));
-            self.send_crashing(&home);
+            self.send_crash_facts(&home);
             let home = Home { cold, ..home };
             return home;
         };
--- a/crates/daemon/src/gateway/members/mod.rs
+++ b/crates/daemon/src/gateway/members/mod.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::route::Fact;
 use monsoonring_configuration::id::DataCentreId;
+use monsoonring_decision::backend::suspect::EVIDENCE_RETENTION;
 use monsoonring_decision::fact;
 use monsoonring_decision::gateway::Members;
 use monsoonring_decision::gateway::helper::{Candidate, Centicores, Remote};
@@ -110,7 +111,12 @@
 fn fact_event(fact: &Fact) -> Option<Event> {
     match fact {
         &Fact::Suspect(fingerprint, life) => {
-            Some(Event::Found(fact::Key::Suspect(fingerprint), life))
+            // A refusal has no version.
+            Some(Event::Found(fact::Key::Suspect(fingerprint), 0, life))
+        }
+        Fact::CrashEvidence(announcement) => {
+            let key = fact::Key::CrashEvidence(announcement.fingerprint, announcement.server);
+            Some(Event::Found(key, announcement.version, EVIDENCE_RETENTION))
         }
         Fact::Leaving(..) => None,
     }
--- a/crates/daemon/src/metrics/control.rs
+++ b/crates/daemon/src/metrics/control.rs
@@ -137,6 +137,7 @@
         let kind = match key {
             fact::Key::Leaving(_) => "leaving",
             fact::Key::Suspect(_) => "crashing_request",
+            fact::Key::CrashEvidence(..) => "crash_evidence",
         };
         self.facts.get_or_create(&Fact { kind, source }).inc();
     }
--- a/crates/daemon/src/metrics/label.rs
+++ b/crates/daemon/src/metrics/label.rs
@@ -185,7 +185,7 @@
 /// Labels of new facts.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Fact {
-    /// `leaving` or `crashing_request`.
+    /// `leaving`, `crashing_request` or `crash_evidence`.
     pub kind: &'static str,
     /// `learned` by this daemon or `heard` from another.
     pub source: &'static str,
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -13,6 +13,7 @@
 use crate::run::Telemetry;
 use crate::settings::{Baseline, Settings};
 use crate::{control, platform};
+use monsoonring_decision::backend::suspect::{Announcement, EVIDENCE_RETENTION};
 use monsoonring_decision::home::Event;
 use monsoonring_decision::idempotency::{Fence, Ledger, Limits, Secret};
 use monsoonring_decision::placement::{Division, Member};
@@ -190,11 +191,18 @@
             Fact::Suspect(fingerprint, lifetime) => {
                 node.control.send(control::Input::LocalFact(
                     fact::Key::Suspect(fingerprint),
-                    // Only facts about leaving servers are versioned.
+                    // A refusal has no version.
                     0,
                     lifetime,
                 ));
             }
+            Fact::CrashEvidence(announcement) => {
+                node.control.send(control::Input::LocalFact(
+                    fact::Key::CrashEvidence(announcement.fingerprint, announcement.server),
+                    announcement.version,
+                    EVIDENCE_RETENTION,
+                ));
+            }
         }
     }
 }
@@ -257,6 +265,15 @@
                 fingerprint: *fingerprint,
                 until: self.clock.now() + entry.life,
             }),
+            fact::Key::CrashEvidence(fingerprint, server) => {
+                let announcement = Announcement {
+                    fingerprint: *fingerprint,
+                    server: *server,
+                    version: entry.stamp.version,
+                };
+                let until = self.clock.now() + entry.life;
+                Some(Event::CrashEvidence(announcement, until))
+            }
         }
     }
 }
--- a/crates/daemon/src/operator/render.rs
+++ b/crates/daemon/src/operator/render.rs
@@ -26,6 +26,9 @@
     let (kind, subject) = match &entry.key {
         fact::Key::Leaving(server) => ("leaving backend server", server.to_string()),
         fact::Key::Suspect(fingerprint) => ("crashing request", format!("{fingerprint:016x}")),
+        fact::Key::CrashEvidence(fingerprint, server) => {
+            ("crash evidence", format!("{fingerprint:016x} at {server}"))
+        }
     };
     json!({
         "what": kind,
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -11,6 +11,7 @@
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::{BackendServerId, Incarnation, RouteId};
 use monsoonring_decision::attempt::{ConnectionId, Failure};
+use monsoonring_decision::backend::suspect::Announcement;
 use monsoonring_decision::content::Content;
 use monsoonring_decision::home::action::{Decision, Send};
 use monsoonring_decision::home::{Action, Event, Home, Wakeup};
@@ -33,6 +34,8 @@
     Leaving(BackendServerId, Option<Incarnation>),
     /// Requests with this fingerprint crash backend servers and are refused for this time.
     Suspect(Fingerprint, Duration),
+    /// A backend server crashed under a request, or that is withdrawn.
+    CrashEvidence(Announcement),
 }
 
 /// Queue of the facts to publish.
@@ -231,6 +234,9 @@
             Action::AnnounceSuspect(fingerprint, life) => {
                 let _ = self.facts.send(Fact::Suspect(fingerprint, life));
             }
+            Action::AnnounceCrashEvidence(announcement) => {
+                let _ = self.facts.send(Fact::CrashEvidence(announcement));
+            }
             Action::Wake(at) => self.wakeup.schedule(at),
             // `perform` logs all decisions of an event together.
             Action::Log(_) => {}
--- a/crates/decision/src/backend/suspect.rs
+++ b/crates/decision/src/backend/suspect/mod.rs
@@ -7,7 +7,13 @@
 //! A fingerprint with evidence is quarantined: no hedges or retries, and one attempt at a time, so
 //! that it runs alone on the next server if possible. It is refused when the evidence from two
 //! deaths adds up to more than one. Both may be deaths of the same server, since a group may have
-//! just one. Simultaneous deaths, such as a rack failure, count once unless the request ran alone.
+//! just one. Simultaneous deaths, such as a rack failure, count once unless the request ran alone or
+//! was sent in quarantine a while after the first of them.
+//!
+//! A caller that repeats a request reaches another home each time, and each death may be observed by
+//! another one. Homes therefore announce their evidence as well as their refusals: a request that
+//! may have crashed a server is quarantined everywhere, and the next death under it is sufficient at
+//! any home.
 //!
 //! The evidence of a death depends on the deployment ([`CrashSignal`]). A home that sends most of a
 //! server's requests takes a lost connection as a death. If many homes share a server and its
@@ -15,12 +21,16 @@
 //! must be confirmed by a failed connect. Otherwise a network that resets connections would get
 //! harmless requests refused.
 //!
-//! A success on a replica of the dead server clears the fingerprint, and so does a report from the
-//! process whose connection was lost.
+//! A success on a replica of the dead server refutes the evidence, together with that of
+//! simultaneous deaths, and is announced. So does a report from the process whose connection was
+//! lost.
+
+mod evidence;
 
 use crate::attempt::AttemptId;
 use crate::{Fingerprint, Time};
 use derive_more::Display;
+use evidence::{Evidence, Record};
 use monsoonring_configuration::id::BackendServerId;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
@@ -37,7 +47,7 @@
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(600);
 
 /// Time for which evidence counts.
-const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
+pub const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
 
 /// Deaths within this time are simultaneous: connections of a dead server are lost one after
 /// another.
@@ -78,7 +88,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Display)]
 #[display("{confirmed} crashes confirmed, {unconfirmed} not, weight {weight:.2}")]
 pub struct Summary {
-    /// Number of confirmed deaths that the fingerprint has a part in.
+    /// Number of confirmed deaths that the fingerprint has a part in, at all homes.
     pub confirmed: usize,
     /// Number of lost connections that no failed connect has confirmed.
     pub unconfirmed: usize,
@@ -95,13 +105,46 @@
     pub refusal: Option<Duration>,
 }
 
+/// Announces to other homes that a server crashed under a fingerprint, or withdraws that.
+///
+/// Versions of the same death alternate: evidence has an even version, and its withdrawal the next
+/// odd one. The highest version is current.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Announcement {
+    /// Fingerprint of the requests.
+    pub fingerprint: Fingerprint,
+    /// The server that crashed.
+    pub server: BackendServerId,
+    /// Version of the announcement.
+    pub version: u64,
+}
+
+impl Announcement {
+    /// Returns whether a version withdraws the evidence.
+    pub fn is_withdrawal(version: u64) -> bool {
+        version % 2 == 1
+    }
+
+    /// Returns the version of new evidence after the `known` one.
+    fn after(known: Option<u64>) -> u64 {
+        known.map_or(0, |known| {
+            known + 1 + u64::from(!Self::is_withdrawal(known))
+        })
+    }
+
+    /// Returns the version that withdraws a version, or `None` if that is a withdrawal itself.
+    fn withdrawal_of(version: u64) -> Option<u64> {
+        (!Self::is_withdrawal(version)).then_some(version + 1)
+    }
+}
+
 /// Collects evidence against fingerprints.
 #[derive(Clone, Debug, Default)]
 pub struct Detector {
     crash_signal: CrashSignal,
     running: FxHashMap<AttemptId, RunningAttempt>,
     deaths: BTreeMap<BackendServerId, Death>,
-    evidence: BTreeMap<Fingerprint, Vec<Evidence>>,
+    evidence: BTreeMap<Fingerprint, Record>,
     refused: BTreeMap<Fingerprint, Time>,
 }
 
@@ -121,15 +164,6 @@
     blame: BTreeMap<Fingerprint, f64>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Evidence {
-    server: BackendServerId,
-    weight: f64,
-    at: Time,
-    /// Whether the death is confirmed; unconfirmed evidence does not count.
-    confirmed: bool,
-}
-
 impl Detector {
     /// Creates a detector that takes lost connections for deaths.
     pub fn new() -> Self {
@@ -150,18 +184,9 @@
         if self.crash_signal == CrashSignal::ConnectionLost {
             return Vec::new();
         }
-        let mut confirmed = Vec::new();
-        for (fingerprint, entries) in &mut self.evidence {
-            let lost = entries
-                .iter_mut()
-                .filter(|evidence| evidence.server == server);
-            for evidence in lost
-                .filter(|evidence| !evidence.confirmed && now < evidence.at + UNCONFIRMED_RETENTION)
-            {
-                evidence.confirmed = true;
-                confirmed.push(*fingerprint);
-            }
-        }
+        let confirmed: Vec<Fingerprint> = (self.evidence.iter_mut())
+            .filter_map(|(fingerprint, record)| record.confirm(server, now).then_some(*fingerprint))
+            .collect();
         let confirmed = confirmed.into_iter();
         confirmed
             .map(|fingerprint| Confirmation {
@@ -175,17 +200,10 @@
 
     /// Returns a summary of the evidence against a fingerprint.
     pub fn summary(&self, fingerprint: Fingerprint, now: Time) -> Summary {
-        let entries = self
-            .evidence
-            .get(&fingerprint)
-            .map_or(&[][..], Vec::as_slice);
-        let blames = |evidence: &&Evidence| evidence.confirmed && evidence.weight > 0.0;
+        let record = self.evidence.get(&fingerprint);
         Summary {
-            confirmed: entries.iter().filter(blames).count(),
-            unconfirmed: entries
-                .iter()
-                .filter(|evidence| !evidence.confirmed)
-                .count(),
+            confirmed: record.map_or(0, |record| record.deaths(now)),
+            unconfirmed: record.map_or(0, Record::unconfirmed),
             weight: self.weight(fingerprint, now),
         }
     }
@@ -229,20 +247,24 @@
         self.running.insert(attempt, running);
     }
 
-    /// Records that an attempt succeeded. This clears the evidence from its server and from the
-    /// other `replicas` of the shard. Returns whether there was any.
+    /// Records that an attempt succeeded. This refutes the evidence from its server and from the
+    /// other `replicas` of the shard. Returns the withdrawals to announce, or `None` if there was no
+    /// evidence.
     pub fn succeeded(
         &mut self,
         attempt: AttemptId,
         replicas: &[BackendServerId],
-        _now: Time,
-    ) -> bool {
-        let Some(running) = self.running.remove(&attempt) else {
-            return false;
+        now: Time,
+    ) -> Option<Vec<Announcement>> {
+        let running = self.running.remove(&attempt)?;
+        let fingerprint = running.fingerprint;
+        let record = self.evidence.get_mut(&fingerprint)?;
+        let withdrawals = match replicas.contains(&running.server) {
+            true => record.refute(replicas, now),
+            false => record.refute(&[running.server], now),
         };
-        self.remove_evidence(running.fingerprint, |evidence| {
-            evidence.server == running.server || replicas.contains(&evidence.server)
-        })
+        self.remove_if_empty(fingerprint);
+        Some(announcements(fingerprint, withdrawals?))
     }
 
     /// Records that an attempt ended without information about crashes.
@@ -254,37 +276,56 @@
     /// fingerprint and the duration for which it is refused, if that is new; other homes must then
     /// be notified.
     pub fn lost(&mut self, attempt: AttemptId, now: Time) -> Option<(Fingerprint, Duration)> {
-        let RunningAttempt {
-            fingerprint,
-            server,
-            sent,
-            ..
-        } = self.running.get(&attempt).copied()?;
-        let weight = self.blame_for(fingerprint, server, sent, now);
+        let running = self.running.get(&attempt).copied()?;
+        let fingerprint = running.fingerprint;
+        let weight = self.blame_for(fingerprint, running.server, running.sent, now);
         self.running.remove(&attempt);
-        let entries = self.evidence.entry(fingerprint).or_default();
-        // Several attempts of one request at the same server are evidence of the same death, unless
-        // a later one reached a new process.
-        let is_same = |evidence: &Evidence| {
-            evidence.server == server && sent < evidence.at + SAME_DEATH_WINDOW
-        };
-        entries.retain(|evidence| !is_same(evidence));
-        entries.push(Evidence {
-            server,
+        let independent = self.is_independent(&running, weight, now);
+        let evidence = Evidence {
+            server: running.server,
             weight,
             at: now,
             confirmed: self.crash_signal == CrashSignal::ConnectionLost,
-        });
+            independent,
+            announced: false,
+        };
+        let record = self.evidence.entry(fingerprint).or_default();
+        record.add(evidence, running.sent);
         self.refuse_if_due(fingerprint, now)
     }
 
     /// Removes the evidence from a server whose process is still running.
     pub fn survived(&mut self, server: BackendServerId, _now: Time) {
         self.deaths.remove(&server);
-        let fingerprints: Vec<Fingerprint> = self.evidence.keys().copied().collect();
-        for fingerprint in fingerprints {
-            self.remove_evidence(fingerprint, |evidence| evidence.server == server);
-        }
+        self.evidence.retain(|_, record| {
+            record.remove(server);
+            !record.is_empty()
+        });
+    }
+
+    /// Applies what another home announced, which is valid until the given time.
+    pub fn apply_announcement(&mut self, announcement: Announcement, until: Time, now: Time) {
+        let Announcement {
+            fingerprint,
+            server,
+            version,
+        } = announcement;
+        let until = until.min(now + EVIDENCE_RETENTION);
+        let record = self.evidence.entry(fingerprint).or_default();
+        record.apply(server, version, until, now);
+    }
+
+    /// Returns the new evidence against a fingerprint that is to be announced to the other homes.
+    pub fn take_announcements(&mut self, fingerprint: Fingerprint, now: Time) -> Vec<Announcement> {
+        let record = self.evidence.get_mut(&fingerprint);
+        let deaths = record.map_or_else(Vec::new, |record| record.take_announcements(now));
+        announcements(fingerprint, deaths)
+    }
+
+    /// Returns whether a server crashed under a fingerprint, as far as that is not refuted.
+    pub fn blames(&self, fingerprint: Fingerprint, server: BackendServerId, now: Time) -> bool {
+        let record = self.evidence.get(&fingerprint);
+        record.is_some_and(|record| record.blames(server, now))
     }
 
     /// Applies a refusal that another home has decided.
@@ -299,12 +340,9 @@
         self.refused.retain(|_, until| now < *until);
         self.deaths
             .retain(|_, death| now < death.at + SIMULTANEOUS_WINDOW);
-        self.evidence.retain(|_, entries| {
-            entries.retain(|evidence| match evidence.confirmed {
-                true => now < evidence.at + EVIDENCE_RETENTION,
-                false => now < evidence.at + UNCONFIRMED_RETENTION,
-            });
-            !entries.is_empty()
+        self.evidence.retain(|_, record| {
+            record.expire(now);
+            !record.is_empty()
         });
     }
 
@@ -359,33 +397,21 @@
         }
     }
 
-    /// Returns the evidence against a fingerprint, in deaths. Simultaneous deaths count once unless
-    /// the request ran alone.
+    /// Returns whether a death counts beside simultaneous ones. A home that sends only a part of a
+    /// server's requests can't tell that one ran alone there. A request in quarantine is sent to
+    /// servers that were alive after the first death.
+    fn is_independent(&self, running: &RunningAttempt, weight: f64, now: Time) -> bool {
+        let ran_alone = weight >= 1.0 && self.crash_signal == CrashSignal::ConnectionLost;
+        let record = self.evidence.get(&running.fingerprint);
+        let first_at = record.and_then(|record| record.first_at(now));
+        let is_later = first_at.is_some_and(|at| running.sent >= at + SAME_DEATH_WINDOW);
+        ran_alone || (running.in_quarantine && is_later)
+    }
+
+    /// Returns the weight of the evidence against a fingerprint, in deaths.
     fn weight(&self, fingerprint: Fingerprint, now: Time) -> f64 {
-        let Some(entries) = self.evidence.get(&fingerprint) else {
-            return 0.0;
-        };
-        let mut sum = 0.0;
-        let mut window: Option<(Time, f64)> = None;
-        let counts =
-            |evidence: &&Evidence| evidence.confirmed && now < evidence.at + EVIDENCE_RETENTION;
-        for evidence in entries.iter().filter(counts) {
-            // A home that sends only a part of a server's requests can't tell that one ran alone.
-            if evidence.weight >= 1.0 && self.crash_signal == CrashSignal::ConnectionLost {
-                sum += evidence.weight;
-                continue;
-            }
-            match window {
-                Some((start, max)) if evidence.at < start + SIMULTANEOUS_WINDOW => {
-                    window = Some((start, max.max(evidence.weight)));
-                }
-                _ => {
-                    sum += window.map_or(0.0, |(_, max)| max);
-                    window = Some((evidence.at, evidence.weight));
-                }
-            }
-        }
-        sum + window.map_or(0.0, |(_, max)| max)
+        let record = self.evidence.get(&fingerprint);
+        record.map_or(0.0, |record| record.weight(now))
     }
 
     fn refuse_if_due(
@@ -393,16 +419,14 @@
         fingerprint: Fingerprint,
         now: Time,
     ) -> Option<(Fingerprint, Duration)> {
-        let entries = self.evidence.get(&fingerprint)?;
-        let blames = |evidence: &&Evidence| evidence.confirmed && evidence.weight > 0.0;
-        let blamed = entries.iter().filter(blames).count();
+        let deaths = self.evidence.get(&fingerprint)?.deaths(now);
         let refused = self.refused.get(&fingerprint);
         let is_new = refused.is_none_or(|until| *until <= now);
-        let enough = blamed >= MIN_DEATHS && self.weight(fingerprint, now) >= MIN_REFUSAL_WEIGHT;
+        let enough = deaths >= MIN_DEATHS && self.weight(fingerprint, now) >= MIN_REFUSAL_WEIGHT;
         if !(is_new && enough) {
             return None;
         }
-        let doublings = u32::try_from(blamed - MIN_DEATHS).unwrap_or(u32::MAX);
+        let doublings = u32::try_from(deaths - MIN_DEATHS).unwrap_or(u32::MAX);
         let time = REFUSAL_TIME
             .saturating_mul(2_u32.saturating_pow(doublings))
             .min(MAX_REFUSAL_TIME);
@@ -410,21 +434,27 @@
         Some((fingerprint, time))
     }
 
-    /// Removes the evidence that `of` selects. Returns whether there was any.
-    fn remove_evidence(
-        &mut self,
-        fingerprint: Fingerprint,
-        of: impl Fn(&Evidence) -> bool,
-    ) -> bool {
-        let Some(entries) = self.evidence.get_mut(&fingerprint) else {
-            return false;
-        };
-        let before = entries.len();
-        entries.retain(|evidence| !of(evidence));
-        let is_removed = entries.len() < before;
-        if entries.is_empty() {
+    fn remove_if_empty(&mut self, fingerprint: Fingerprint) {
+        if self
+            .evidence
+            .get(&fingerprint)
+            .is_some_and(Record::is_empty)
+        {
             self.evidence.remove(&fingerprint);
         }
-        is_removed
     }
 }
+
+fn announcements(
+    fingerprint: Fingerprint,
+    versions: Vec<(BackendServerId, u64)>,
+) -> Vec<Announcement> {
+    let versions = versions.into_iter();
+    versions
+        .map(|(server, version)| Announcement {
+            fingerprint,
+            server,
+            version,
+        })
+        .collect()
+}
--- a/crates/decision/src/fact/entry.rs
+++ b/crates/decision/src/fact/entry.rs
@@ -10,8 +10,20 @@
 pub enum Key {
     /// The backend server is leaving. The stamp's version is the start number of the leaving process.
     Leaving(BackendServerId),
-    /// Requests with this fingerprint are suspected of crashing backend servers.
+    /// Requests with this fingerprint are refused because they crash backend servers.
     Suspect(Fingerprint),
+    /// The backend server crashed under a request with this fingerprint, or has not, depending on
+    /// the stamp's version; see [`Announcement`](crate::backend::suspect::Announcement).
+    CrashEvidence(Fingerprint, BackendServerId),
+}
+
+impl Key {
+    /// Returns whether the fact may be attached to a probe. A host of an older version can't decode a
+    /// message with a key that it doesn't know, and the probe would count as failed. Such facts are
+    /// sent in messages of their own.
+    pub fn is_attachable(&self) -> bool {
+        !matches!(self, Self::CrashEvidence(..))
+    }
 }
 
 /// Orders the facts about one key; the highest is current.
@@ -43,6 +55,7 @@
         let key = match &self.key {
             Key::Leaving(_) => crate::member::record::ADDRESS_BYTES,
             Key::Suspect(_) => 8,
+            Key::CrashEvidence(..) => 8 + crate::member::record::ADDRESS_BYTES,
         };
         FIXED + key
     }
--- a/crates/decision/src/gateway/members/mod.rs
+++ b/crates/decision/src/gateway/members/mod.rs
@@ -3,7 +3,8 @@
 //! The number of hosts determines each host's share of the servers' connections and of the retry
 //! and hedge budgets. If it is assumed too low, servers reject connections; if too high, capacity
 //! is left unused. A request that crashes servers is detected by the host that loses two of them to
-//! it; without a report to the others, each would lose two more.
+//! it, or one after another host has announced a crash; without a report to the others, each would
+//! lose two more.
 //!
 //! All messages are datagrams. A lost one is equivalent to a failed probe, and there are no
 //! connections that could fail silently. [`member::Table`] and [`fact::Table`] hold the membership
@@ -89,8 +90,8 @@
     Tick,
     /// A datagram arrived from this address.
     Received(MemberId, Datagram),
-    /// A home on this host found a fact, valid for this time.
-    Found(fact::Key, Duration),
+    /// A home on this host found a version of a fact, valid for this time.
+    Found(fact::Key, u64, Duration),
     /// Searches may be delegated to these data centres.
     RemoteDataCentres(BTreeSet<DataCentreId>),
 }
@@ -214,7 +215,7 @@
         match event {
             Event::Tick => self.tick(now),
             Event::Received(from, datagram) => self.receive(from, datagram, now),
-            Event::Found(key, life) => self.record_fact(key, life, now),
+            Event::Found(key, version, life) => self.record_fact(key, version, life, now),
             Event::RemoteDataCentres(data_centres) => {
                 self.set_remote_data_centres(&data_centres, now)
             }
@@ -308,7 +309,7 @@
         for action in self.table.handle(TableEvent::Probed(message), now) {
             match action {
                 TableAction::Reply(reply) => {
-                    let reply = self.attach(reply, now);
+                    let reply = self.attach(from, reply, now);
                     self.send(from, Datagram::Answer(probe, reply.into()));
                 }
                 other => self.execute(other, now),
@@ -348,12 +349,12 @@
         self.next_relay -= 1;
         self.relays.insert(relay_id, relay);
         let message = self.table.message(target);
-        let message = self.attach(message, now);
+        let message = self.attach(target, message, now);
         self.send(target, Datagram::Probe(relay_id, message.into()));
     }
 
-    fn record_fact(&mut self, key: fact::Key, life: Duration, now: Time) {
-        let Some(entry) = self.facts.learn(key, 0, life, now) else {
+    fn record_fact(&mut self, key: fact::Key, version: u64, life: Duration, now: Time) {
+        let Some(entry) = self.facts.learn(key, version, life, now) else {
             return;
         };
         let others = self.table.members().into_iter().map(|member| member.id);
@@ -372,8 +373,15 @@
             .extend(learned.into_iter().map(Action::Learned));
     }
 
-    fn attach(&mut self, mut message: Message, now: Time) -> Message {
-        message.attachment.facts = self.facts.pick(MAX_FACT_BYTES, now);
+    /// Attaches facts to a message, and sends those that can't be attached on their own.
+    fn attach(&mut self, to: MemberId, mut message: Message, now: Time) -> Message {
+        let facts = self.facts.pick(MAX_FACT_BYTES, now).into_iter();
+        let (attached, separate): (Vec<_>, Vec<_>) =
+            facts.partition(|entry| entry.key.is_attachable());
+        for entry in separate {
+            self.send(to, Datagram::Fact(entry));
+        }
+        message.attachment.facts = attached;
         message
     }
 
@@ -392,7 +400,7 @@
                 timeout,
             } => {
                 self.track_probe(probe, to, now + timeout);
-                let message = self.attach(message, now);
+                let message = self.attach(to, message, now);
                 self.send(to, Datagram::Probe(probe, message.into()));
             }
             TableAction::ProbeVia {
--- a/crates/decision/src/home/action.rs
+++ b/crates/decision/src/home/action.rs
@@ -1,6 +1,7 @@
 //! Actions that a home asks its driver to carry out.
 
 use crate::attempt::{AttemptId, ConnectionId};
+use crate::backend::suspect::Announcement;
 use crate::content::{Content, Json};
 use crate::outcome::Outcome;
 use crate::rationale::Rationale;
@@ -29,6 +30,9 @@
     /// Announces to the other homes that requests with this fingerprint crash backend servers, and
     /// for how long to refuse them.
     AnnounceSuspect(Fingerprint, Duration),
+    /// Announces to the other homes that a backend server crashed under a request, or withdraws
+    /// that.
+    AnnounceCrashEvidence(Announcement),
     /// Schedules a `Tick` at this time or earlier. Any event at or after that time replaces it, see
     /// [`Wakeup`](super::Wakeup).
     Wake(Time),
--- a/crates/decision/src/home/completion.rs
+++ b/crates/decision/src/home/completion.rs
@@ -4,6 +4,7 @@
 //! detector and the budgets; then the owner of the attempt decides what to do next. Events about
 //! unknown attempts are ignored, because those attempts have ended already.
 
+use super::action::Action;
 use super::flight::{Flight, Owner};
 use super::state::Home;
 use super::timer::Timer;
@@ -73,8 +74,11 @@
     fn record_success(&mut self, flight: &Flight, report: &Report, now: Time) {
         let change = self.fleet.replied(flight.id, report, now);
         let replicas = self.placement.replicas(flight.server);
-        if self.suspects.succeeded(flight.id, replicas, now) {
+        if let Some(withdrawals) = self.suspects.succeeded(flight.id, replicas, now) {
             self.log_crash_evidence(flight.fingerprint, flight.server, "a replica answered", now);
+            let withdrawals = withdrawals.into_iter();
+            self.actions
+                .extend(withdrawals.map(Action::AnnounceCrashEvidence));
         }
         if let Some(budgets) = self.budgets_of(flight.server) {
             budgets.succeeded(now);
@@ -179,6 +183,7 @@
         }
         let refused = self.suspects.lost(flight.id, now);
         self.log_crash_evidence(flight.fingerprint, flight.server, "connection lost", now);
+        self.announce_crash_evidence(flight.fingerprint, now);
         if let Some((fingerprint, period)) = refused {
             self.announce_suspect(fingerprint, period, flight.server, now);
         }
--- a/crates/decision/src/home/event.rs
+++ b/crates/decision/src/home/event.rs
@@ -3,6 +3,7 @@
 use super::params::Params;
 use crate::attempt::{AttemptId, ConnectFailure, ConnectionId, Failure};
 use crate::backend::ColdLimit;
+use crate::backend::suspect::Announcement;
 use crate::content::{Content, Json};
 use crate::placement::Homes;
 use crate::query::coverage::KeySet;
@@ -104,6 +105,9 @@
         /// Time until which they are refused, on this process's clock.
         until: Time,
     },
+    /// Another home announced that a backend server crashed under a request, or withdrew that. It is
+    /// valid until this time, on this process's clock.
+    CrashEvidence(Announcement, Time),
     /// The load endpoint of a backend server was polled; `None` if it did not answer.
     Polled(BackendServerId, Option<Report>),
     /// The time of the earliest `Wake` has come.
--- a/crates/decision/src/home/search.rs
+++ b/crates/decision/src/home/search.rs
@@ -12,7 +12,7 @@
 use crate::outcome::{Outcome, Reason};
 use crate::query::search::{Cause, Part, PartId, Search};
 use crate::rationale::LeastLoaded;
-use crate::{RequestId, Time};
+use crate::{Fingerprint, RequestId, Time};
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
 use smallvec::{SmallVec, smallvec};
 use std::time::Duration;
@@ -194,11 +194,24 @@
             .parts
             .iter()
             .filter(|(_, part)| part.given_up.is_none());
-        for part in wanted.map(|(id, _)| *id).collect::<Vec<_>>() {
+        let mut wanted: Vec<(PartId, usize)> = wanted.map(|(id, part)| (*id, part.group)).collect();
+        let fingerprint = search.request.fingerprint;
+        if self.suspects.status(fingerprint, now) == Status::Quarantined {
+            // A success there ends the quarantine, and the other parts are sent together.
+            wanted.sort_by_key(|(_, group)| !self.has_crashed_in(*group, fingerprint, now));
+        }
+        for (part, _) in wanted {
             self.assign(search, part, cause, now);
         }
     }
 
+    /// Returns whether a server of a group has crashed under a fingerprint.
+    fn has_crashed_in(&self, group: usize, fingerprint: Fingerprint, now: Time) -> bool {
+        let servers = self.route.groups.get(group).into_iter();
+        let mut servers = servers.flat_map(|group| &group.backend_servers);
+        servers.any(|server| self.suspects.blames(fingerprint, *server, now))
+    }
+
     /// Resumes a part that waited, or that was given up for lack of a server.
     pub(super) fn resume_part(&mut self, request: RequestId, id: PartId, now: Time) {
         self.with_search(request, now, |home, search| {
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -273,12 +273,21 @@
         for confirmation in self.suspects.unreachable(server, now) {
             let fingerprint = confirmation.fingerprint;
             self.log_crash_evidence(fingerprint, server, "connect failed", now);
+            self.announce_crash_evidence(fingerprint, now);
             if let Some(period) = confirmation.refusal {
                 self.announce_suspect(fingerprint, period, server, now);
             }
         }
     }
 
+    /// Announces new evidence against a fingerprint to the other homes.
+    pub(super) fn announce_crash_evidence(&mut self, fingerprint: Fingerprint, now: Time) {
+        let announcements = self.suspects.take_announcements(fingerprint, now);
+        let announcements = announcements.into_iter();
+        self.actions
+            .extend(announcements.map(Action::AnnounceCrashEvidence));
+    }
+
     /// Logs the evidence against a fingerprint after a change, and the cause of the change.
     pub(super) fn log_crash_evidence(
         &mut self,
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -226,6 +226,9 @@
                 self.suspects.apply_refusal(fingerprint, until, now);
                 self.end_suspects(fingerprint, now);
             }
+            Event::CrashEvidence(announcement, until) => {
+                self.suspects.apply_announcement(announcement, until, now);
+            }
             Event::Polled(server, report) => self.polled(server, report.as_ref(), now),
             Event::Tick => {}
             Event::Stop => self.stopping = true,
--- a/crates/decision/tests/crashing_request.rs
+++ b/crates/decision/tests/crashing_request.rs
@@ -5,6 +5,7 @@
 use monsoonring_configuration::document::{Kind, Route, SoftDeadline};
 use monsoonring_configuration::id::BackendServerId;
 use monsoonring_decision::attempt::Failure;
+use monsoonring_decision::backend::suspect::EVIDENCE_RETENTION;
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Action, Event, Params};
 use monsoonring_decision::{Fingerprint, Time};
@@ -33,6 +34,7 @@
 /// Several hosts that are homes of the same route, and its backend servers.
 struct Hosts {
     hosts: Vec<Session>,
+    servers: BTreeSet<BackendServerId>,
     /// Announcements of each host that the others have received.
     received: Vec<usize>,
     /// Crashed servers and when they are back.
@@ -45,7 +47,11 @@
 
 impl Hosts {
     fn new(route: &Route) -> Self {
+        let groups = route.groups.iter();
         Self {
+            servers: groups
+                .flat_map(|group| group.backend_servers.iter().copied())
+                .collect(),
             hosts: (0..HOSTS)
                 .map(|_| Session::with_hosts(route.clone(), HOSTS))
                 .collect(),
@@ -111,6 +117,10 @@
                 fingerprint,
                 until: self.now() + period,
             }),
+            Action::AnnounceCrashEvidence(announcement) => {
+                let until = self.now() + EVIDENCE_RETENTION;
+                Some(Event::CrashEvidence(announcement, until))
+            }
             _ => None,
         }
     }
@@ -159,9 +169,48 @@
         self.hosts[number].fail(send.attempt, Failure::Lost);
     }
 
+    /// Submits a search with this fingerprint to a host.
+    fn submit_harmless(&mut self, number: usize, fingerprint: Fingerprint) -> u128 {
+        self.next_id += 1;
+        let request = Request {
+            fingerprint,
+            params: Some(params(2, 0.89)),
+            ..request(self.next_id, self.now())
+        };
+        self.hosts[number].handle(Event::Request(request));
+        self.next_id
+    }
+
+    /// Crashes all servers at the same moment. Every attempt in flight is lost.
+    fn lose_all_servers(&mut self) {
+        let now = self.now();
+        let servers = self.servers.clone();
+        for host in &mut self.hosts {
+            host.refusing.extend(&servers);
+        }
+        self.down
+            .extend(servers.iter().map(|server| (*server, now + RESTART_TIME)));
+        for host in &mut self.hosts {
+            let mut next = 0;
+            while let Some(send) = host.sends.get(next) {
+                let attempt = send.attempt;
+                host.fail(attempt, Failure::Lost);
+                next += 1;
+            }
+        }
+        self.exchange();
+    }
+
+    /// Answers all attempts of a host, including those sent meanwhile.
+    fn answer_all(&mut self, number: usize) {
+        self.hosts[number].answer_from(0);
+    }
+
     /// Returns how many sends reached servers after the time in which the crashes are to be detected.
     fn repeats(&self) -> usize {
-        let third = self.crashes.get(2).expect("three servers crashed");
+        let Some(third) = self.crashes.get(2) else {
+            return 0;
+        };
         let late = self.reached.iter();
         late.filter(|at| **at > *third + DETECTION_TIME).count()
     }
@@ -215,3 +264,30 @@
         hosts.crashes.len()
     );
 }
+
+// Guards against the refusal of harmless requests that were in progress when all servers crashed, twice.
+#[test]
+fn harmless_requests_during_two_outages_are_not_refused() {
+    let mut hosts = Hosts::new(&without_hedges(10, 3));
+    hosts.advance_to(ms(1_000));
+    for _ in 0..2 {
+        for number in 0..HOSTS {
+            hosts.submit_harmless(number, number as Fingerprint);
+        }
+        hosts.lose_all_servers();
+        hosts.advance_to(hosts.now() + RESTART_TIME + ms(1_000));
+        for number in 0..HOSTS {
+            let repeated = (number + 1) % HOSTS;
+            let id = hosts.submit_harmless(repeated, number as Fingerprint);
+            hosts.answer_all(repeated);
+            let host = &hosts.hosts[repeated];
+            assert_eq!(
+                host.answer_to(id).coverage,
+                1.0,
+                "repeated at the next host"
+            );
+        }
+        hosts.advance_to(hosts.now() + ms(100));
+    }
+    assert!(hosts.hosts.iter().all(|host| !host.has_logged("suspect")));
+}
--- a/crates/decision/tests/members.rs
+++ b/crates/decision/tests/members.rs
@@ -231,19 +231,67 @@
 fn found_suspect_reaches_all_hosts_within_two_ticks() {
     let mut hosts = Hosts::start(9);
     hosts.run(SECOND * 8);
-    hosts.feed(3, Event::Found(Key::Suspect(77), SECOND * 60));
+    hosts.feed(3, Event::Found(Key::Suspect(77), 0, SECOND * 60));
     hosts.run(TICK * 2);
     let mut informed: Vec<_> = hosts.learned.iter().map(|(number, _)| *number).collect();
     informed.sort_unstable();
     assert_eq!(informed, (0..9).collect::<Vec<_>>());
 }
 
-// Guards against a restarted host that does not learn of a crashing request because it was announced before.
+// Guards against a host that sends a request to many servers at once although one crashed under it at another host.
 #[test]
-fn found_suspect_reaches_hosts_that_start_later() {
+fn found_crash_evidence_reaches_all_hosts_within_two_ticks() {
+    let mut hosts = Hosts::start(9);
+    hosts.run(SECOND * 8);
+    let key = Key::CrashEvidence(77, "10.1.0.1:8000".parse().expect("an address"));
+    for version in [0, 1] {
+        hosts.learned.clear();
+        hosts.feed(3, Event::Found(key.clone(), version, SECOND * 60));
+        hosts.run(TICK * 2);
+        let mut informed: Vec<_> = (hosts.learned.iter())
+            .filter(|(_, entry)| entry.stamp.version == version)
+            .map(|(number, _)| *number)
+            .collect();
+        informed.sort_unstable();
+        assert_eq!(informed, (0..9).collect::<Vec<_>>());
+    }
+}
+
+// Guards against failed probes at hosts of an older version, which can't decode a probe with crash evidence.
+#[test]
+fn found_crash_evidence_is_not_attached_to_probes() {
+    let mut hosts = Hosts::start(3);
+    hosts.run(SECOND * 4);
+    let key = Key::CrashEvidence(77, "10.1.0.1:8000".parse().expect("an address"));
+    hosts.feed(1, Event::Found(key.clone(), 0, SECOND * 60));
+    let (mut attached, mut separate) = (0, 0);
+    for _ in 0..50 {
+        for (_, _, datagram) in &hosts.in_transit {
+            match datagram {
+                Datagram::Probe(_, message) | Datagram::Answer(_, message) => {
+                    let facts = message.attachment.facts.iter();
+                    attached += facts.filter(|entry| entry.key == key).count();
+                }
+                Datagram::Fact(entry) => separate += usize::from(entry.key == key),
+                _ => {}
+            }
+        }
+        hosts.run(TICK);
+    }
+    assert_eq!(attached, 0);
+    assert!(
+        separate > 2,
+        "sent at once to two hosts, and repeated: {separate}"
+    );
+}
+
+// Guards against a restarted host that does not learn of a crashing request because it was announced before.
+#[test_case(Key::Suspect(77); "refusal")]
+#[test_case(Key::CrashEvidence(77, id(200)); "evidence")]
+fn found_suspect_reaches_hosts_that_start_later(key: Key) {
     let mut hosts = Hosts::start(9);
     hosts.run(SECOND * 8);
-    hosts.feed(3, Event::Found(Key::Suspect(77), SECOND * 60));
+    hosts.feed(3, Event::Found(key, 0, SECOND * 60));
     hosts.run(SECOND * 5);
     hosts.hosts[8] = Some(members(8, 2, hosts.now));
     hosts.learned.clear();
--- a/crates/decision/tests/suspect.rs
+++ b/crates/decision/tests/suspect.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use monsoonring_decision::Time;
-use monsoonring_decision::backend::suspect::{Detector, Status};
+use monsoonring_decision::backend::suspect::{Announcement, CrashSignal, Detector, Status};
 use proptest::prelude::*;
 use support::{ms, server};
 use test_case::test_case;
@@ -142,6 +142,119 @@
     assert_eq!(detector.status(7, ms(500)), Status::Clear);
 }
 
+/// Returns a detector of one of many hosts, at which only a failed connect confirms a crash.
+fn shared_servers() -> Detector {
+    Detector::with_crash_signal(CrashSignal::ConnectFailed)
+}
+
+/// Sends an attempt to a server at `sent` that crashes under it at `lost`. Returns whether the
+/// fingerprint is refused as a result.
+fn crash_confirmed(detector: &mut Detector, number: u16, sent: Time, lost: Time) -> bool {
+    let attempt = u64::from(number);
+    detector.sent(attempt, CULPRIT, server(number), sent);
+    detector.lost(attempt, lost);
+    let confirmations = detector.unreachable(server(number), lost + ms(1));
+    let mut refusals = confirmations
+        .iter()
+        .filter_map(|confirmation| confirmation.refusal);
+    refusals.next().is_some()
+}
+
+/// Returns the announcement of a crash.
+fn crashed(fingerprint: u64, number: u16, version: u64) -> Announcement {
+    Announcement {
+        fingerprint,
+        server: server(number),
+        version,
+    }
+}
+
+// Guards against a request that needs two crashes at each host before it is refused there.
+#[test]
+fn apply_announcement_then_one_crash_is_refused() {
+    let mut detector = shared_servers();
+    detector.apply_announcement(crashed(CULPRIT, 5, 0), ms(600_000), ms(0));
+    assert_eq!(detector.status(CULPRIT, ms(10)), Status::Quarantined);
+    assert!(crash_confirmed(&mut detector, 1, ms(1_000), ms(1_020)));
+}
+
+// Guards against the refusal of a request that was in progress at two hosts when a rack was lost.
+#[test]
+fn apply_announcement_of_simultaneous_crashes_is_not_refused() {
+    let mut detector = shared_servers();
+    detector.sent(1, CULPRIT, server(1), ms(0));
+    detector.apply_announcement(crashed(CULPRIT, 5, 0), ms(600_010), ms(10));
+    detector.lost(1, ms(20));
+    let confirmations = detector.unreachable(server(1), ms(21));
+    assert_eq!(confirmations[0].refusal, None);
+}
+
+// Guards against a burst of sends that each crash a server, because crashes within half a second count once.
+#[test_case(30, false; "while the first crash may still be noticed")]
+#[test_case(150, true; "a while after the first crash")]
+fn lost_in_quarantine_soon_after_a_crash(after: u64, refused: bool) {
+    let mut detector = shared_servers();
+    assert!(!crash_confirmed(&mut detector, 1, ms(0), ms(20)));
+    let sent = ms(20 + after);
+    assert_eq!(
+        crash_confirmed(&mut detector, 2, sent, sent + ms(20)),
+        refused
+    );
+}
+
+// Guards against a harmless request that stays in quarantine at all hosts after it has succeeded at one.
+#[test]
+fn succeeded_withdraws_evidence_everywhere() {
+    let mut detector = shared_servers();
+    detector.apply_announcement(crashed(7, 4, 0), ms(600_000), ms(0));
+    detector.apply_announcement(crashed(7, 9, 0), ms(600_001), ms(1));
+    detector.sent(1, 7, server(5), ms(10));
+    let withdrawals = detector.succeeded(1, &[server(4), server(5)], ms(20));
+    assert_eq!(detector.status(7, ms(20)), Status::Clear);
+    let mut other = shared_servers();
+    other.apply_announcement(crashed(7, 4, 0), ms(600_000), ms(0));
+    other.apply_announcement(crashed(7, 9, 0), ms(600_001), ms(1));
+    for withdrawal in withdrawals.expect("there was evidence") {
+        other.apply_announcement(withdrawal, ms(600_020), ms(21));
+    }
+    assert_eq!(other.status(7, ms(21)), Status::Clear);
+}
+
+// Guards against a request that is in quarantine for good because an old announcement arrives late.
+#[test]
+fn apply_announcement_older_than_the_withdrawal_is_ignored() {
+    let mut detector = shared_servers();
+    detector.apply_announcement(crashed(7, 4, 1), ms(600_000), ms(0));
+    detector.apply_announcement(crashed(7, 4, 0), ms(600_000), ms(10));
+    assert_eq!(detector.status(7, ms(20)), Status::Clear);
+    detector.apply_announcement(crashed(7, 4, 2), ms(600_000), ms(30));
+    assert_eq!(detector.status(7, ms(40)), Status::Quarantined);
+}
+
+// Guards against an announcement for each server that a search takes down at once.
+#[test]
+fn take_announcements_search_at_many_servers_announces_two() {
+    let mut detector = shared_servers();
+    let mut announced = Vec::new();
+    for number in 1..=10 {
+        assert!(!crash_confirmed(&mut detector, number, ms(0), ms(20)));
+        announced.extend(detector.take_announcements(CULPRIT, ms(21)));
+    }
+    assert_eq!(announced, [crashed(CULPRIT, 1, 0), crashed(CULPRIT, 2, 0)]);
+}
+
+// Guards against evidence that grows as a host hears its own announcement.
+#[test]
+fn apply_announcement_of_an_observed_crash_counts_once() {
+    let mut detector = shared_servers();
+    assert!(!crash_confirmed(&mut detector, 1, ms(0), ms(20)));
+    for announcement in detector.take_announcements(CULPRIT, ms(21)) {
+        detector.apply_announcement(announcement, ms(600_030), ms(30));
+    }
+    assert_eq!(detector.summary(CULPRIT, ms(40)).confirmed, 1);
+    assert_eq!(detector.take_announcements(CULPRIT, ms(50)), []);
+}
+
 proptest! {
     /// Servers that crash one after the other under different requests, as with hardware failures.
     #[test]
--- a/crates/experiment/src/simulation/world/mod.rs
+++ b/crates/experiment/src/simulation/world/mod.rs
@@ -239,7 +239,10 @@
                     self.timeline
                         .add(at, ScheduledEvent::HomeEvent(host, pool, Event::Tick));
                 }
-                Action::AnnounceLeaving(..) | Action::AnnounceSuspect(..) | Action::Log(_) => {}
+                Action::AnnounceLeaving(..)
+                | Action::AnnounceSuspect(..)
+                | Action::AnnounceCrashEvidence(..)
+                | Action::Log(_) => {}
             }
         }
     }
--- a/crates/wire/tests/datagram.rs
+++ b/crates/wire/tests/datagram.rs
@@ -41,13 +41,16 @@
             changes,
             rest: None
         })),
-        (any::<u64>(), any::<u32>()).prop_map(|(fingerprint, life)| {
-            Datagram::Fact(Entry {
-                key: Key::Suspect(fingerprint),
-                stamp: Stamp::default(),
-                life: Duration::from_millis(life.into()),
-            })
-        }),
+        (any::<u64>(), any::<u32>(), any::<Option<[u8; 4]>>()).prop_map(
+            |(fingerprint, life, server)| {
+                let evidence = |address| Key::CrashEvidence(fingerprint, (address, 8_000).into());
+                Datagram::Fact(Entry {
+                    key: server.map_or(Key::Suspect(fingerprint), evidence),
+                    stamp: Stamp::default(),
+                    life: Duration::from_millis(life.into()),
+                })
+            }
+        ),
     ]
 }
 
--- a/crates/wire/tests/samples/mod.rs
+++ b/crates/wire/tests/samples/mod.rs
@@ -243,6 +243,16 @@
                 from: member_a(),
             },
         ),
+        (
+            "hear_crash_evidence",
+            PeerRequest::Hear {
+                entry: fact::Entry {
+                    key: fact::Key::CrashEvidence(FINGERPRINT, member_a()),
+                    ..facts().remove(0)
+                },
+                from: member_a(),
+            },
+        ),
     ]
 }
 
