Expire first attempts of the budget's window after a pause

What callers saw: nothing that was traced to it. Beyond the share that owners allow, a shard that was not asked for 1.5 s or more could get any number of extra attempts from then on.

Cause: the window keeps slices for longer for extra attempts than for first ones. Where requests stop until a slice leaves both at once, its extra attempts were subtracted from the sum and its first ones never: they counted for good.

Change: a slice that leaves takes its first attempts with it.

--- a/crates/decision/src/budget/window.rs
+++ b/crates/decision/src/budget/window.rs
@@ -128,6 +128,7 @@
             if oldest.number + EXTRA_SLICES > number {
                 break;
             }
+            self.firsts -= oldest.firsts;
             self.extras -= oldest.extras;
             self.slices.pop_front();
         }
--- a/crates/decision/tests/budget.rs
+++ b/crates/decision/tests/budget.rs
@@ -157,6 +157,25 @@
     }
 }
 
+// Guards against first attempts that count for good, and allow as many extra ones, after a pause in the requests.
+#[test_case(5_000; "shorter than the window")]
+#[test_case(10_200; "slightly longer than the window")]
+#[test_case(30_000; "much longer than the window")]
+fn window_after_a_pause_counts_recent_first_attempts_only(pause_ms: u64) {
+    let now = Duration::from_millis(10_000 + pause_ms);
+    let mut window = Window::new(18.0, 4.0, WINDOW);
+    for number in 0..1_000_u64 {
+        window.record_first(Duration::from_millis(number * 10));
+    }
+    let recent = (0..1_000_u64).filter(|number| Duration::from_millis(number * 10) + WINDOW >= now);
+    let allowed = 0.18 * recent.count() as f64 + 4.0;
+    assert!(
+        window.available(now) <= allowed,
+        "{}",
+        window.available(now)
+    );
+}
+
 // Guards against unanswered searches in a burst of failures although the window still allows the
 // retries.
 #[test]
