Keep a crashing request in quarantine when its refusal ends

What callers saw: nothing yet; found while looking for the incident's cause elsewhere. A request refused for ten minutes would take down a server of each shard again when that time is over.

Cause: evidence was kept for 600 s, and the longest refusal is 600 s too, so nothing was known against the request when it was let in again.

Change: evidence is kept for 1,200 s.

Evidence: refusal_over_is_quarantined failed before (Clear) and passes.

--- a/crates/decision/src/backend/suspect/mod.rs
+++ b/crates/decision/src/backend/suspect/mod.rs
@@ -46,8 +46,9 @@
 const REFUSAL_TIME: Duration = Duration::from_secs(60);
 const MAX_REFUSAL_TIME: Duration = Duration::from_secs(600);
 
-/// Time for which evidence counts.
-pub const EVIDENCE_RETENTION: Duration = Duration::from_secs(600);
+/// Time for which evidence counts. It outlasts the longest refusal, so that a request is in
+/// quarantine when its refusal ends.
+pub const EVIDENCE_RETENTION: Duration = Duration::from_secs(1_200);
 
 /// Deaths within this time are simultaneous: connections of a dead server are lost one after
 /// another.
--- a/crates/decision/tests/suspect.rs
+++ b/crates/decision/tests/suspect.rs
@@ -255,6 +255,21 @@
     assert_eq!(detector.take_announcements(CULPRIT, ms(50)), []);
 }
 
+// Guards against a crashing request that takes down a server of each shard again when its refusal ends.
+#[test]
+fn refusal_over_is_quarantined() {
+    let mut detector = shared_servers();
+    for number in 1..=10 {
+        detector.apply_announcement(crashed(CULPRIT, number, 0), ms(600_000), ms(0));
+    }
+    assert!(crash_confirmed(&mut detector, 11, ms(1_000), ms(1_020)));
+    let Status::Refused(until) = detector.status(CULPRIT, ms(1_030)) else {
+        unreachable!("the request is refused");
+    };
+    detector.tick(until);
+    assert_eq!(detector.status(CULPRIT, until), Status::Quarantined);
+}
+
 proptest! {
     /// Servers that crash one after the other under different requests, as with hardware failures.
     #[test]
