Repeat refusals apart from crash evidence

What callers saw: nothing; a consequence of announcing evidence, found on reading. A crash leaves evidence against each request in progress. Facts that were gossiped before are repeated in turn, 128 bytes a message, for hosts that start later. Behind 200 facts of evidence a refusal would come round once in seventy messages, and a host that has just started would send a refused request for that long.

Change: evidence is repeated in 96 bytes of its own.

Evidence: pick_many_evidence_facts_repeats_each_refusal, which finds each refusal in every two messages.

--- a/crates/decision/src/fact/table.rs
+++ b/crates/decision/src/fact/table.rs
@@ -5,6 +5,7 @@
 use crate::broadcast::Broadcast;
 use crate::member::settings::transmit_limit;
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -20,6 +21,11 @@
 /// Bytes per message used to repeat facts, for members that missed their first round of gossip.
 const REPEAT_BYTES: usize = 128;
 
+/// Bytes per message used to repeat crash evidence. It does not share those of the other facts: a
+/// crash leaves evidence against each request in progress, and a host that starts needs the refusals
+/// before it takes requests.
+const REPEAT_EVIDENCE_BYTES: usize = 96;
+
 /// Encoded size of the smallest entry. With less space left in a message, no entry fits.
 const MIN_ENTRY_BYTES: usize = 36;
 
@@ -45,6 +51,7 @@
     by_forget_time: BTreeSet<(Time, Key)>,
     broadcast: Broadcast<Key>,
     last_repeated: Option<Key>,
+    last_repeated_evidence: Option<Key>,
     members: usize,
     capacity: usize,
 }
@@ -63,6 +70,7 @@
             by_forget_time: BTreeSet::new(),
             broadcast: Broadcast::new(),
             last_repeated: None,
+            last_repeated_evidence: None,
             members: 1,
             capacity: capacity.max(1),
         }
@@ -116,10 +124,24 @@
         let entry = |key: &Key| Self::entry(records, key, now);
         let mut picked: Vec<Entry> = keys.iter().filter_map(entry).collect();
         let used: usize = picked.iter().map(Entry::size).sum();
-        self.repeat(&mut picked, (max_bytes - used).min(REPEAT_BYTES), now);
+        let first_evidence = Self::first_evidence();
+        let others = (Bound::Unbounded, Bound::Excluded(&first_evidence));
+        let bytes = (max_bytes - used).min(REPEAT_BYTES);
+        let last = self.last_repeated.take();
+        self.last_repeated = self.repeat(&mut picked, others, last.as_ref(), bytes, now);
+        let used: usize = picked.iter().map(Entry::size).sum();
+        let evidence = (Bound::Included(&first_evidence), Bound::Unbounded);
+        let bytes = (max_bytes - used).min(REPEAT_EVIDENCE_BYTES);
+        let last = self.last_repeated_evidence.take();
+        self.last_repeated_evidence = self.repeat(&mut picked, evidence, last.as_ref(), bytes, now);
         picked
     }
 
+    /// Returns a key that is not greater than any key of crash evidence, and greater than all others.
+    fn first_evidence() -> Key {
+        Key::CrashEvidence(0, SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
     /// Removes expired facts whose tombstones are over.
     pub fn expire(&mut self, now: Time) {
         while let Some((forget_at, _)) = self.by_forget_time.first() {
@@ -197,19 +219,22 @@
         }
     }
 
-    /// Adds a few facts that were already gossiped, cycling through all of them in key order, so that
-    /// members that were unreachable during the gossip receive them too.
-    fn repeat(&mut self, picked: &mut Vec<Entry>, bytes: usize, now: Time) {
-        let from = self
-            .last_repeated
-            .take()
-            .map_or(Bound::Unbounded, Bound::Excluded);
+    /// Adds a few facts that were already gossiped, cycling through those in `range` in key order after
+    /// `last`, so that members that were unreachable during the gossip receive them too. Returns the
+    /// last one.
+    fn repeat(
+        &self,
+        picked: &mut Vec<Entry>,
+        range: (Bound<&Key>, Bound<&Key>),
+        last: Option<&Key>,
+        bytes: usize,
+        now: Time,
+    ) -> Option<Key> {
+        let (start, end) = range;
+        let start = last.map_or(start, Bound::Excluded);
         let mut remaining = bytes;
-        for key in self
-            .records
-            .range((from, Bound::Unbounded))
-            .map(|(key, _)| key)
-        {
+        let mut last_added = None;
+        for (key, _) in self.records.range::<Key, _>((start, end)) {
             let Some(entry) = Self::entry(&self.records, key, now) else {
                 continue;
             };
@@ -217,11 +242,12 @@
                 break;
             }
             remaining -= entry.size();
-            self.last_repeated = Some(entry.key.clone());
+            last_added = Some(entry.key.clone());
             if !picked.iter().any(|other| other.key == entry.key) {
                 picked.push(entry);
             }
         }
+        last_added
     }
 
     fn entry(records: &BTreeMap<Key, Record>, key: &Key, now: Time) -> Option<Entry> {
--- a/crates/decision/tests/fact.rs
+++ b/crates/decision/tests/fact.rs
@@ -4,6 +4,7 @@
 use monsoonring_decision::Time;
 use monsoonring_decision::fact::{Entry, Key, MAX_LIFE, Stamp, TOMBSTONE_LIFE, Table};
 use proptest::prelude::*;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use test_case::test_case;
 
@@ -229,3 +230,30 @@
         prop_assert_eq!(lens, vec![count; count]);
     }
 }
+
+// Guards against a host that starts and takes a refused request for seconds, while evidence against others is repeated.
+#[test]
+fn pick_many_evidence_facts_repeats_each_refusal() {
+    let mut table = Table::default();
+    table.set_members(9);
+    for number in 0..200 {
+        let key = Key::CrashEvidence(number, server(1));
+        table.learn(key, 0, MAX_LIFE, Time::ZERO);
+    }
+    for number in 0..3 {
+        table.learn(Key::Suspect(number), 0, MAX_LIFE, Time::ZERO);
+    }
+    let mut evidence = BTreeSet::new();
+    for _ in 0..1_000 {
+        table.pick(300, Time::ZERO);
+    }
+    for _ in 0..200 {
+        let mut picked = table.pick(300, Time::ZERO);
+        picked.extend(table.pick(300, Time::ZERO));
+        let refusals = picked.iter();
+        let refusals = refusals.filter(|entry| matches!(entry.key, Key::Suspect(_)));
+        assert_eq!(refusals.count(), 3, "in each two messages");
+        evidence.extend(picked.into_iter().map(|entry| entry.key));
+    }
+    assert_eq!(evidence.len(), 203, "evidence is repeated too");
+}
