Wait in quarantine until a lost connection is confirmed or refuted

What callers saw: a request in quarantine crashed two servers for each send.

Cause: when the connection of the only attempt was lost, the next part was sent at once. The connect that confirms the crash fails a fraction of a millisecond later, and the refusal came too late for that part.

Change: after a loss, a request in quarantine is sent again when a connect to the server has failed, or after 50 ms. A request without evidence is retried at once, as before.

--- a/crates/decision/src/backend/suspect/evidence.rs
+++ b/crates/decision/src/backend/suspect/evidence.rs
@@ -1,7 +1,8 @@
 //! The evidence against one fingerprint.
 
 use super::{
-    Announcement, EVIDENCE_RETENTION, SAME_DEATH_WINDOW, SIMULTANEOUS_WINDOW, UNCONFIRMED_RETENTION,
+    Announcement, CONFIRMATION_TIME, EVIDENCE_RETENTION, SAME_DEATH_WINDOW, SIMULTANEOUS_WINDOW,
+    UNCONFIRMED_RETENTION,
 };
 use crate::Time;
 use monsoonring_configuration::id::BackendServerId;
@@ -88,6 +89,12 @@
         is_confirmed
     }
 
+    /// Returns whether a recent loss may still be confirmed as a death.
+    pub(super) fn awaits_confirmation(&self, now: Time) -> bool {
+        let mut local = self.local.iter();
+        local.any(|evidence| !evidence.confirmed && now < evidence.at + CONFIRMATION_TIME)
+    }
+
     /// Applies what another home announced about the death of a server, unless a newer announcement
     /// is known.
     pub(super) fn apply(&mut self, server: BackendServerId, version: u64, until: Time, now: Time) {
--- a/crates/decision/src/backend/suspect/mod.rs
+++ b/crates/decision/src/backend/suspect/mod.rs
@@ -64,6 +64,10 @@
 /// Time for which a lost connection waits for a confirmation of the server's death.
 const UNCONFIRMED_RETENTION: Duration = Duration::from_secs(10);
 
+/// Time after a lost connection within which a connect to a dead server fails, and a request in
+/// quarantine is not sent to another one.
+pub const CONFIRMATION_TIME: Duration = Duration::from_millis(50);
+
 /// What counts as the death of a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum CrashSignal {
@@ -222,11 +226,16 @@
     }
 
     /// Returns whether another attempt may be sent now: always for a clear fingerprint, one at a
-    /// time in quarantine, never when refused.
+    /// time in quarantine, never when refused. In quarantine, a lost connection has to be confirmed
+    /// as a death or outlast [`CONFIRMATION_TIME`] first.
     pub fn can_send(&self, fingerprint: Fingerprint, now: Time) -> bool {
         match self.status(fingerprint, now) {
             Status::Clear => true,
-            Status::Quarantined => !self.has_quarantined_attempt(fingerprint),
+            Status::Quarantined => {
+                let record = self.evidence.get(&fingerprint);
+                let is_open = record.is_some_and(|record| record.awaits_confirmation(now));
+                !is_open && !self.has_quarantined_attempt(fingerprint)
+            }
             Status::Refused(_) => false,
         }
     }
--- a/crates/decision/src/home/completion.rs
+++ b/crates/decision/src/home/completion.rs
@@ -11,6 +11,7 @@
 use crate::attempt::{AttemptId, ConnectionId, Failure, Refusal};
 use crate::backend::Verdict;
 use crate::backend::pool::Health;
+use crate::backend::suspect::CONFIRMATION_TIME;
 use crate::content::Content;
 use crate::query::merge;
 use crate::query::search::{self, Cause, PartId, Search};
@@ -182,6 +183,10 @@
             return;
         }
         let refused = self.suspects.lost(flight.id, now);
+        self.timers.set(
+            now + CONFIRMATION_TIME,
+            Timer::Quarantine(flight.fingerprint),
+        );
         self.log_crash_evidence(flight.fingerprint, flight.server, "connection lost", now);
         self.announce_crash_evidence(flight.fingerprint, now);
         if let Some((fingerprint, period)) = refused {
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -272,6 +272,7 @@
     fn announce_crash_suspects(&mut self, server: BackendServerId, now: Time) {
         for confirmation in self.suspects.unreachable(server, now) {
             let fingerprint = confirmation.fingerprint;
+            self.freed_fingerprints.insert(fingerprint);
             self.log_crash_evidence(fingerprint, server, "connect failed", now);
             self.announce_crash_evidence(fingerprint, now);
             if let Some(period) = confirmation.refusal {
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -438,6 +438,9 @@
                 Timer::SoftDeadline(id) => self.with_search(id, now, |_, _| {}),
                 Timer::Deferral(id) => self.deferral_expired(id, now),
                 Timer::Attempt(id) => self.attempt_due(id, now),
+                Timer::Quarantine(fingerprint) => {
+                    self.freed_fingerprints.insert(fingerprint);
+                }
                 Timer::Fleet => self.tick_fleet(now),
             }
         }
--- a/crates/decision/src/home/timer.rs
+++ b/crates/decision/src/home/timer.rs
@@ -1,7 +1,7 @@
 //! Timers of a home, ordered by due time.
 
 use crate::attempt::AttemptId;
-use crate::{RequestId, Time};
+use crate::{Fingerprint, RequestId, Time};
 use std::collections::BTreeSet;
 
 /// What to do when a timer is due.
@@ -15,6 +15,8 @@
     Deferral(RequestId),
     /// Hedge an attempt, or check or give up its connection.
     Attempt(AttemptId),
+    /// Resume the parts of a request in quarantine.
+    Quarantine(Fingerprint),
     /// End a back-off, or check for unconfirmed cancellations.
     Fleet,
 }
--- a/crates/decision/tests/crashing_request.rs
+++ b/crates/decision/tests/crashing_request.rs
@@ -4,7 +4,7 @@
 
 use monsoonring_configuration::document::{Kind, Route, SoftDeadline};
 use monsoonring_configuration::id::BackendServerId;
-use monsoonring_decision::attempt::Failure;
+use monsoonring_decision::attempt::{ConnectFailure, Failure};
 use monsoonring_decision::backend::suspect::EVIDENCE_RETENTION;
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Action, Event, Params};
@@ -265,6 +265,40 @@
     );
 }
 
+// Guards against a search in quarantine that crashes a server of the next shard before a connect to the first one fails.
+#[test]
+fn search_in_quarantine_reaches_one_server() {
+    let mut hosts = Hosts::new(&without_hedges(10, 3));
+    hosts.advance_to(ms(1_000));
+    hosts.send_culprit(0, params(2, 0.89));
+    hosts.advance_to(ms(2_000));
+    let host = &mut hosts.hosts[1];
+    host.pending = hosts.servers.clone();
+    let request = Request {
+        fingerprint: CULPRIT,
+        params: Some(params(2, 0.89)),
+        ..request(100, host.now)
+    };
+    host.handle(Event::Request(request));
+    let [send] = &host.sends[..] else {
+        unreachable!("one part is sent: {:?}", host.sends);
+    };
+    let (attempt, server) = (send.attempt, send.backend_server);
+    let opens = host.opens.len();
+    host.fail(attempt, Failure::Lost);
+    host.advance(ms(2));
+    assert_eq!(host.sends.len(), 1, "the loss is not confirmed yet");
+    let connect = host.opens[opens..].iter();
+    let (connection, _) = connect
+        .filter(|(_, to)| *to == server)
+        .next_back()
+        .expect("a connect to the server");
+    host.handle(Event::ConnectFailed(*connection, ConnectFailure::Refused));
+    host.advance(ms(200));
+    assert_eq!(host.sends.len(), 1);
+    assert!(host.has_logged("suspect"));
+}
+
 // Guards against the refusal of harmless requests that were in progress when all servers crashed, twice.
 #[test]
 fn harmless_requests_during_two_outages_are_not_refused() {
--- a/crates/decision/tests/suspect.rs
+++ b/crates/decision/tests/suspect.rs
@@ -3,7 +3,9 @@
 mod support;
 
 use monsoonring_decision::Time;
-use monsoonring_decision::backend::suspect::{Announcement, CrashSignal, Detector, Status};
+use monsoonring_decision::backend::suspect::{
+    Announcement, CONFIRMATION_TIME, CrashSignal, Detector, Status,
+};
 use proptest::prelude::*;
 use support::{ms, server};
 use test_case::test_case;
@@ -255,6 +257,18 @@
     assert_eq!(detector.take_announcements(CULPRIT, ms(50)), []);
 }
 
+// Guards against a request in quarantine that crashes a second server before the first crash is confirmed.
+#[test]
+fn can_send_in_quarantine_waits_for_the_confirmation() {
+    let mut detector = shared_servers();
+    detector.apply_announcement(crashed(CULPRIT, 5, 0), ms(600_000), ms(0));
+    detector.sent(1, CULPRIT, server(1), ms(1_000));
+    detector.lost(1, ms(1_020));
+    assert!(!detector.can_send(CULPRIT, ms(1_021)));
+    let resumed = ms(1_020) + CONFIRMATION_TIME;
+    assert!(detector.can_send(CULPRIT, resumed), "the server is alive");
+}
+
 // Guards against a crashing request that takes down a server of each shard again when its refusal ends.
 #[test]
 fn refusal_over_is_quarantined() {
