--- a/crates/decision/tests/crashing_request.rs
+++ b/crates/decision/tests/crashing_request.rs
@@ -288,11 +288,9 @@
     host.fail(attempt, Failure::Lost);
     host.advance(ms(2));
     assert_eq!(host.sends.len(), 1, "the loss is not confirmed yet");
-    let connect = host.opens[opens..].iter();
-    let (connection, _) = connect
-        .filter(|(_, to)| *to == server)
-        .next_back()
-        .expect("a connect to the server");
+    let mut connects = host.opens[opens..].iter();
+    let connect = connects.rfind(|(_, to)| *to == server);
+    let (connection, _) = connect.expect("a connect to the server");
     host.handle(Event::ConnectFailed(*connection, ConnectFailure::Refused));
     host.advance(ms(200));
     assert_eq!(host.sends.len(), 1);
