Count an announced crash once, and withdraw it when the server survived

What callers saw: nothing; found on reading the change. A host heard its own announcement back and added half a death to what it had observed, so that less evidence than meant led to a refusal. A report of the process whose connection was lost withdrew the evidence at one home only, and the others kept the request in quarantine.

Change: a home keeps its announcements with those of the others and counts a death that it observed itself once; a server that survived is announced. Tests share without_hedges.

Evidence: survived_withdraws_evidence asserts the withdrawal, and apply_announcement_of_an_observed_crash_counts_once still passes.

--- a/crates/decision/src/backend/suspect/evidence.rs
+++ b/crates/decision/src/backend/suspect/evidence.rs
@@ -44,15 +44,23 @@
     }
 }
 
-/// The death of a server that another home announced, or its withdrawal.
+/// The death of a server that a home announced, or its withdrawal.
 #[derive(Clone, Copy, Debug)]
-struct Remote {
+struct Announced {
     version: u64,
     at: Time,
     until: Time,
 }
 
-impl Remote {
+impl Announced {
+    /// Withdraws the death. Returns the version of the withdrawal.
+    fn withdraw(&mut self, now: Time) -> u64 {
+        self.version += 1;
+        self.at = now;
+        self.until = now + EVIDENCE_RETENTION;
+        self.version
+    }
+
     fn counts(&self, now: Time) -> bool {
         !Announcement::is_withdrawal(self.version) && now < self.until
     }
@@ -62,7 +70,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
     local: Vec<Evidence>,
-    remote: BTreeMap<BackendServerId, Remote>,
+    /// Announcements of all homes, this one included.
+    announced: BTreeMap<BackendServerId, Announced>,
 }
 
 impl Record {
@@ -98,7 +107,7 @@
     /// Applies what another home announced about the death of a server, unless a newer announcement
     /// is known.
     pub(super) fn apply(&mut self, server: BackendServerId, version: u64, until: Time, now: Time) {
-        let known = self.remote.get(&server);
+        let known = self.announced.get(&server);
         if known.is_some_and(|known| known.version >= version) {
             return;
         }
@@ -107,7 +116,8 @@
             true => self.times_of(&[server], now),
             false => Vec::new(),
         };
-        self.remote.insert(server, Remote { version, at, until });
+        self.announced
+            .insert(server, Announced { version, at, until });
         for at in refuted {
             self.remove_window(at, now);
         }
@@ -144,50 +154,42 @@
     /// Removes the evidence of deaths simultaneous with one at `at`. Returns the withdrawals to
     /// announce.
     fn remove_window(&mut self, at: Time, now: Time) -> Vec<(BackendServerId, u64)> {
-        let is_simultaneous = |other: Time| is_simultaneous(at, other);
-        let announced = (self.local.iter())
-            .filter(|evidence| evidence.announced && is_simultaneous(evidence.at))
-            .map(|evidence| evidence.server);
-        let heard = (self.remote.iter())
-            .filter(|(_, entry)| entry.counts(now) && is_simultaneous(entry.at))
-            .map(|(server, _)| *server);
-        let withdrawn: Vec<BackendServerId> = announced.chain(heard).collect();
-        self.local.retain(|evidence| !is_simultaneous(evidence.at));
-        let withdrawals = withdrawn.into_iter().filter_map(|server| {
-            let version = self.remote.get(&server).map_or(0, |entry| entry.version);
-            let withdrawal = Announcement::withdrawal_of(version)?;
-            let until = now + EVIDENCE_RETENTION;
-            let entry = Remote {
-                version: withdrawal,
-                at: now,
-                until,
-            };
-            self.remote.insert(server, entry);
-            Some((server, withdrawal))
-        });
-        withdrawals.collect()
+        self.local
+            .retain(|evidence| !is_simultaneous(evidence.at, at));
+        let simultaneous = self.announced.iter_mut();
+        let simultaneous =
+            simultaneous.filter(|(_, entry)| entry.counts(now) && is_simultaneous(entry.at, at));
+        simultaneous
+            .map(|(server, entry)| (*server, entry.withdraw(now)))
+            .collect()
     }
 
-    /// Removes the evidence of this home about a server.
-    pub(super) fn remove(&mut self, server: BackendServerId) {
+    /// Removes the evidence about a server. Returns the withdrawal to announce, if others know of it.
+    pub(super) fn remove(
+        &mut self,
+        server: BackendServerId,
+        now: Time,
+    ) -> Option<(BackendServerId, u64)> {
         self.local.retain(|evidence| evidence.server != server);
+        let entry = self.announced.get_mut(&server)?;
+        entry.counts(now).then(|| (server, entry.withdraw(now)))
     }
 
     /// Drops expired evidence.
     pub(super) fn expire(&mut self, now: Time) {
         self.local.retain(|evidence| evidence.is_kept(now));
-        self.remote.retain(|_, entry| now < entry.until);
+        self.announced.retain(|_, entry| now < entry.until);
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.local.is_empty() && self.remote.is_empty()
+        self.local.is_empty() && self.announced.is_empty()
     }
 
     /// Returns whether a server has crashed under the fingerprint.
     pub(super) fn blames(&self, server: BackendServerId, now: Time) -> bool {
         let mut local = self.local.iter();
         local.any(|evidence| evidence.server == server && evidence.counts(now))
-            || (self.remote.get(&server)).is_some_and(|entry| entry.counts(now))
+            || (self.announced.get(&server)).is_some_and(|entry| entry.counts(now))
     }
 
     /// Returns the time of the earliest evidence that counts.
@@ -228,15 +230,7 @@
     /// that other homes announced.
     pub(super) fn deaths(&self, now: Time) -> usize {
         let blamed = self.counted(now).filter(|evidence| evidence.weight > 0.0);
-        let is_observed = |server: BackendServerId, at: Time| {
-            let mut local = self.counted(now);
-            local.any(|evidence| evidence.server == server && is_simultaneous(evidence.at, at))
-        };
-        let heard = self.heard(now);
-        blamed.count()
-            + heard
-                .filter(|(server, entry)| !is_observed(**server, entry.at))
-                .count()
+        blamed.count() + self.heard(now).count()
     }
 
     /// Returns the number of losses that are not confirmed.
@@ -258,9 +252,15 @@
                 continue;
             }
             self.local[index].announced = true;
-            let known = self.remote.get(&evidence.server);
+            let known = self.announced.get(&evidence.server);
             if known.is_none_or(|known| !known.counts(now)) {
                 let version = Announcement::after(known.map(|known| known.version));
+                let entry = Announced {
+                    version,
+                    at: evidence.at,
+                    until: evidence.at + EVIDENCE_RETENTION,
+                };
+                self.announced.insert(evidence.server, entry);
                 announcements.push((evidence.server, version));
             }
         }
@@ -274,11 +274,15 @@
             .filter(move |evidence| evidence.counts(now))
     }
 
-    /// Returns the announcements of other homes that count.
-    fn heard(&self, now: Time) -> impl Iterator<Item = (&BackendServerId, &Remote)> {
-        self.remote
+    /// Returns the announced deaths that count and were not observed by this home.
+    fn heard(&self, now: Time) -> impl Iterator<Item = (&BackendServerId, &Announced)> {
+        let is_observed = move |server: BackendServerId, at: Time| {
+            let mut local = self.counted(now);
+            local.any(|evidence| evidence.server == server && is_simultaneous(evidence.at, at))
+        };
+        self.announced
             .iter()
-            .filter(move |(_, entry)| entry.counts(now))
+            .filter(move |(server, entry)| entry.counts(now) && !is_observed(**server, entry.at))
     }
 }
 
--- a/crates/decision/src/backend/suspect/mod.rs
+++ b/crates/decision/src/backend/suspect/mod.rs
@@ -22,8 +22,8 @@
 //! harmless requests refused.
 //!
 //! A success on a replica of the dead server refutes the evidence, together with that of
-//! simultaneous deaths, and is announced. So does a report from the process whose connection was
-//! lost.
+//! simultaneous deaths. A report from the process whose connection was lost refutes the evidence of
+//! its death. Both are announced.
 
 mod evidence;
 
@@ -136,11 +136,6 @@
             known + 1 + u64::from(!Self::is_withdrawal(known))
         })
     }
-
-    /// Returns the version that withdraws a version, or `None` if that is a withdrawal itself.
-    fn withdrawal_of(version: u64) -> Option<u64> {
-        (!Self::is_withdrawal(version)).then_some(version + 1)
-    }
 }
 
 /// Collects evidence against fingerprints.
@@ -304,13 +299,17 @@
         self.refuse_if_due(fingerprint, now)
     }
 
-    /// Removes the evidence from a server whose process is still running.
-    pub fn survived(&mut self, server: BackendServerId, _now: Time) {
+    /// Removes the evidence from a server whose process is still running. Returns the withdrawals to
+    /// announce.
+    pub fn survived(&mut self, server: BackendServerId, now: Time) -> Vec<Announcement> {
         self.deaths.remove(&server);
-        self.evidence.retain(|_, record| {
-            record.remove(server);
+        let mut withdrawals = Vec::new();
+        self.evidence.retain(|fingerprint, record| {
+            let withdrawal = record.remove(server, now);
+            withdrawals.extend(announcements(*fingerprint, withdrawal));
             !record.is_empty()
         });
+        withdrawals
     }
 
     /// Applies what another home announced, which is valid until the given time.
@@ -457,7 +456,7 @@
 
 fn announcements(
     fingerprint: Fingerprint,
-    versions: Vec<(BackendServerId, u64)>,
+    versions: impl IntoIterator<Item = (BackendServerId, u64)>,
 ) -> Vec<Announcement> {
     let versions = versions.into_iter();
     versions
--- a/crates/decision/src/home/server.rs
+++ b/crates/decision/src/home/server.rs
@@ -100,7 +100,9 @@
         now: Time,
     ) {
         if change.survived {
-            self.suspects.survived(server, now);
+            let withdrawals = self.suspects.survived(server, now).into_iter();
+            self.actions
+                .extend(withdrawals.map(Action::AnnounceCrashEvidence));
         }
         if change.restarted {
             self.back_offs.remove(&server);
--- a/crates/decision/tests/crashing_request.rs
+++ b/crates/decision/tests/crashing_request.rs
@@ -9,7 +9,7 @@
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Action, Event, Params};
 use monsoonring_decision::{Fingerprint, Time};
-use session::{Session, ms, request, route};
+use session::{Session, ms, request, without_hedges};
 use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
 
@@ -230,12 +230,6 @@
     }
 }
 
-fn without_hedges(groups: usize, replicas: usize) -> Route {
-    let mut route = route(groups, replicas);
-    route.hedge.budget_percent = 0.0;
-    route
-}
-
 // Guards against a request that crashes servers at every host in turn, because each host needs evidence of its own.
 #[test_case(10, 3, 2, 50, 4; "search over ten shards, in bursts")]
 #[test_case(1, 9, 1, 1_000, 1; "one server, once a second")]
--- a/crates/decision/tests/home_shared_servers.rs
+++ b/crates/decision/tests/home_shared_servers.rs
@@ -2,14 +2,14 @@
 
 mod session;
 
-use monsoonring_configuration::document::{Class, Kind, Route, SoftDeadline};
+use monsoonring_configuration::document::{Class, Kind, SoftDeadline};
 use monsoonring_decision::attempt::{ConnectFailure, Failure, Refusal};
 use monsoonring_decision::home::action::Send;
 use monsoonring_decision::home::event::Request;
 use monsoonring_decision::home::{Event, Params};
 use monsoonring_decision::outcome::{Outcome, Reason};
 use monsoonring_decision::placement::Division;
-use session::{Session, VERSION, ms, refused, report, request, route, server};
+use session::{Session, VERSION, ms, refused, report, request, route, server, without_hedges};
 use std::sync::Arc;
 
 const HOSTS: usize = 9;
@@ -60,12 +60,6 @@
     }
 }
 
-fn without_hedges(groups: usize, replicas: usize) -> Route {
-    let mut route = route(groups, replicas);
-    route.hedge.budget_percent = 0.0;
-    route
-}
-
 // Guards against the refusal of harmless requests on a network that resets connections: a reset is
 // no crash while the server accepts connections.
 #[test]
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -79,6 +79,13 @@
     }
 }
 
+/// Returns a search route like [`route`] that never hedges.
+pub(crate) fn without_hedges(groups: usize, replicas: usize) -> Route {
+    let mut route = route(groups, replicas);
+    route.hedge.budget_percent = 0.0;
+    route
+}
+
 /// Returns a search route whose soft deadline accepts answers that cover half of the keys.
 pub(crate) fn gate_desk(groups: usize, replicas: usize) -> Route {
     let mut route = route(groups, replicas);
--- a/crates/decision/tests/suspect.rs
+++ b/crates/decision/tests/suspect.rs
@@ -119,7 +119,8 @@
 fn survived_withdraws_evidence() {
     let mut detector = Detector::new();
     crash_server(&mut detector, 1, &[7], ms(0));
-    detector.survived(server(1), ms(5));
+    assert_eq!(detector.take_announcements(7, ms(1)), [crashed(7, 1, 0)]);
+    assert_eq!(detector.survived(server(1), ms(5)), [crashed(7, 1, 1)]);
     assert!(crash_server(&mut detector, 2, &[7], ms(1_000)).is_empty());
     assert_eq!(detector.status(7, ms(1_010)), Status::Quarantined);
 }
