--- a/crates/monsoonringd/tests/soak/fault.rs
+++ b/crates/monsoonringd/tests/soak/fault.rs
@@ -74,6 +74,7 @@
             Self::Misbehave(_, Behaviour::Shed, _) => "server sheds load",
             Self::Misbehave(_, Behaviour::Reset, _) => "server resets connections",
             Self::Misbehave(_, Behaviour::AnswerTwice, _) => "server answers twice",
+            Self::Misbehave(_, Behaviour::CrashUnderRequest, _) => "server crashes under a request",
             Self::Misbehave(_, Behaviour::Answer, _) => "server healthy",
             Self::Drain(..) => "server drained",
             Self::Configure => "configuration changed",
