--- a/crates/decision/tests/crashing_request.rs
+++ b/crates/decision/tests/crashing_request.rs
@@ -18,19 +18,15 @@
 const CULPRIT: Fingerprint = 666;
 
 /// Time for which a server runs the request before it crashes.
-const RUN_TIME: Time = ms_const(20);
+const RUN_TIME: Time = Time::from_millis(20);
 
 /// Time until a crashed server is back.
-const RESTART_TIME: Time = ms_const(3_000);
+const RESTART_TIME: Time = Time::from_millis(3_000);
 
 /// Time after the third crash from which only [`MAX_REPEATS`] sends of the request may reach servers.
-const DETECTION_TIME: Time = ms_const(4_000);
+const DETECTION_TIME: Time = Time::from_millis(4_000);
 const MAX_REPEATS: usize = 3;
 
-const fn ms_const(value: u64) -> Time {
-    Time::from_millis(value)
-}
-
 /// Several hosts that are homes of the same route, and its backend servers.
 struct Hosts {
     hosts: Vec<Session>,
