Answer requests that wait in a host before a planned stop ends

Cause: at the stop timeout the server closed its connections and dropped the requests with them. The homes, which hold the proof that a request has not run, were not told of the stop, so the true answer had nobody to go to. The product's own interface did the same at its stop timeout and after a second signal.

Change: homes learn when their requests have to end (Event::Shutdown), also homes that start during the stop. What waits is refused as not run as soon as it can't be answered in time, judged by the rate at which the home sends and by the latency of that kind of work; at the end searches are answered with what they have, and what runs ends as unknown. The servers answer what no home holds in a new stage before connections are closed.

The test stop_short asserted that the open request gets no answer, which is the fault itself. It now asserts the answers to a search and to a non-idempotent request; that the stop ends and is reported as cut is asserted as before. Hosts of the soak name their deployment, so that tests beside each other don't share seeds.

Why it works: the answer is now made where the proof is, at a time at which its connection is still open.

--- a/crates/daemon/src/caller/front.rs
+++ b/crates/daemon/src/caller/front.rs
@@ -164,37 +164,51 @@
         let latest = (call.deadline + ANSWER_GRACE).into();
         match operation {
             Operation::Search => {
-                let outcome = tokio::time::timeout_at(latest, self.service.search(call)).await;
-                answer::outcome(request, &outcome.unwrap_or(OVERDUE_SEARCH))
+                let outcome = self.wait(latest, self.service.search(call)).await;
+                answer::outcome(request, &outcome.unwrap_or_else(search_without_outcome))
             }
-            Operation::Mint => match tokio::time::timeout_at(latest, self.service.mint(call)).await
-            {
+            Operation::Mint => match self.wait(latest, self.service.mint(call)).await {
                 Ok(Ok(key)) => answer::issued(request, &key),
                 Ok(Err(outcome)) => answer::outcome(request, &outcome),
-                Err(_) => Reply::Problem(status::not_run(Reason::Deadline, None), None),
+                Err(reason) => Reply::Problem(status::not_run(reason, None), None),
             },
             Operation::Execute { key, send } => {
                 let execution = self.service.execute(call, key, send);
-                let execution = tokio::time::timeout_at(latest, execution).await;
+                let execution = self.wait(latest, execution).await;
                 answer::execution(
                     request,
-                    &execution.unwrap_or_else(|_| OVERDUE_EXECUTION.into()),
+                    &execution.unwrap_or_else(|reason| Outcome::Unknown { reason }.into()),
                 )
             }
         }
     }
+
+    /// Waits for the service. Returns the reason if it has no outcome by `latest`, or when a stop
+    /// has to answer the remaining requests; without these limits the caller, and a stop, could
+    /// wait forever.
+    async fn wait<T>(
+        &self,
+        latest: tokio::time::Instant,
+        outcome: impl Future<Output = T>,
+    ) -> std::result::Result<T, Reason> {
+        let mut stop = self.stop.clone();
+        tokio::select! {
+            biased;
+            outcome = tokio::time::timeout_at(latest, outcome) => {
+                outcome.map_err(|_| Reason::Deadline)
+            }
+            () = stop.reached(Stage::Ending) => Err(Reason::Stopping),
+        }
+    }
 }
 
-// Outcomes for requests that the service has not answered `ANSWER_GRACE` after their deadline;
-// without them the caller, and a stop, could wait forever. A search can be reported as failed; a
-// non-idempotent request may have run.
-const OVERDUE_SEARCH: Outcome = Outcome::Failed {
-    reason: Reason::Deadline,
-    retry_after: None,
-};
-const OVERDUE_EXECUTION: Outcome = Outcome::Unknown {
-    reason: Reason::Deadline,
-};
+/// Returns the outcome of a search whose result is not known; it may be sent again.
+fn search_without_outcome(reason: Reason) -> Outcome {
+    Outcome::Failed {
+        reason,
+        retry_after: None,
+    }
+}
 
 impl Handler for Front {
     async fn handle(
--- a/crates/daemon/src/caller/request_log.rs
+++ b/crates/daemon/src/caller/request_log.rs
@@ -7,11 +7,12 @@
 use super::header::request_text;
 use super::problem::{Problem, RunStatus};
 use crate::metrics::Metrics;
-use crate::metrics::label::{ClassLabel, OutcomeLabel};
+use crate::metrics::label::{self, ClassLabel, OutcomeLabel};
 use crate::server::stop::{Stage, Watch};
 use monsoonring_configuration::document::Class;
 use monsoonring_configuration::id::RouteId;
 use monsoonring_decision::RequestId;
+use monsoonring_decision::outcome::Reason;
 use slog::{Logger, info, warn};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -61,7 +62,7 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Returns the number of requests that a stop cut off.
+    /// Returns the number of requests that a stop cut off, or answered without their results.
     pub(crate) fn cut_requests(&self) -> usize {
         self.shared.cut.load(Ordering::Relaxed)
     }
@@ -114,7 +115,12 @@
             RunStatus::Failed => OutcomeLabel::Failed,
             RunStatus::Unknown => OutcomeLabel::Unknown,
         };
-        let front = &self.request_log.shared.metrics.front;
+        let shared = &self.request_log.shared;
+        let may_have_run = problem.run_status != RunStatus::NotRun;
+        if may_have_run && problem.kind == label::reason(Reason::Stopping) {
+            shared.cut.fetch_add(1, Ordering::Relaxed);
+        }
+        let front = &shared.metrics.front;
         front.record_refusal(self.route.as_ref(), self.class, problem.kind);
         self.close(ended, problem.kind);
     }
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -68,6 +68,8 @@
     pub(super) host_updates: mpsc::UnboundedReceiver<members::Update>,
     /// Requests for the status.
     pub(super) status_requests: mpsc::UnboundedReceiver<oneshot::Sender<Status>>,
+    /// When all requests have to end, once a stop has begun.
+    pub(super) shutdown: watch::Receiver<Option<Time>>,
 }
 
 /// Status of configuration and registry, for operators.
@@ -108,6 +110,8 @@
     crash_facts: BTreeMap<fact::Key, (Time, Event<Opaque>)>,
     /// Evacuated data centres, as last written to the log.
     evacuated: BTreeSet<DataCentreId>,
+    /// When all requests have to end, once a stop has begun.
+    shutdown: Option<Time>,
 }
 
 /// Handles updates until the adapter closes its channel.
@@ -125,6 +129,7 @@
         homes: HashMap::new(),
         crash_facts: BTreeMap::new(),
         evacuated: BTreeSet::new(),
+        shutdown: None,
     };
     loop {
         let clock = controller.settings.clock;
@@ -147,6 +152,11 @@
                 controller.handle_host_update(&update);
                 continue;
             }
+            Ok(()) = sources.shutdown.changed() => {
+                controller.shutdown = *sources.shutdown.borrow_and_update();
+                controller.homes.values().for_each(|home| controller.send_shutdown(home));
+                continue;
+            }
             () = sleep_until(wake.into()) => Update::Registry(registry::Event::Tick),
         };
         let mut changed = controller.apply_update(first);
@@ -285,6 +295,13 @@
         }
     }
 
+    /// Tells a home when its requests have to end, if a stop has begun.
+    fn send_shutdown(&self, home: &Home) {
+        if let Some(end) = self.shutdown {
+            home.handle.send(Event::Shutdown(end));
+        }
+    }
+
     /// Puts a version of the configuration in force unless it is the current one or older. Returns whether it did.
     fn configure(&mut self, table: Table) -> bool {
         let in_force = self.table.as_ref().map(|table| table.version);
@@ -350,6 +367,7 @@
             let home = self.start_home(set, table, route, expected, remote_servers);
             home.handle.send(Event::Cold(cold.clone()));
             self.send_crash_facts(&home);
+            self.send_shutdown(&home);
             let home = Home { cold, ..home };
             return home;
         };
--- a/crates/daemon/src/gateway/front/mod.rs
+++ b/crates/daemon/src/gateway/front/mod.rs
@@ -9,6 +9,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::metrics::label::OutcomeLabel;
+use crate::server::stop::{Stage, Watch};
 use crate::server::{Handler, LimitStatus};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -62,6 +63,8 @@
     pub(super) relay: Arc<Relay>,
     /// Time that a response needs to reach a client of this host.
     pub(super) delivery_margin: Duration,
+    /// Stage of the stop.
+    pub(super) stop: Watch,
 }
 
 /// Time that a response needs to reach the client of the host that offloaded the search.
@@ -109,9 +112,11 @@
         let Some(route) = view.table.find(&info.host, head.uri.path()).cloned() else {
             return self.no_route(&info, &view.table, head.uri.path());
         };
-        let body = match self.read_body(body, &view.table, &info).await {
-            Ok(body) => body,
-            Err(status) => return self.body_not_read(&info, &route, status),
+        let body = self.read_body(body, &view.table, &info);
+        let body = match self.unless_ending(body).await {
+            Some(Ok(body)) => body,
+            Some(Err(status)) => return self.body_not_read(&info, &route, status),
+            None => return self.not_run(&info, "stopping", Duration::ZERO),
         };
         let context = Context {
             info: &info,
@@ -209,6 +214,16 @@
 }
 
 impl<I: Ingress> Front<I> {
+    /// Waits for a future; returns `None` if a stop first reaches the stage in which requests in flight are answered.
+    async fn unless_ending<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let mut stop = self.stop.clone();
+        tokio::select! {
+            biased;
+            output = future => Some(output),
+            () = stop.reached(Stage::Ending) => None,
+        }
+    }
+
     /// Reads the complete body within the configured limits.
     async fn read_body(
         &self,
--- a/crates/daemon/src/gateway/front/offload.rs
+++ b/crates/daemon/src/gateway/front/offload.rs
@@ -69,11 +69,15 @@
             context,
             written: false,
         };
-        let result = self
-            .relay
-            .search(&head, body, context.version, remaining)
-            .await;
+        let result = self.relay.search(&head, body, context.version, remaining);
+        let result = self.unless_ending(result).await;
         line.written = true;
+        let Some(result) = result else {
+            info!(self.log, "relay"; "id" => &context.info.id,
+                "took_us" => context.arrived.elapsed().as_micros(),
+                "outcome" => "not answered", "why" => "this host is stopping");
+            return ControlFlow::Break(Some(empty_response(StatusCode::BAD_GATEWAY)));
+        };
         let Some((host, answer)) = result else {
             return ControlFlow::Break(None);
         };
--- a/crates/daemon/src/gateway/ready.rs
+++ b/crates/daemon/src/gateway/ready.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 /// Handles requests of the load balancer, monitoring and operators.
+#[derive(Clone)]
 pub(super) struct Front {
     pub(super) describe: Describe,
     pub(super) metrics: Arc<Metrics>,
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -12,10 +12,11 @@
 use crate::metrics::label::Side;
 use crate::run::{Telemetry, listen, listen_datagrams, signals};
 use crate::server::Server;
-use crate::server::stop::{Control, Stage};
+use crate::server::stop::{Control, Schedule, Stage, Watch};
 use crate::settings::Limits;
 use futures::StreamExt;
 use monsoonring_configuration::id::DataCentreId;
+use monsoonring_decision::Time;
 use monsoonring_decision::gateway::Members;
 use monsoonring_decision::gateway::delivery;
 use monsoonring_decision::gateway::helper::Centicores;
@@ -33,6 +34,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 /// Maximum number of concurrent connections of the load balancer and monitoring.
@@ -180,6 +182,27 @@
     operators: Vec<TaskTracker>,
     stop: Control,
     operator_stop: Control,
+    clock: Clock,
+    /// When all requests at homes have to end, once a stop has begun.
+    shutdown: watch::Sender<Option<Time>>,
+}
+
+fn operator_server(
+    handler: ready::Front,
+    settings: &Settings,
+    telemetry: &Telemetry,
+    stop: &Watch,
+) -> Server<ready::Front> {
+    Server {
+        handler,
+        limits: Limits {
+            max_connections: OPERATOR_CONNECTIONS,
+            ..settings.limits.clone()
+        },
+        stop: stop.clone(),
+        gauge: telemetry.metrics.open_connections(Side::Operator),
+        log: telemetry.log.clone(),
+    }
 }
 
 impl Gateway {
@@ -199,6 +222,7 @@
         let (remote_tx, remote_rx) = watch::channel(BTreeSet::new());
         let (member_status, member_status_requests) = mpsc::unbounded_channel();
         let (control_status, control_status_requests) = mpsc::unbounded_channel();
+        let (shutdown, shutdown_rx) = watch::channel(None);
         tokio::spawn(members::run(members::Task {
             members: settings.members(clock),
             socket: listeners.hosts,
@@ -230,6 +254,7 @@
             updates: adapter.updates,
             host_updates,
             status_requests: control_status_requests,
+            shutdown: shutdown_rx,
         };
         tokio::spawn(control::run(controller, state.clone(), sources));
         let ingress = Arc::new(adapter.ingress);
@@ -242,6 +267,7 @@
             origin,
             relay: relay.clone(),
             delivery_margin: delivery::margin(settings.strength),
+            stop: watch.clone(),
         };
         let searches = Server {
             handler: Helper::new(front(Origin::Peer), settings.strength, adapter.mirror),
@@ -264,21 +290,13 @@
             control: control_status,
             members: member_status,
         };
-        let operators = || Server {
-            handler: ready::Front {
-                describe: describe.clone(),
-                metrics: metrics.clone(),
-                stop: watch.clone(),
-                path: settings.ready_path,
-            },
-            limits: Limits {
-                max_connections: OPERATOR_CONNECTIONS,
-                ..settings.limits.clone()
-            },
-            stop: operator_watch.clone(),
-            gauge: metrics.open_connections(Side::Operator),
-            log: log.clone(),
+        let readiness = ready::Front {
+            describe,
+            metrics: metrics.clone(),
+            stop: watch,
+            path: settings.ready_path,
         };
+        let operators = || operator_server(readiness.clone(), settings, telemetry, &operator_watch);
         Self {
             clients: clients.start(listeners.front),
             searches: searches.start(listeners.searches),
@@ -288,24 +306,38 @@
             ],
             stop,
             operator_stop,
+            clock,
+            shutdown,
         }
     }
 
     /// Stops the gateway: reports "not ready", waits for the load balancer to react, stops accepting connections, and
-    /// finishes the requests in flight until the timeout. Returns whether all of them finished. Readiness is served
-    /// until the end.
+    /// finishes the requests in flight. Those that can't be finished before the timeout are refused, or answered with
+    /// what is known of them, before their connections are closed. Returns whether none was left then. Readiness is
+    /// served until the end.
     async fn stop(self, settings: &Settings, log: &Logger) -> bool {
         info!(log, "stop"; "what" => "began");
+        let schedule = Schedule::new(settings.stop_timeout);
         self.stop.advance(Stage::Leaving);
-        let finish = async {
+        let end = self.clock.now() + schedule.end_requests;
+        self.shutdown.send_replace(Some(end));
+        let mut finish = pin!(async {
             tokio::time::sleep(settings.drain_wait).await;
             self.stop.advance(Stage::Draining);
             self.clients.wait().await;
             self.searches.wait().await;
-        };
-        let finished = tokio::time::timeout(settings.stop_timeout, finish).await;
+        });
+        let finished = timeout(schedule.end_requests, finish.as_mut()).await;
         if finished.is_err() {
             warn!(log, "stop"; "what" => "cut short");
+            let until_answer = schedule.answer - schedule.end_requests;
+            if timeout(until_answer, finish.as_mut()).await.is_err() {
+                self.stop.advance(Stage::Ending);
+                let until_cut = schedule.cut - schedule.answer;
+                if timeout(until_cut, finish).await.is_err() {
+                    warn!(log, "stop"; "what" => "connections cut");
+                }
+            }
         }
         self.stop.advance(Stage::Cut);
         self.clients.wait().await;
--- a/crates/daemon/src/node/mod.rs
+++ b/crates/daemon/src/node/mod.rs
@@ -135,6 +135,10 @@
         self.0.begin_stop();
     }
 
+    fn end_requests(&self, at: Instant) {
+        self.0.routes.shut_down(self.0.clock.time(at));
+    }
+
     fn drain(&self) -> BoxFuture<'_, ()> {
         self.0.finish_stop().boxed()
     }
--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -5,6 +5,7 @@
 use crate::route::{self, Handle};
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::RouteId;
+use monsoonring_decision::Time;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::member::MemberId;
 use monsoonring_decision::placement::{self, Difference, Member};
@@ -36,6 +37,8 @@
     entries: Mutex<HashMap<RouteId, Entry>>,
     /// Members at the last update, from which the homes were chosen.
     members: Mutex<Arc<[Member]>>,
+    /// When all requests have to end, once a stop has begun.
+    shutdown: Mutex<Option<Time>>,
 }
 
 impl Routes {
@@ -52,6 +55,7 @@
             homes_override,
             entries: Mutex::default(),
             members: Mutex::default(),
+            shutdown: Mutex::default(),
         }
     }
 
@@ -72,6 +76,13 @@
         }
     }
 
+    /// Tells every home, also those that start later, when its requests have to end.
+    pub(super) fn shut_down(&self, end: Time) {
+        // Before the broadcast, so that no home misses it.
+        *self.shutdown() = Some(end);
+        self.broadcast(&Event::Shutdown(end));
+    }
+
     /// Applies a change of configuration or members; returns the homes that were started.
     pub(super) fn update(&self, view: &View) -> Vec<Handle> {
         let Some(configuration) = &view.configuration else {
@@ -171,7 +182,11 @@
     fn start_home(&self, route: &Arc<Route>, homes: usize) -> Handle {
         info!(self.log, "placement"; "what" => "home", "route" => &*route.name, "homes" => homes,
             "why" => "this member ranks among the homes");
-        (self.spawn)(route.clone(), homes)
+        let handle = (self.spawn)(route.clone(), homes);
+        if let Some(end) = *self.shutdown() {
+            handle.send(Event::Shutdown(end));
+        }
+        handle
     }
 
     fn update_home(&self, old: &Entry, route: &Arc<Route>, homes: usize) {
@@ -193,6 +208,10 @@
         handle.send(Event::Stop);
     }
 
+    fn shutdown(&self) -> MutexGuard<'_, Option<Time>> {
+        self.shutdown.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<RouteId, Entry>> {
         self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,27 +2,29 @@
 //!
 //! A planned stop cuts nothing off. The daemon first reports that it is not ready but still serves
 //! requests until load balancers have had time to react; then it stops accepting connections and
-//! ends when no request is in flight. A second signal or the stop timeout cuts off the remaining
-//! requests, and the log shows how many.
+//! ends when no request is in flight. After a second signal, or shortly before the stop timeout, the
+//! remaining requests are answered with what is known of them; the log shows how many had no
+//! outcome.
 
 use crate::caller::{self, RequestLog};
 use crate::metrics::Metrics;
 use crate::metrics::label::Side;
 use crate::operator;
 use crate::server::Server;
-use crate::server::stop::{Control, Stage, Watch};
+use crate::server::stop::{Control, Schedule, Stage, Watch};
 use crate::service::Service;
 use crate::settings::{Limits, Settings};
 use futures::stream::{Stream, StreamExt};
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::timeout;
 use tokio_util::task::TaskTracker;
 
 /// Exit code of a process that failed to start.
@@ -206,16 +208,23 @@
     }
 
     /// Waits for the first signal, stops, and returns how the stop ended. A second signal cuts the
-    /// stop short; the end of the stream does not count as a signal.
+    /// stop short: the remaining requests are answered at once. The end of the stream does not count
+    /// as a signal.
     pub async fn until_stopped(self, signals: impl Stream<Item = ()> + Send) -> StopOutcome {
         let mut signals = pin!(signals.chain(futures::stream::pending()));
         signals.next().await;
         let log = &self.telemetry.log;
         info!(log, "stop began"; "in_flight" => self.request_log.in_flight());
+        let schedule = Schedule::new(self.stop_timeout);
+        self.service
+            .end_requests(Instant::now() + schedule.end_requests);
+        let mut drain = pin!(self.drain_and_stop());
         let drained = tokio::select! {
-            () = self.drain_and_stop() => true,
-            _ = signals.next() => self.give_up("second signal"),
-            () = tokio::time::sleep(self.stop_timeout) => self.give_up("stop timeout reached"),
+            () = drain.as_mut() => true,
+            _ = signals.next() => self.cut_short("second signal", schedule, drain).await,
+            () = tokio::time::sleep(schedule.end_requests) => {
+                self.cut_short("stop timeout reached", schedule, drain).await
+            }
         };
         self.stop.advance(Stage::Cut);
         self.callers.wait().await;
@@ -242,9 +251,25 @@
         self.service.drain().await;
     }
 
-    fn give_up(&self, reason: &'static str) -> bool {
+    /// Ends the remaining requests, first at their homes, then without an outcome. Returns `false`,
+    /// because the stop is not complete.
+    async fn cut_short(
+        &self,
+        reason: &'static str,
+        schedule: Schedule,
+        mut drain: Pin<&mut impl Future<Output = ()>>,
+    ) -> bool {
         let log = &self.telemetry.log;
         warn!(log, "stop cut short"; "why" => reason, "in_flight" => self.request_log.in_flight());
+        self.service.end_requests(Instant::now());
+        let until_answer = schedule.answer - schedule.end_requests;
+        if timeout(until_answer, drain.as_mut()).await.is_err() {
+            self.stop.advance(Stage::Ending);
+            let until_cut = schedule.cut - schedule.answer;
+            if timeout(until_cut, drain).await.is_err() {
+                warn!(log, "connections cut"; "in_flight" => self.request_log.in_flight());
+            }
+        }
         false
     }
 }
--- a/crates/daemon/src/server/stop.rs
+++ b/crates/daemon/src/server/stop.rs
@@ -3,8 +3,39 @@
 //! Stages only advance. Participants watch the stage and are not called, so none can block the
 //! stop.
 
+use std::time::Duration;
 use tokio::sync::watch;
 
+/// Time at the end of a stop for delivering the last answers.
+const MAX_DELIVERY_TIME: Duration = Duration::from_millis(200);
+
+/// The same as a share of the stop's duration, for short stops.
+const DELIVERY_SHARE: f64 = 0.05;
+
+/// The times of a stop, counted from its beginning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Schedule {
+    /// When homes end the requests that are left.
+    pub(crate) end_requests: Duration,
+    /// When the requests that have no outcome by then are answered without one; see
+    /// [`Stage::Ending`].
+    pub(crate) answer: Duration,
+    /// When connections are closed; see [`Stage::Cut`].
+    pub(crate) cut: Duration,
+}
+
+impl Schedule {
+    /// Returns the schedule of a stop that takes `timeout` at most.
+    pub(crate) fn new(timeout: Duration) -> Self {
+        let delivery = timeout.mul_f64(DELIVERY_SHARE).min(MAX_DELIVERY_TIME);
+        Self {
+            end_requests: timeout - delivery,
+            answer: timeout - delivery / 2,
+            cut: timeout,
+        }
+    }
+}
+
 /// Stage of a stop.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Stage {
@@ -15,7 +46,9 @@
     Leaving,
     /// No new connections are accepted; requests in flight are finished.
     Draining,
-    /// Requests still in flight are cut off.
+    /// Requests still in flight are answered at once.
+    Ending,
+    /// Connections are closed, also those with requests in flight.
     Cut,
 }
 
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -153,6 +153,10 @@
     /// be served.
     fn leave(&self) {}
 
+    /// Ends all requests by `at`, with what is known of them then; those that can't be answered by
+    /// then are refused. A later call may bring the time forward.
+    fn end_requests(&self, _at: Instant) {}
+
     /// Completes when no request from a peer is in flight. Called after the callers' port has
     /// closed.
     fn drain(&self) -> BoxFuture<'_, ()> {
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -6,7 +6,7 @@
 use monsoonring_decision::outcome::{Answer, Outcome};
 use monsoonring_decision::reply::Item;
 use std::sync::atomic::Ordering;
-use support::http::{Client, exchange, get, search};
+use support::http::{Client, exchange, execute, get, search};
 use support::service::{Fake, answer};
 use support::{Daemon, within};
 use test_case::test_case;
@@ -82,22 +82,29 @@
     assert_eq!(daemon.stopped().await, StopOutcome::Cut { requests: 0 });
 }
 
-#[test_case("--stop-bound-ms=50000", 2; "by_a_second_signal_cuts_open_requests")]
-#[test_case("--stop-bound-ms=300", 1; "by_its_timeout_cuts_open_requests")]
+// Guards against a stop that never ends because a request in flight does not end, and against
+// connections that such a stop closes without an answer.
+#[test_case("--stop-bound-ms=50000", 2; "by_a_second_signal_answers_open_requests")]
+#[test_case("--stop-bound-ms=300", 1; "by_its_timeout_answers_open_requests")]
 #[tokio::test]
 async fn stop_short(setting: &str, signals: usize) {
-    // Guards against a stop that never ends because a request in flight does not end.
     let daemon = Daemon::start(Fake::blocked(), &[setting]).await;
-    let mut client = Client::connect(daemon.caller_address).await;
-    client.send(search("1").as_bytes()).await;
-    daemon.service.wait_for_requests(1).await;
+    let mut searching = Client::connect(daemon.caller_address).await;
+    searching.send(search("1").as_bytes()).await;
+    let mut executing = Client::connect(daemon.caller_address).await;
+    executing.send(execute("own-1").as_bytes()).await;
+    daemon.service.wait_for_requests(2).await;
     (0..signals).for_each(|_| daemon.signal());
-    assert_eq!(
-        client.receive().await.status,
-        0,
-        "the open request is cut off"
+    let response = searching.receive().await;
+    assert_eq!(response.status, 503, "a search may be sent again");
+    assert_eq!(response.header("connection"), Some("close"));
+    let response = executing.receive().await;
+    assert_eq!(response.status, 502, "the request may have run");
+    assert!(
+        daemon.service.end_requests_called.load(Ordering::SeqCst),
+        "the service can end its requests first"
     );
-    assert_eq!(daemon.stopped().await, StopOutcome::Cut { requests: 1 });
+    assert_eq!(daemon.stopped().await, StopOutcome::Cut { requests: 2 });
 }
 
 #[tokio::test]
--- a/crates/daemon/tests/support/http.rs
+++ b/crates/daemon/tests/support/http.rs
@@ -122,6 +122,19 @@
     )
 }
 
+/// Formats a non-idempotent request of the caller `dispatch` under this key.
+pub(crate) fn execute(key: &str) -> String {
+    post(
+        "/routes/tickets/execute",
+        &[
+            "monsoonring-caller: dispatch",
+            &format!("idempotency-key: {key}"),
+            "monsoonring-send: 1",
+        ],
+        "1",
+    )
+}
+
 /// Formats a `GET` request.
 pub(crate) fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nhost: test{END_OF_HEAD}")
--- a/crates/daemon/tests/support/service.rs
+++ b/crates/daemon/tests/support/service.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
 use tokio::sync::{Semaphore, watch};
 
 /// Revision of the fake configuration.
@@ -27,6 +28,8 @@
     pub(crate) cancellations: Semaphore,
     /// Whether `leave` was called.
     pub(crate) leave_called: AtomicBool,
+    /// Whether `end_requests` was called.
+    pub(crate) end_requests_called: AtomicBool,
     /// Whether `drain` has completed.
     pub(crate) drained: AtomicBool,
     /// Requests and `drain` wait while this is true.
@@ -45,6 +48,7 @@
             arrivals: Semaphore::new(0),
             cancellations: Semaphore::new(0),
             leave_called: AtomicBool::new(false),
+            end_requests_called: AtomicBool::new(false),
             drained: AtomicBool::new(false),
             blocked: watch::Sender::new(false),
         }
@@ -147,6 +151,10 @@
         self.leave_called.store(true, Ordering::SeqCst);
     }
 
+    fn end_requests(&self, _at: Instant) {
+        self.end_requests_called.store(true, Ordering::SeqCst);
+    }
+
     fn drain(&self) -> BoxFuture<'_, ()> {
         Box::pin(async {
             let mut blocked = self.blocked.subscribe();
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -311,7 +311,12 @@
 
     /// Returns the median latency of a kind of work, or `None` with too few measurements.
     pub fn median_latency(&self, work: WorkKind) -> Option<Duration> {
-        self.latency_by_work.get(&work)?.quantile(0.5)
+        self.latency_of(work, 0.5)
+    }
+
+    /// Returns a latency quantile of a kind of work, or `None` with too few measurements.
+    pub fn latency_of(&self, work: WorkKind, quantile: f64) -> Option<Duration> {
+        self.latency_by_work.get(&work)?.quantile(quantile)
     }
 
     fn clamp_hedge_delay(&self, quantile: Duration) -> Duration {
--- a/crates/decision/src/home/event.rs
+++ b/crates/decision/src/home/event.rs
@@ -112,6 +112,9 @@
     Polled(BackendServerId, Option<Report>),
     /// The time of the earliest `Wake` has come.
     Tick,
-    /// The daemon is stopping: requests in progress finish, new ones are refused.
+    /// The home ends: requests in progress finish, new ones are refused.
     Stop,
+    /// The daemon exits soon: all requests end by this time, and those that can't be answered by
+    /// then are refused.
+    Shutdown(Time),
 }
--- a/crates/decision/src/home/mod.rs
+++ b/crates/decision/src/home/mod.rs
@@ -7,8 +7,8 @@
 //! [`Home`] is split over several files by event: `search`, `execute` and `delegation` start
 //! requests, choose servers and finish requests; `deferral` decides on retries while budgets are
 //! scarce; `dispatch` sends attempts on connections; `completion` handles the end of attempts;
-//! `server` handles changes of backend servers and `route` a new configuration; `timer` orders what
-//! is due.
+//! `server` handles changes of backend servers, `route` a new configuration and `shutdown` the end of
+//! the daemon; `timer` orders what is due.
 
 pub mod action;
 mod completion;
@@ -25,6 +25,7 @@
 mod route;
 mod search;
 mod server;
+mod shutdown;
 mod skip;
 mod state;
 mod timer;
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -7,6 +7,7 @@
 use super::outage::Outage;
 use super::params::Params;
 use super::placement::Placement;
+use super::shutdown::Shutdown;
 use super::timer::{self, Timer};
 use crate::admission::overload;
 use crate::admission::{Admission, Gate, Overload, RankedRequest, Waits};
@@ -79,6 +80,8 @@
     pub(super) fleet_wake_stale: bool,
     pub(super) next_attempt: AttemptId,
     pub(super) stopping: bool,
+    /// The shutdown of the daemon, once it has begun.
+    pub(super) shutdown: Option<Shutdown>,
     pub(super) counts: Counts,
     pub(super) actions: Vec<Action<C>>,
 }
@@ -135,6 +138,7 @@
             fleet_wake_stale: true,
             next_attempt: 1,
             stopping: false,
+            shutdown: None,
             counts: Counts::default(),
             actions: Vec::new(),
             route,
@@ -232,6 +236,7 @@
             Event::Polled(server, report) => self.polled(server, report.as_ref(), now),
             Event::Tick => {}
             Event::Stop => self.stopping = true,
+            Event::Shutdown(end) => self.shut_down(end, now),
         }
     }
 
@@ -264,6 +269,9 @@
         self.log_overload(change);
         self.timers
             .set(request.deadline, Timer::Deadline(request.id));
+        if let Some(at) = self.last_send(&request) {
+            self.timers.set(at, Timer::LastSend(request.id));
+        }
         match self.params(&request).kind {
             Kind::Search => self.search(request, now),
             Kind::Execute => self.execute(request, now),
@@ -297,7 +305,7 @@
     /// Returns why a new request is refused, and when to retry. Admission is checked last, because
     /// it counts the requests that it admits.
     fn refusal(&mut self, request: &Request<C>, now: Time) -> Option<(Reason, Option<Duration>)> {
-        if self.stopping {
+        if self.stopping || self.is_too_late_for_shutdown(request, now) {
             return Some((Reason::Stopping, Some(Duration::ZERO)));
         }
         if let Status::Refused(until) = self.suspects.status(request.fingerprint, now) {
@@ -436,6 +444,8 @@
             match timer {
                 Timer::Deadline(id) => self.expire(id, now),
                 Timer::SoftDeadline(id) => self.with_search(id, now, |_, _| {}),
+                Timer::LastSend(id) => self.refuse_unsent(id, now),
+                Timer::Shutdown => self.end_all(now),
                 Timer::Deferral(id) => self.deferral_expired(id, now),
                 Timer::Attempt(id) => self.attempt_due(id, now),
                 Timer::Quarantine(fingerprint) => {
--- a/crates/decision/src/home/timer.rs
+++ b/crates/decision/src/home/timer.rs
@@ -11,6 +11,10 @@
     Deadline(RequestId),
     /// Return a partial answer to a search if its coverage suffices.
     SoftDeadline(RequestId),
+    /// Refuse a request that has not been sent, because the daemon exits soon.
+    LastSend(RequestId),
+    /// End all requests, because the daemon exits.
+    Shutdown,
     /// Decide on the deferred parts of a search.
     Deferral(RequestId),
     /// Hedge an attempt, or check or give up its connection.
--- a/crates/decision/src/query/attempt.rs
+++ b/crates/decision/src/query/attempt.rs
@@ -31,17 +31,18 @@
 /// Retry delay if no server returned one.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Returns the server's retry delay, or [`DEFAULT_RETRY_AFTER`] if the reason is transient. Without
-/// a delay, callers would retry immediately and simultaneously.
+/// Returns the server's retry delay, or a default for the reason: [`DEFAULT_RETRY_AFTER`] if it is
+/// transient, so that callers don't retry immediately and simultaneously, and none if the daemon is
+/// stopping, because the others can serve the request.
 pub(crate) fn retry_after_or_default(
     reason: Reason,
     retry_after: Option<Duration>,
 ) -> Option<Duration> {
-    let is_transient = matches!(
-        reason,
-        Reason::Overload | Reason::Unavailable | Reason::Lost
-    );
-    retry_after.or(is_transient.then_some(DEFAULT_RETRY_AFTER))
+    retry_after.or(match reason {
+        Reason::Overload | Reason::Unavailable | Reason::Lost => Some(DEFAULT_RETRY_AFTER),
+        Reason::Stopping => Some(Duration::ZERO),
+        _ => None,
+    })
 }
 
 /// An attempt of a non-idempotent request, in state `S`.
--- a/crates/decision/src/query/search.rs
+++ b/crates/decision/src/query/search.rs
@@ -359,6 +359,11 @@
         }
     }
 
+    /// Returns whether no attempt has run or can be running, here or at another home.
+    pub(crate) fn has_not_run(&self) -> bool {
+        self.fanout.not_run_proof().is_some() && !self.has_delegated()
+    }
+
     /// Returns the share of the data that is merged.
     pub(crate) fn coverage(&self, route: &Route) -> f64 {
         self.share(self.merge.covered(), route)
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -214,6 +214,16 @@
         Self::with_home(home, actions, &[], &[])
     }
 
+    /// Returns a session whose home admits every request.
+    pub(crate) fn admitting_all(route: Route) -> Self {
+        let policy = Policy {
+            admit_all: true,
+            ..Policy::default()
+        };
+        let (home, actions) = Home::with_policy(Arc::new(route), 1, 7, policy, Time::ZERO);
+        Self::with_home(home, actions, &[], &[])
+    }
+
     fn with_home(
         home: Home,
         actions: Vec<Action>,
--- a/crates/experiment/tests/processes/rolling.rs
+++ b/crates/experiment/tests/processes/rolling.rs
@@ -220,3 +220,43 @@
     let answer = query.await.expect("the query ends");
     assert!(!answer.outcome.is_answer(), "{answer:?}");
 }
+
+// Guards against requests that wait at a home and lose their connections without an answer when a
+// stop is cut short, although they never ran.
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_cut_short_answers_what_waits() {
+    const REQUESTS: usize = 40;
+    let mut shape = execute(1);
+    shape.settings.service_time = Distribution::Constant(Duration::from_secs(4));
+    let mut cluster = Cluster::start(vec![shape], &["north"]).await;
+    let (daemon, route) = (cluster.daemons[0].caller(), cluster.shapes[0].route.clone());
+    let send = |number: usize| {
+        let (caller, route) = (cluster.caller.clone(), route.clone());
+        tokio::spawn(async move {
+            let key = caller.key(daemon, &route, DEADLINE).await;
+            let key = key.expect("the daemon issues a key");
+            let execution = caller.execute(daemon, &route, &key, number.to_string(), DEADLINE);
+            execution.await
+        })
+    };
+    let requests: Vec<_> = (0..REQUESTS).map(send).collect();
+    let fleet = &cluster.fleet;
+    until("a request runs", async || {
+        fleet.total(|counters| counters.started) > 0
+    })
+    .await;
+    for _ in 0..2 {
+        cluster.daemons[0].signal(Signal::SIGTERM);
+        sleep(Duration::from_millis(100)).await;
+    }
+    let status = cluster.daemons[0].ended().await;
+    assert_eq!(status.code(), Some(CUT));
+    let started = cluster.fleet.total(|counters| counters.started) as usize;
+    let mut answers = Vec::new();
+    for request in requests {
+        answers.push(request.await.expect("the request ends").outcome);
+    }
+    let count = |outcome| answers.iter().filter(|answer| **answer == outcome).count();
+    assert_eq!(count(Outcome::Unknown), started, "{answers:?}");
+    assert_eq!(count(Outcome::NotRun), REQUESTS - started, "{answers:?}");
+}
--- a/crates/monsoonringd/tests/soak/host.rs
+++ b/crates/monsoonringd/tests/soak/host.rs
@@ -5,10 +5,14 @@
 use nix::unistd::Pid;
 use std::fs::File;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
+/// Hosts that each host knows from its settings.
+const MAX_SEEDS: usize = 3;
+
 /// Port for clients; the next two ports are for readiness and for other hosts.
 const FRONT_PORT: u16 = 18_226;
 
@@ -44,15 +48,17 @@
 }
 
 impl Host {
-    /// Writes the settings of host `number` of `count`, and starts it. Two of three hosts have more CPU, so that
+    /// Writes the settings of host `number` of a deployment, and starts it. Two of three hosts have more CPU, so that
     /// each data centre has hosts that can serve searches for weaker ones.
     pub(crate) fn start(
-        (number, count): (u8, u8),
+        number: u8,
+        deployment: Range<u8>,
         store: SocketAddr,
         binary: &Path,
         folder: &Path,
     ) -> Result<Self> {
-        let seeds: Vec<String> = (0..count.min(3))
+        let seeds: Vec<String> = deployment
+            .take(MAX_SEEDS)
             .map(|seed| address(seed, FRONT_PORT + 2).to_string())
             .collect();
         let cores = if number % 3 == 0 { 0.12 } else { 0.5 };
--- a/crates/monsoonringd/tests/soak/mod.rs
+++ b/crates/monsoonringd/tests/soak/mod.rs
@@ -229,7 +229,8 @@
     let mut hosts = Vec::new();
     for number in 0..count {
         hosts.push(Host::start(
-            (number, count),
+            number,
+            0..count,
             world.store.address,
             binary,
             folder,
