Tell homes of sets that are no longer named of every change

Cause: the home of a set of shards that no route names any more was dropped from the control task's map while its requests went on waiting in it. It got no further list of servers, expected instances, evacuations, cold limits, host counts or crash evidence.

Change: the control task keeps a handle that does not keep the home running, and sends it all changes until its last request has ended, with the configuration that named it last. The product's own interface does the same for homes of routes that were removed or moved to other daemons.

Why it works: a request is sent only to servers that its home knows as registered, and now the home knows as long as it has requests.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -1,31 +1,26 @@
 //! Updates the homes when the configuration or the registered backend servers change.
 //!
-//! A single task handles all updates in order, so that an old version never replaces a newer one. Each set of shards
-//! that the configuration names has a home. The home of a set that is no longer named ends with its last request,
-//! which keeps the snapshot that it started with.
+//! A single task handles all updates in order, so that an old version never replaces a newer one.
+
+mod home;
 
 use super::Update;
 use super::content::Opaque;
 use super::members;
 use super::relay::Relay;
-use super::state::{Instances, RemoteShards, State, View};
+use super::state::{Instances, State};
 use crate::backend::Codec;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
-use crate::route::{self, Facts, Management};
-use monsoonring_configuration::document;
-use monsoonring_configuration::id::{BackendServerId, DataCentreId};
+use crate::route::Facts;
+use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::Time;
-use monsoonring_decision::backend::ColdLimit;
-use monsoonring_decision::backend::suspect::{Announcement, CrashSignal};
+use monsoonring_decision::backend::suspect::Announcement;
 use monsoonring_decision::fact;
-use monsoonring_decision::gateway::registry::Usable;
-use monsoonring_decision::gateway::shards::Expected;
 use monsoonring_decision::gateway::source::Readers;
-use monsoonring_decision::gateway::{Registry, Shards, Table, registry, shards};
+use monsoonring_decision::gateway::{Registry, Shards, Table, registry};
 use monsoonring_decision::home::Event;
-use monsoonring_decision::placement::{Allocation, Division};
-use monsoonring_decision::policy::Policy;
+use monsoonring_decision::placement::Division;
 use slog::{Logger, info, warn};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
@@ -36,9 +31,6 @@
 /// Longest time between two checks for changes that depend only on time.
 const MAX_WAKE_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Time after the start until hosts that started at the same moment have discovered each other.
-const DISCOVERY_TIME: Duration = Duration::from_secs(3);
-
 /// Settings of the control task.
 pub(super) struct Settings<K> {
     pub(super) codec: Box<dyn Fn(Instances) -> K + Send>,
@@ -90,14 +82,6 @@
     pub(super) evacuated: BTreeSet<DataCentreId>,
 }
 
-/// A home, and the last state that was sent to it.
-struct Home {
-    handle: route::Handle<Opaque>,
-    route: Arc<document::Route>,
-    cold: BTreeMap<BackendServerId, ColdLimit>,
-    instances: Instances,
-}
-
 struct Controller<K> {
     settings: Settings<K>,
     state: Arc<State>,
@@ -105,7 +89,9 @@
     table: Option<Arc<Table>>,
     /// When the configuration came into force.
     adopted: Time,
-    homes: HashMap<Shards, Home>,
+    homes: HashMap<Shards, home::Home>,
+    /// Homes of sets that are no longer named and may still have requests.
+    retired: HashMap<Shards, home::Retired>,
     /// What is known about requests that crash servers, and until when; sent to new homes.
     crash_facts: BTreeMap<fact::Key, (Time, Event<Opaque>)>,
     /// Evacuated data centres, as last written to the log.
@@ -127,6 +113,7 @@
         table: None,
         adopted: Time::ZERO,
         homes: HashMap::new(),
+        retired: HashMap::new(),
         crash_facts: BTreeMap::new(),
         evacuated: BTreeSet::new(),
         shutdown: None,
@@ -154,7 +141,9 @@
             }
             Ok(()) = sources.shutdown.changed() => {
                 controller.shutdown = *sources.shutdown.borrow_and_update();
-                controller.homes.values().for_each(|home| controller.send_shutdown(home));
+                if let Some(end) = controller.shutdown {
+                    controller.broadcast(&Event::Shutdown(end));
+                }
                 continue;
             }
             () = sleep_until(wake.into()) => Update::Registry(registry::Event::Tick),
@@ -242,27 +231,7 @@
                 return;
             }
         };
-        for home in self.homes.values() {
-            home.handle.send(event.clone());
-        }
-    }
-
-    /// Returns the shards of each set that have no server in this data centre, and publishes the data centres that have
-    /// one.
-    fn remote_shards(&self, usable: &Usable<'_>) -> HashMap<Shards, RemoteShards> {
-        let own = &self.settings.data_centre;
-        let sets = self.homes.keys();
-        let remote_shards: HashMap<Shards, RemoteShards> = sets
-            .map(|set| (set.clone(), shards::remote_shards(set, usable, own)))
-            .collect();
-        let data_centres = remote_shards.values().flat_map(BTreeMap::keys).cloned();
-        let data_centres: BTreeSet<DataCentreId> = data_centres.collect();
-        self.settings.remote_tx.send_if_modified(|known| {
-            let is_new = *known != data_centres;
-            *known = data_centres;
-            is_new
-        });
-        remote_shards
+        self.broadcast(&event);
     }
 
     /// Records a fact about requests that crash servers. Returns the event for the homes.
@@ -288,20 +257,6 @@
         Some(event)
     }
 
-    /// Sends a new home what is known about requests that crash servers.
-    fn send_crash_facts(&self, home: &Home) {
-        for (_, event) in self.crash_facts.values() {
-            home.handle.send(event.clone());
-        }
-    }
-
-    /// Tells a home when its requests have to end, if a stop has begun.
-    fn send_shutdown(&self, home: &Home) {
-        if let Some(end) = self.shutdown {
-            home.handle.send(Event::Shutdown(end));
-        }
-    }
-
     /// Puts a version of the configuration in force unless it is the current one or older. Returns whether it did.
     fn configure(&mut self, table: Table) -> bool {
         let in_force = self.table.as_ref().map(|table| table.version);
@@ -320,143 +275,6 @@
         self.adopted = self.settings.clock.now();
         true
     }
-
-    /// Starts, updates and removes homes to match configuration and registry, and publishes the new view.
-    fn update_homes(&mut self) {
-        let Some(table) = self.table.clone().filter(|_| self.registry.is_known()) else {
-            return;
-        };
-        let mut old = std::mem::take(&mut self.homes);
-        let usable = self.registry.usable();
-        for route in table.routes() {
-            for set in route.sets() {
-                if self.homes.contains_key(set) {
-                    continue;
-                }
-                let home = self.update_home(set, &table, &usable, old.remove(set));
-                self.homes.insert(set.clone(), home);
-            }
-        }
-        for set in old.keys() {
-            info!(self.settings.log, "shards"; "what" => "not in use any more",
-                "set" => shards::name(set));
-        }
-        let remote_shards = Arc::new(self.remote_shards(&usable));
-        let handles = self.homes.iter();
-        let handles = handles.map(|(set, home)| (set.clone(), home.handle.clone()));
-        self.state.set_view(View {
-            table,
-            homes: Arc::new(handles.collect()),
-            remote_shards,
-        });
-    }
-
-    /// Starts the home of a set, or sends it what changed.
-    fn update_home(
-        &self,
-        set: &Shards,
-        table: &Table,
-        usable: &Usable<'_>,
-        home: Option<Home>,
-    ) -> Home {
-        let route = shards::route(set, table, usable, self.settings.extra_attempts);
-        let expected = shards::expected(set, usable);
-        let remote_servers = shards::remote_servers(set, usable, &self.settings.data_centre);
-        let cold = self.cold_limits(set, table, usable);
-        let Some(home) = home else {
-            let home = self.start_home(set, table, route, expected, remote_servers);
-            home.handle.send(Event::Cold(cold.clone()));
-            self.send_crash_facts(&home);
-            self.send_shutdown(&home);
-            let home = Home { cold, ..home };
-            return home;
-        };
-        // Before the route, so that no cold server receives its full load in between.
-        if home.cold != cold {
-            home.handle.send(Event::Cold(cold.clone()));
-        }
-        let home = Home { cold, ..home };
-        let replaced = home.instances.replace(expected);
-        if !replaced.is_empty() {
-            home.handle.send(Event::Replaced(replaced));
-        }
-        if *home.route == route {
-            return home;
-        }
-        let route = Arc::new(route);
-        home.handle.send(Event::Route(route.clone()));
-        home.handle.send(Event::RemoteServers(remote_servers));
-        Home { route, ..home }
-    }
-
-    /// Returns the limits of the cold servers of a set. The limit is divided among all hosts, so a host that has not
-    /// yet discovered the others sends cold servers nothing.
-    fn cold_limits(
-        &self,
-        set: &Shards,
-        table: &Table,
-        usable: &Usable<'_>,
-    ) -> BTreeMap<BackendServerId, ColdLimit> {
-        let now = self.settings.clock.now();
-        let mut cold = shards::cold(set, table, &self.registry, usable, now);
-        if now < DISCOVERY_TIME {
-            cold.values_mut().for_each(|cold| cold.max_rate = 0.0);
-        }
-        cold
-    }
-
-    /// Returns how a set shares its servers among hosts. A set contained in a larger one keeps no idle connections.
-    fn division(&self, set: &Shards, table: &Table) -> Division {
-        let division = self.settings.division;
-        match shards::is_in_larger_set(set, table) {
-            true => division.on_demand(),
-            false => division,
-        }
-    }
-
-    fn start_home(
-        &self,
-        set: &Shards,
-        table: &Table,
-        route: document::Route,
-        expected: BTreeMap<BackendServerId, Expected>,
-        remote_servers: BTreeSet<BackendServerId>,
-    ) -> Home {
-        let settings = &self.settings;
-        info!(settings.log, "shards"; "what" => "in use", "set" => shards::name(set),
-            "shards" => set.len(), "backend_servers" => expected.len());
-        let instances = Instances::default();
-        instances.replace(expected);
-        let route = Arc::new(route);
-        let handle = route::spawn(route::Settings {
-            codec: (settings.codec)(instances.clone()),
-            management: Management::None,
-            route: route.clone(),
-            allocation: Allocation {
-                division: self.division(set, table),
-                remote_servers,
-            },
-            // Each host sends only a small share of a server's requests, so a lost connection counts as a crash only if
-            // a connect fails afterwards.
-            policy: Policy {
-                crash_signal: CrashSignal::ConnectFailed,
-                ..Policy::default()
-            },
-            seed: settings.seed,
-            clock: settings.clock,
-            log: settings.log.clone(),
-            metrics: settings.metrics.clone(),
-            facts: settings.facts.clone(),
-            // Decisions are only logged; operators can't query them here.
-            history: None,
-        });
-        Home {
-            handle,
-            route,
-            cold: BTreeMap::new(),
-            instances,
-        }
-    }
 }
 
 /// Describes an event of the registry for the log.
--- a/crates/daemon/src/node/routes.rs
+++ b/crates/daemon/src/node/routes.rs
@@ -2,7 +2,7 @@
 
 use crate::backend::Json;
 use crate::control::View;
-use crate::route::{self, Handle};
+use crate::route::{self, Handle, WeakHandle};
 use monsoonring_configuration::document::Route;
 use monsoonring_configuration::id::RouteId;
 use monsoonring_decision::Time;
@@ -35,6 +35,8 @@
     /// Overrides the number of homes per route that placement computes.
     homes_override: Option<usize>,
     entries: Mutex<HashMap<RouteId, Entry>>,
+    /// Homes that take no new requests and may still have some in progress.
+    retired: Mutex<Vec<(RouteId, WeakHandle)>>,
     /// Members at the last update, from which the homes were chosen.
     members: Mutex<Arc<[Member]>>,
     /// When all requests have to end, once a stop has begun.
@@ -54,6 +56,7 @@
             spawn,
             homes_override,
             entries: Mutex::default(),
+            retired: Mutex::default(),
             members: Mutex::default(),
             shutdown: Mutex::default(),
         }
@@ -67,13 +70,39 @@
         self.lock().values().cloned().collect()
     }
 
-    /// Sends an event to every home in this daemon.
+    /// Sends an event to every home in this daemon, also to those that take no new requests.
     pub(super) fn broadcast(&self, event: &Event) {
         for entry in self.lock().values() {
             if let Some(handle) = &entry.handle {
                 handle.send(event.clone());
             }
         }
+        for (_, handle) in self.running_retired() {
+            handle.send(event.clone());
+        }
+    }
+
+    /// Returns the homes that take no new requests, and drops those whose last request has ended.
+    fn running_retired(&self) -> Vec<(RouteId, Handle)> {
+        let mut retired = self.retired.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut running = Vec::new();
+        retired.retain(|(route, handle)| match handle.upgrade() {
+            Some(handle) => {
+                running.push((route.clone(), handle));
+                true
+            }
+            None => false,
+        });
+        running
+    }
+
+    /// Sends a new version of a route to its homes that take no new requests: what waits there must
+    /// not be sent to servers that have left the route.
+    fn update_retired(&self, route: &Arc<Route>) {
+        let retired = self.running_retired().into_iter();
+        for (_, handle) in retired.filter(|(name, _)| *name == route.name) {
+            handle.send(Event::Route(route.clone()));
+        }
     }
 
     /// Tells every home, also those that start later, when its requests have to end.
@@ -97,6 +126,9 @@
                 continue;
             };
             let old = old.remove(&route.name);
+            if old.as_ref().is_some_and(|old| old.route != *route) {
+                self.update_retired(route);
+            }
             let was_home = old.as_ref().is_some_and(|old| old.handle.is_some());
             let entry = self.update_entry(route, old, view, &difference);
             started.extend(entry.handle.clone().filter(|_| !was_home));
@@ -201,11 +233,15 @@
         }
     }
 
-    /// Stops a home. Its task ends when the requests in progress have finished.
+    /// Stops a home. Its task ends when the requests in progress have finished; until then it learns
+    /// of changes.
     fn stop_home(&self, name: &RouteId, handle: Option<Handle>, reason: &str) {
         let Some(handle) = handle else { return };
         info!(self.log, "placement"; "what" => "no home", "route" => &**name, "why" => reason);
         handle.send(Event::Stop);
+        let mut retired = self.retired.lock().unwrap_or_else(PoisonError::into_inner);
+        retired.retain(|(_, handle)| handle.upgrade().is_some());
+        retired.push((name.clone(), handle.downgrade()));
     }
 
     fn shutdown(&self) -> MutexGuard<'_, Option<Time>> {
--- a/crates/daemon/src/route/handle.rs
+++ b/crates/daemon/src/route/handle.rs
@@ -55,6 +55,13 @@
         let _ = self.inputs.send(Input::Event(event));
     }
 
+    /// Returns a handle that doesn't keep the home's task running.
+    pub(crate) fn downgrade(&self) -> WeakHandle<C> {
+        WeakHandle {
+            inputs: self.inputs.downgrade(),
+        }
+    }
+
     /// Returns the state for operators, `None` if the home has ended.
     pub(crate) async fn state(&self) -> Option<Value> {
         let (sender, receiver) = oneshot::channel();
@@ -63,6 +70,19 @@
     }
 }
 
+/// A handle to a home that takes no new requests. Its requests hold handles of their own.
+#[derive(Clone, Debug)]
+pub(crate) struct WeakHandle<C: Content = Json> {
+    inputs: mpsc::WeakUnboundedSender<Input<C>>,
+}
+
+impl<C: Content> WeakHandle<C> {
+    /// Returns a handle, or `None` if the home's last request has ended.
+    pub(crate) fn upgrade(&self) -> Option<Handle<C>> {
+        self.inputs.upgrade().map(Handle::new)
+    }
+}
+
 /// Reports a request as abandoned if the future that awaits it is dropped.
 struct Guard<'a, C: Content> {
     handle: &'a Handle<C>,
--- a/crates/daemon/src/route/mod.rs
+++ b/crates/daemon/src/route/mod.rs
@@ -13,5 +13,5 @@
 mod poll;
 
 pub(crate) use controller::{Fact, Facts, Settings, spawn};
-pub(crate) use handle::Handle;
+pub(crate) use handle::{Handle, WeakHandle};
 pub(crate) use management::Management;
