Keep the attempts of a part when its search is planned again

Cause: a change of the route collected the keys of all parts without an attempt in progress and planned them as new parts, without the attempts that had been made for them.

Change: new parts inherit the history of the part that they replace, without the attempts that were withdrawn unsent.

Evidence: part_failed_is_not_run_again_after_a_change_of_servers failed before with one and with two allowed runs, and passes now.

--- a/crates/decision/src/home/route.rs
+++ b/crates/decision/src/home/route.rs
@@ -51,9 +51,10 @@
 
     /// Assigns the missing keys of a search by the new placement. Parts that a group still holds as
     /// a whole stay as they are. Of the others, sent attempts may still deliver keys, and delivered
-    /// keys are not requested again.
+    /// keys are not requested again. New parts inherit the attempts that were made for their keys,
+    /// so that a change of the route allows no further ones.
     fn reassign_parts(&mut self, search: &mut Search<C>, now: Time) {
-        let mut missing = KeySet::default();
+        let mut moved = Vec::new();
         for (id, mut part) in std::mem::take(&mut search.parts) {
             let target = match search.deferred.contains(&id) {
                 true => self.group_with_keys(&part),
@@ -67,13 +68,18 @@
                 }
                 None => {
                     search.deferred.remove(&id);
-                    missing.union_with(&part.wanted);
-                    self.detach(search, &part.live, now);
+                    part.attempts -= self.detach(search, &part.live, now);
+                    moved.push(part);
                 }
             }
         }
-        missing.union_with(&search.unplanned(&self.route));
-        for part in search.add_parts(&missing, &self.route, &Part::default()) {
+        let mut new_parts = Vec::new();
+        for origin in moved {
+            new_parts.extend(search.add_parts(&origin.wanted, &self.route, &origin));
+        }
+        let unplanned = search.unplanned(&self.route);
+        new_parts.extend(search.add_new_parts(&unplanned, &self.route));
+        for part in new_parts {
             self.assign(search, part, Cause::Remainder, now);
         }
     }
@@ -126,12 +132,17 @@
         }
     }
 
-    /// Detaches attempts from their part; withdraws those that were not sent.
-    fn detach(&mut self, search: &mut Search<C>, live: &[AttemptId], now: Time) {
+    /// Detaches attempts from their part; withdraws those that were not sent, and returns their
+    /// number.
+    fn detach(&mut self, search: &mut Search<C>, live: &[AttemptId], now: Time) -> u32 {
+        let mut withdrawn = 0;
         for id in live {
-            if self.withdraw(*id, now).is_none() {
+            if self.withdraw(*id, now).is_some() {
+                withdrawn += 1;
+            } else {
                 search.detached.push(*id);
             }
         }
+        withdrawn
     }
 }
--- a/crates/decision/tests/home_shared_servers.rs
+++ b/crates/decision/tests/home_shared_servers.rs
@@ -11,6 +11,7 @@
 use monsoonring_decision::placement::Division;
 use session::{Session, VERSION, ms, refused, report, request, route, server, without_hedges};
 use std::sync::Arc;
+use test_case::test_case;
 
 const HOSTS: usize = 9;
 
@@ -467,3 +468,29 @@
         .collect();
     assert_eq!(went_nearby, [true, true, false]);
 }
+
+// Guards against more runs of a part than its route allows: a change of the servers plans the parts
+// of a search again, also those that have failed.
+#[test_case(1; "one_run")]
+#[test_case(2; "two_runs")]
+fn part_failed_is_not_run_again_after_a_change_of_servers(max_runs: u32) {
+    let mut session = Session::with_hosts(without_hedges(2, 2), HOSTS);
+    let params = Params {
+        max_runs,
+        ..search_params(0.5)
+    };
+    submit(&mut session, 1, params);
+    for _ in 0..max_runs {
+        let sends = session.sends_to(0);
+        fail(&mut session, sends.last().expect("the part was sent"));
+    }
+    let runs = session.sends_to(0).len();
+    assert_eq!(runs, max_runs as usize);
+    session.handle(Event::Route(Arc::new(without_hedges(2, 3))));
+    session.advance(ms(50));
+    session.handle(Event::Route(Arc::new(without_hedges(2, 4))));
+    session.advance(ms(50));
+    assert_eq!(session.sends_to(0).len(), runs, "the part is run again");
+    session.answer_from(1);
+    assert_eq!(session.answer_to(1).coverage, 0.5);
+}
