Send no further attempt for a caller that has left

What servers saw: a non-idempotent request that was refused after its caller had disconnected was sent to another server, although nobody gets its result.

Cause: an abandoned request that may be running is kept until its attempt ends, and was then treated like any other.

Change: it ends as not run when its attempt is refused.

Evidence: execute_abandoned_and_refused_is_not_sent_again failed before and passes now.

--- a/crates/decision/src/home/execute.rs
+++ b/crates/decision/src/home/execute.rs
@@ -179,6 +179,10 @@
             return;
         };
         match attempt.fail(failure) {
+            Disposition::NotRun(proof) if execution.abandoned => {
+                execution.state = State::Waiting(proof);
+                self.finish_execution(execution, Reason::Abandoned, now);
+            }
             Disposition::NotRun(proof) => {
                 execution.state = State::Waiting(proof);
                 self.reassign_execution(execution, failure, now);
@@ -219,12 +223,14 @@
     }
 
     /// Ends an abandoned request unless it may be running. In that case the result is kept for a
-    /// caller that sends the request again with the same idempotency key.
+    /// caller that sends the request again with the same idempotency key, but no further attempt is
+    /// sent.
     pub(super) fn abandon_execution(&mut self, id: RequestId, now: Time) {
-        let Some(execution) = self.executions.remove(&id) else {
+        let Some(mut execution) = self.executions.remove(&id) else {
             return;
         };
         if execution.is_sent() {
+            execution.abandoned = true;
             self.executions.insert(id, execution);
             return;
         }
--- a/crates/decision/src/query/execution.rs
+++ b/crates/decision/src/query/execution.rs
@@ -44,6 +44,8 @@
     pub(crate) reason: Reason,
     /// Cause of the next attempt.
     pub(crate) cause: Cause,
+    /// Whether the caller disconnected.
+    pub(crate) abandoned: bool,
 }
 
 impl<C: Content> Execution<C> {
@@ -58,6 +60,7 @@
             retry_after: None,
             reason: Reason::Unavailable,
             cause: Cause::First,
+            abandoned: false,
         }
     }
 
--- a/crates/decision/tests/home_execute.rs
+++ b/crates/decision/tests/home_execute.rs
@@ -368,3 +368,15 @@
     assert_eq!(connections.len(), 2);
     assert_ne!(connections[0], connections[1]);
 }
+
+// Guards against attempts for a caller that has disconnected: nobody gets their result.
+#[test]
+fn execute_abandoned_and_refused_is_not_sent_again() {
+    let mut session = Session::polled(tickets(3), &[VERSION]);
+    session.submit(1);
+    session.handle(Event::Abandoned(1));
+    session.fail(session.sends[0].attempt, refused(Refusal::Shedding));
+    session.advance(ms(150));
+    assert_eq!(session.sends.len(), 1);
+    assert_eq!(session.home.in_progress(), 0);
+}
