--- a/crates/monsoonringd/tests/soak/fault.rs
+++ b/crates/monsoonringd/tests/soak/fault.rs
@@ -74,7 +74,7 @@
             Self::Reload(_) => "settings reloaded",
             Self::StoreDown(_) => "store down",
             Self::StoreHistoryLost => "store history lost",
-            Self::Misbehave(_, Behaviour::Slow(_), _) => "server slow",
+            Self::Misbehave(_, Behaviour::Slow(_) | Behaviour::Hold, _) => "server slow",
             Self::Misbehave(_, Behaviour::Shed, _) => "server sheds load",
             Self::Misbehave(_, Behaviour::RefuseFirstTwice, _) => "server refuses twice",
             Self::Misbehave(_, Behaviour::Reset, _) => "server resets connections",
