Bar connections only where replies don't identify the attempt

It is a test of the product's own interface, whose replies name the attempt, so that no late copy is taken for the reply to another one. There the rule that a request never uses a connection twice gained nothing, and at the limit it closed a connection and opened another, which a server may count before it sees the close.

The rule now holds where replies identify the request only (Policy::reply_identity), as on the platform.

Only suspected: that this was the cause.

--- a/crates/daemon/src/gateway/control/home.rs
+++ b/crates/daemon/src/gateway/control/home.rs
@@ -11,6 +11,7 @@
 use crate::route::{self, Management};
 use monsoonring_configuration::document;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
+use monsoonring_decision::attempt::ReplyIdentity;
 use monsoonring_decision::backend::ColdLimit;
 use monsoonring_decision::backend::suspect::CrashSignal;
 use monsoonring_decision::gateway::registry::Usable;
@@ -207,6 +208,7 @@
             // a connect fails afterwards.
             policy: Policy {
                 crash_signal: CrashSignal::ConnectFailed,
+                reply_identity: ReplyIdentity::Request,
                 ..Policy::default()
             },
             seed: settings.seed,
--- a/crates/decision/src/attempt.rs
+++ b/crates/decision/src/attempt.rs
@@ -50,6 +50,16 @@
     }
 }
 
+/// What a backend server's reply identifies.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ReplyIdentity {
+    /// The attempt: a late copy of a reply is never taken for the reply to another attempt.
+    #[default]
+    Attempt,
+    /// The request only: its attempts are told apart by their connections.
+    Request,
+}
+
 /// Why a connection attempt failed.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum ConnectFailure {
--- a/crates/decision/src/home/dispatch.rs
+++ b/crates/decision/src/home/dispatch.rs
@@ -11,7 +11,7 @@
 use super::flight::{Flight, Owner};
 use super::state::Home;
 use super::timer::Timer;
-use crate::attempt::{AttemptId, ConnectionId};
+use crate::attempt::{AttemptId, ConnectionId, ReplyIdentity};
 use crate::backend::pool::Command;
 use crate::content::Content;
 use crate::query::coverage::KeySet;
@@ -49,12 +49,17 @@
     pub(super) cause: Cause,
 }
 
-/// Returns the connections on which earlier attempts of the same request were sent.
+/// Returns the connections on which an attempt may not be sent: those of earlier attempts of the
+/// same request, unless replies identify the attempt.
 fn used_connections<'a, C: Content>(
+    identity: ReplyIdentity,
     flight: &Flight,
     searches: &'a BTreeMap<RequestId, Search<C>>,
     executions: &'a BTreeMap<RequestId, Execution<C>>,
 ) -> &'a [ConnectionId] {
+    if identity == ReplyIdentity::Attempt {
+        return &[];
+    }
     let used = match flight.owner {
         // A first attempt is the first one at its server.
         Owner::Part(..) if flight.cause == Cause::First => None,
@@ -153,8 +158,9 @@
         server: BackendServerId,
         now: Time,
     ) -> Option<ConnectionId> {
+        let identity = self.policy.reply_identity;
         let flight = self.flights.get(id)?;
-        let used = used_connections(flight, &self.searches, &self.executions);
+        let used = used_connections(identity, flight, &self.searches, &self.executions);
         match flight.owner {
             Owner::Execution(_) => self.pool.acquire_fresh(server, used, now),
             _ => self.pool.acquire(server, used, now),
@@ -163,9 +169,10 @@
 
     /// Returns whether earlier attempts of the same request have used all idle connections.
     fn is_barred(&self, id: AttemptId, server: BackendServerId) -> bool {
+        let identity = self.policy.reply_identity;
         let flight = self.flights.get(id);
         flight.is_some_and(|flight| {
-            let used = used_connections(flight, &self.searches, &self.executions);
+            let used = used_connections(identity, flight, &self.searches, &self.executions);
             self.pool.is_idle_only_among(server, used)
         })
     }
--- a/crates/decision/src/policy.rs
+++ b/crates/decision/src/policy.rs
@@ -1,9 +1,10 @@
 //! Settings that replace decisions of a home by simpler ones, for experiments.
 //!
 //! An experiment compares a decision with its simple alternative in the same daemon, for example
-//! the choice between replicas with a random one. In production only [`Policy::crash_signal`]
-//! differs between interfaces.
+//! the choice between replicas with a random one. In production only [`Policy::crash_signal`] and
+//! [`Policy::reply_identity`] differ between interfaces.
 
+use crate::attempt::ReplyIdentity;
 use crate::backend::suspect::CrashSignal;
 use std::time::Duration;
 
@@ -20,4 +21,6 @@
     pub admit_all: bool,
     /// What proves that a request crashed a backend server.
     pub crash_signal: CrashSignal,
+    /// What the replies of backend servers identify.
+    pub reply_identity: ReplyIdentity,
 }
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -10,7 +10,9 @@
     Capacity, Class, Group, Hedge, Kind, Retry, Route, SoftDeadline,
 };
 use monsoonring_configuration::id::{BackendServerId, IndexVersion};
-use monsoonring_decision::attempt::{AttemptId, ConnectFailure, ConnectionId, Failure, Refusal};
+use monsoonring_decision::attempt::{
+    AttemptId, ConnectFailure, ConnectionId, Failure, Refusal, ReplyIdentity,
+};
 use monsoonring_decision::backend::suspect::CrashSignal;
 use monsoonring_decision::home::action::{Decision, Send};
 use monsoonring_decision::home::event::{Request, Scope};
@@ -198,6 +200,16 @@
         Self::with_home(home, actions, refusing, pending)
     }
 
+    /// Returns a session with servers whose replies identify the request and not the attempt.
+    pub(crate) fn with_unnamed_attempts(route: Route) -> Self {
+        let policy = Policy {
+            reply_identity: ReplyIdentity::Request,
+            ..Policy::default()
+        };
+        let (home, actions) = Home::with_policy(Arc::new(route), 1, 7, policy, Time::ZERO);
+        Self::with_home(home, actions, &[], &[])
+    }
+
     /// Returns a session for one of `hosts` hosts that are all homes of the route. Only a refused
     /// connect counts as a server crash.
     pub(crate) fn with_hosts(route: Route, hosts: usize) -> Self {
@@ -208,6 +220,7 @@
     pub(crate) fn with_division(route: Route, division: Division) -> Self {
         let policy = Policy {
             crash_signal: CrashSignal::ConnectFailed,
+            reply_identity: ReplyIdentity::Request,
             ..Policy::default()
         };
         let (home, actions) = Home::with_policy(Arc::new(route), division, 7, policy, Time::ZERO);
