--- a/crates/monsoonringd/tests/waiting.rs
+++ b/crates/monsoonringd/tests/waiting.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use support::client::{self, Reply};
-use support::daemon::{configuration, single_route};
+use support::daemon::{configuration, set_timeout, single_route};
 use support::server::{Behaviour, Server};
 use support::store::Store;
 use support::wait_for;
@@ -33,8 +33,7 @@
 /// Publishes a configuration in which one route leads to a service.
 fn route_to(store: &Store, version: u64, kind: &str, service: &str) {
     let mut route = single_route("orders", "/orders/", kind, service);
-    route["timeoutMs"] = TIMEOUT_MS.into();
-    route["targetLatencyMs"] = (TIMEOUT_MS / 2).into();
+    set_timeout(&mut route, TIMEOUT_MS);
     let document = configuration(version, &[route], &["old", "new"]);
     store.put("op/config", &document);
 }
