--- a/review/stand-in-2/backend.rs
+++ b/review/stand-in-2/backend.rs
@@ -9,6 +9,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// One way between the zones of a small deployment.
+const NETWORK_TIME: Duration = Duration::from_micros(500);
+
 /// A request that a backend began to work on.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -79,6 +82,7 @@
         };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(request)) = http::read(&mut reader) {
+            thread::sleep(NETWORK_TIME);
             let expected = request.header("x-expect-instance");
             if expected.is_some_and(|expected| expected != self.id) {
                 let id = request.id().to_owned();
@@ -142,6 +146,7 @@
             self.id,
             request.id()
         ));
+        thread::sleep(NETWORK_TIME);
         stream.write_all(&response).is_ok()
     }
 }
