--- a/review/stand-in-2/backend.rs
+++ b/review/stand-in-2/backend.rs
@@ -67,9 +67,15 @@
 
     /// Writes the backend's entry in the store.
     pub fn register(&self, store: &Store, state: &str, seq: u64) {
+        self.register_cold(store, state, seq, Duration::ZERO);
+    }
+
+    /// Writes the entry of a backend that stays cold for some time.
+    pub fn register_cold(&self, store: &Store, state: &str, seq: u64, cold_for: Duration) {
+        let cold_for = cold_for.as_millis();
         let entry = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"hall-a\",\"version\":\"v1\",\
-             \"slots\":3,\"state\":\"{state}\",\"warmupLeftMs\":0,\"seq\":{seq},\"born\":1700000000000}}",
+             \"slots\":3,\"state\":\"{state}\",\"warmupLeftMs\":{cold_for},\"seq\":{seq},\"born\":1700000000000}}",
             self.service, self.address
         );
         store.put(&format!("servers/{}", self.id), &entry);
