--- a/crates/monsoonringd/tests/soak/fault.rs
+++ b/crates/monsoonringd/tests/soak/fault.rs
@@ -50,8 +50,9 @@
             3 => Self::Reload(host),
             4 => Self::StoreDown(time),
             5 => Self::StoreHistoryLost,
-            6 => Self::Misbehave(server, Behaviour::Slow(time), time),
             // By the time, and not as one more number, so that seeds keep their faults.
+            6 if time.as_millis() % 4 == 1 => Self::Misbehave(server, Behaviour::Fail(429), time),
+            6 => Self::Misbehave(server, Behaviour::Slow(time), time),
             7 if time.as_millis() % 2 == 0 => {
                 Self::Misbehave(server, Behaviour::RefuseFirstTwice, time)
             }
@@ -79,6 +80,7 @@
             Self::Misbehave(_, Behaviour::RefuseFirstTwice, _) => "server refuses twice",
             Self::Misbehave(_, Behaviour::Reset, _) => "server resets connections",
             Self::Misbehave(_, Behaviour::AnswerTwice, _) => "server answers twice",
+            Self::Misbehave(_, Behaviour::Fail(_), _) => "server fails after a run",
             Self::Misbehave(_, Behaviour::CrashUnderRequest, _) => "server crashes under a request",
             Self::Misbehave(_, Behaviour::Answer, _) => "server healthy",
             Self::Drain(..) => "server drained",
