Bound the heads of a response in number and bytes

What callers saw: with one backend server of eight that answers with interim heads (103) without end, every request waited, up to 9 s where its limit is 2 s.

Cause: hyper skips interim responses in a loop that reads on while bytes arrive; it bounds neither their number nor their sum. A host on the platform has one thread, so nothing else got a turn, the timers that end the attempt included.

Ruled out: bodies, header lines and slow interim heads; they held before.

Change: a stream under hyper counts between a request and the end of the head of its response and fails beyond 16 interim responses or 1 MiB. All connections that read responses use it; the client of the configuration service and the host list holds one connection itself in place of the library's pool. Such an attempt is mismatched, not lost, so its request isn't suspected of a crash.

--- a/crates/daemon/src/backend/connection.rs
+++ b/crates/daemon/src/backend/connection.rs
@@ -8,8 +8,6 @@
 use crate::clock::Clock;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use monsoonring_configuration::id::BackendServerId;
 use monsoonring_decision::attempt::{ConnectFailure, ConnectionId, Failure};
 use monsoonring_decision::content::Content;
@@ -54,7 +52,7 @@
 pub(crate) type EventSender<C> = mpsc::UnboundedSender<Event<C>>;
 
 type Sender = client::Sender<Full<Bytes>>;
-type Driver<T> = http1::Connection<TokioIo<T>, Full<Bytes>>;
+type Driver<T> = client::Connection<T, Full<Bytes>>;
 
 /// Handle of a connection's task. Dropping it closes the connection.
 #[derive(Debug)]
@@ -200,6 +198,7 @@
         Ok(response) => response,
         // hyper returns the request only if it has written none of it.
         Err(error) if error.message().is_some() => return Answer::Failed(Failure::NotSent),
+        Err(_) if sender.is_head_too_long() => return Answer::Failed(Failure::Mismatched),
         Err(_) => return Answer::Failed(Failure::Lost),
     };
     let (head, body) = response.into_parts();
--- a/crates/daemon/src/backend/connection/tests.rs
+++ b/crates/daemon/src/backend/connection/tests.rs
@@ -2,12 +2,11 @@
 
 use super::{Event, Failure, Job, QUEUED_JOBS, Send, serve};
 use crate::backend::Json;
+use crate::client;
 use crate::clock::Clock;
 use bytes::Bytes;
 use futures::FutureExt;
 use http_body_util::Full;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use std::io::Result;
 use std::pin::{Pin, pin};
 use std::task::{Context, Poll, Waker};
@@ -75,7 +74,7 @@
 
 /// Serves a connection until it closes and returns the events it reported.
 fn serve_until_closed(stream: ClosingStream, second: Option<Job<Json>>) -> Vec<Event> {
-    let opening = http1::handshake::<_, Full<Bytes>>(TokioIo::new(stream));
+    let opening = client::handshake_over::<_, Full<Bytes>>(stream);
     let (sender, driver) = opening
         .now_or_never()
         .expect("the handshake does not wait")
--- a/crates/daemon/src/client.rs
+++ b/crates/daemon/src/client/mod.rs
@@ -2,15 +2,22 @@
 //!
 //! Timeouts for opening, and the handling of failures, are up to the caller.
 
+mod head;
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
-use hyper::body::Body;
-use hyper::client::conn::http1;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::{TrySendError, http1};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use socket2::TcpKeepalive;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -42,11 +49,71 @@
 /// Result of opening a connection.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Sends requests over a connection.
-pub type Sender<B> = http1::SendRequest<B>;
+/// Performs the I/O of a connection over a stream while it is polled.
+pub type Connection<T, B> = http1::Connection<TokioIo<head::Stream<T>>, B>;
+
+/// Performs the I/O of a TCP connection while it is polled.
+pub type Driver<B> = Connection<TcpStream, B>;
+
+/// Sends requests over a connection, which closes if the head of a response exceeds a limit.
+#[derive(Debug)]
+pub struct Sender<B> {
+    requests: http1::SendRequest<B>,
+    meter: Arc<head::Meter>,
+}
+
+impl<B: Body + 'static> Sender<B> {
+    /// Waits until the connection can take a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection has closed.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.requests.ready().await
+    }
+
+    /// Returns whether the connection can take a request.
+    pub fn is_ready(&self) -> bool {
+        self.requests.is_ready()
+    }
+
+    /// Returns whether the connection has closed.
+    pub fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection closes first. The error contains the request if none of it was written.
+    pub async fn try_send_request(
+        &mut self,
+        mut request: Request<B>,
+    ) -> std::result::Result<Response<Incoming>, TrySendError<Request<B>>> {
+        let meter = self.meter.clone();
+        hyper::ext::on_informational(&mut request, move |_| meter.record_interim_response());
+        self.meter.begin();
+        let response = self.requests.try_send_request(request).await;
+        self.meter.end();
+        response
+    }
+
+    /// Sends a request and waits for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection closes first.
+    pub async fn send_request(&mut self, request: Request<B>) -> hyper::Result<Response<Incoming>> {
+        let response = self.try_send_request(request).await;
+        response.map_err(TrySendError::into_error)
+    }
 
-/// Performs the I/O of a connection while it is polled.
-pub type Driver<B> = http1::Connection<TokioIo<TcpStream>, B>;
+    /// Returns whether the head of the last response exceeded a limit.
+    pub fn is_head_too_long(&self) -> bool {
+        self.meter.is_exceeded()
+    }
+}
 
 /// Opens a connection.
 ///
@@ -102,10 +169,26 @@
     B: Body<Data = Bytes, Error = Infallible> + 'static,
 {
     stream.set_nodelay(true).context(ConnectSnafu { peer })?;
-    let opened = http1::handshake(TokioIo::new(stream)).await;
+    let opened = handshake_over(stream).await;
     opened.context(HandshakeSnafu { peer })
 }
 
+/// Opens a connection over a stream.
+///
+/// # Errors
+///
+/// Fails if the handshake fails.
+pub(crate) async fn handshake_over<T, B>(stream: T) -> hyper::Result<(Sender<B>, Connection<T, B>)>
+where
+    T: AsyncRead + AsyncWrite + Unpin,
+    B: Body<Data = Bytes, Error = Infallible> + 'static,
+{
+    let meter = Arc::new(head::Meter::default());
+    let stream = head::Stream::new(stream, meter.clone());
+    let (requests, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    Ok((Sender { requests, meter }, connection))
+}
+
 /// Drives a connection in a task, which is aborted when the handle is dropped.
 pub fn drive<B>(driver: Driver<B>) -> AbortOnDropHandle<()>
 where
--- a/crates/daemon/src/gateway/relay/tests.rs
+++ b/crates/daemon/src/gateway/relay/tests.rs
@@ -1,11 +1,10 @@
 //! Whether a search that failed at another host may still run on this one.
 
 use super::{Connection, Error, Relay};
+use crate::client;
 use crate::clock::Clock;
 use bytes::Bytes;
 use hyper::Request;
-use hyper::client::conn::http1;
-use hyper_util::rt::TokioIo;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -67,7 +66,7 @@
         written: false,
         reader: None,
     };
-    let result = http1::handshake(TokioIo::new(stream)).await;
+    let result = client::handshake_over(stream).await;
     let (sender, driver) = result.expect("handshake succeeds");
     let driver = tokio::spawn(async move {
         let _ = driver.await;
--- a/crates/daemon/src/platform/client.rs
+++ b/crates/daemon/src/platform/client.rs
@@ -1,17 +1,21 @@
 //! HTTP client for the platform.
 
+#[cfg(test)]
+mod tests;
+
+use crate::client;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::header::HOST;
 use hyper::http::response::Parts;
-use hyper::{Request, Uri};
-use hyper_util::client::legacy::Client as Http;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper::{Request, Response, body::Incoming};
 use snafu::{OptionExt, ResultExt, Snafu};
 use std::fmt::Display;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::timeout;
+use tokio_util::task::AbortOnDropHandle;
 
 /// Largest response body in bytes: the largest value of the configuration service and its envelope.
 const MAX_BODY_BYTES: usize = 2 * 1024 * 1024;
@@ -20,11 +24,13 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum Error {
+    #[snafu(display("calling {path}: {source}"))]
+    Connect { path: String, source: client::Error },
     #[snafu(display("calling {peer}{path}: {source}"))]
     Call {
         peer: SocketAddr,
         path: String,
-        source: hyper_util::client::legacy::Error,
+        source: hyper::Error,
     },
     #[snafu(display("building the call to {peer}{path}: {source}"))]
     Build {
@@ -55,19 +61,26 @@
 /// Result of a call to the platform.
 pub(crate) type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Client for one server of the platform.
+/// An open connection; dropping it closes it.
+#[derive(Debug)]
+struct Connection {
+    sender: client::Sender<Empty<Bytes>>,
+    _driver: AbortOnDropHandle<()>,
+}
+
+/// Client for one server of the platform; clones share an idle connection.
 #[derive(Clone, Debug)]
 pub(crate) struct Client {
     peer: SocketAddr,
-    http: Http<HttpConnector, Empty<Bytes>>,
+    idle: Arc<Mutex<Option<Connection>>>,
 }
 
 impl Client {
     pub(crate) fn new(peer: SocketAddr) -> Self {
-        let http = Http::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(1)
-            .build_http();
-        Self { peer, http }
+        Self {
+            peer,
+            idle: Arc::default(),
+        }
     }
 
     /// Sends a GET request. `limit` is its timeout, as the platform can hang.
@@ -79,19 +92,10 @@
 
     async fn exchange(&self, path: &str) -> Result<(Parts, Bytes)> {
         let peer = self.peer;
-        let uri = format!("http://{peer}{path}")
-            .parse::<Uri>()
-            .map_err(Into::into);
-        let uri: Result<Uri, hyper::http::Error> = uri;
-        let uri = uri.context(BuildSnafu { peer, path })?;
-        let request = Request::get(uri)
-            .body(Empty::new())
-            .context(BuildSnafu { peer, path })?;
-        let response = self
-            .http
-            .request(request)
-            .await
-            .context(CallSnafu { peer, path })?;
+        let (connection, response) = match self.send_on_idle(path).await? {
+            Some(sent) => sent,
+            None => self.send_on_new(path).await?,
+        };
         let (head, body) = response.into_parts();
         let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
         let body = body.map_err(|error| Error::Body {
@@ -99,9 +103,56 @@
             path: path.to_owned(),
             reason: error.to_string(),
         })?;
+        *self.idle() = Some(connection);
         Ok((head, body.to_bytes()))
     }
 
+    /// Sends a request on the idle connection. Returns `None` if there is none or it closed before the request was
+    /// written.
+    async fn send_on_idle(&self, path: &str) -> Result<Option<(Connection, Response<Incoming>)>> {
+        let peer = self.peer;
+        let idle = self.idle().take();
+        let Some(mut connection) = idle else {
+            return Ok(None);
+        };
+        if connection.sender.ready().await.is_err() {
+            return Ok(None);
+        }
+        let request = self.request(path)?;
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => Ok(Some((connection, response))),
+            // hyper returns the request only if none of it was written.
+            Err(error) if error.message().is_some() => Ok(None),
+            Err(error) => Err(error.into_error()).context(CallSnafu { peer, path }),
+        }
+    }
+
+    async fn send_on_new(&self, path: &str) -> Result<(Connection, Response<Incoming>)> {
+        let peer = self.peer;
+        let opened = client::open(peer).await;
+        let (sender, driver) = opened.context(ConnectSnafu { path })?;
+        let mut connection = Connection {
+            sender,
+            _driver: client::drive(driver),
+        };
+        let response = connection.sender.send_request(self.request(path)?).await;
+        let response = response.context(CallSnafu { peer, path })?;
+        Ok((connection, response))
+    }
+
+    fn request(&self, path: &str) -> Result<Request<Empty<Bytes>>> {
+        let peer = self.peer;
+        let request = Request::get(path).header(HOST, peer.to_string());
+        request
+            .body(Empty::new())
+            .context(BuildSnafu { peer, path })
+    }
+
+    // No code panics while it holds the lock, so the guarded value is consistent even if poisoned.
+    fn idle(&self) -> std::sync::MutexGuard<'_, Option<Connection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the error for an unexpected status.
     pub(crate) fn status(&self, path: &str, head: &Parts) -> Error {
         Error::Status {
--- a/crates/monsoonringd/tests/soak/fault.rs
+++ b/crates/monsoonringd/tests/soak/fault.rs
@@ -5,6 +5,7 @@
 
 use super::check::Violation;
 use super::host::{Host, data_centre};
+use super::support::endless::Form;
 use super::support::server::Behaviour;
 use super::{COLD_MAX_RATE, Result, World};
 use nix::sys::signal::Signal;
@@ -57,6 +58,10 @@
                 Self::Misbehave(server, Behaviour::RefuseFirstTwice, time)
             }
             7 => Self::Misbehave(server, Behaviour::Shed, time),
+            8 if time.as_millis() % 4 == 1 => {
+                let interim_heads = Behaviour::Endless(Form::InterimHeads, None);
+                Self::Misbehave(server, interim_heads, time)
+            }
             8 => Self::Misbehave(server, Behaviour::Reset, time),
             9 => Self::Misbehave(server, Behaviour::AnswerTwice, time),
             10 => Self::Drain(server, time),
@@ -80,6 +85,7 @@
             Self::Misbehave(_, Behaviour::RefuseFirstTwice, _) => "server refuses twice",
             Self::Misbehave(_, Behaviour::Reset, _) => "server resets connections",
             Self::Misbehave(_, Behaviour::AnswerTwice, _) => "server answers twice",
+            Self::Misbehave(_, Behaviour::Endless(..), _) => "server writes without end",
             Self::Misbehave(_, Behaviour::Fail(_), _) => "server fails after a run",
             Self::Misbehave(_, Behaviour::CrashUnderRequest, _) => "server crashes under a request",
             Self::Misbehave(_, Behaviour::Answer, _) => "server healthy",
--- a/crates/monsoonringd/tests/soak/host.rs
+++ b/crates/monsoonringd/tests/soak/host.rs
@@ -101,6 +101,16 @@
         Ok(())
     }
 
+    /// Returns the peak resident memory of the process in KiB, or `None` if it isn't running.
+    pub(crate) fn peak_memory_kib(&self) -> Option<u64> {
+        let id = self.process.as_ref()?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Sends a signal to the process, if it is running.
     pub(crate) fn signal(&self, signal: Signal) -> Result<()> {
         if let Some(process) = &self.process {
