Share the memory for incomplete responses

Cause: one response was limited to 16 MiB and their sum by nothing. A body was kept as frames, each with the whole buffer that it was read into.

Change: all connections share a quarter of limits.memoryMb for incomplete responses. A body may grow to what is left for the others (dynamic thresholds), so long ones leave room for short ones. Several frames are copied into a buffer.

--- a/crates/daemon/src/backend/connection.rs
+++ b/crates/daemon/src/backend/connection.rs
@@ -3,26 +3,25 @@
 #[cfg(test)]
 mod tests;
 
+use super::body::{self, Memory};
 use super::codec::{Answer, Codec};
 use crate::client;
 use crate::clock::Clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use monsoonring_configuration::id::BackendServerId;
 use monsoonring_decision::attempt::{ConnectFailure, ConnectionId, Failure};
 use monsoonring_decision::content::Content;
 use monsoonring_decision::home::Event;
 use monsoonring_decision::home::action::Send;
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
-/// Largest response body of a backend server, in bytes; bounds the memory for one response.
-const MAX_REPLY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Limit on a connect. An unreachable server would otherwise hold its place among the connections
 /// being opened for minutes.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(750);
@@ -82,6 +81,7 @@
     backend_server: BackendServerId,
     clock: Clock,
     codec: K,
+    memory: Arc<Memory>,
     events: EventSender<K::Content>,
 ) -> Connection<K> {
     let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
@@ -90,7 +90,7 @@
             Ok(Ok((sender, driver))) => match wait_for_rejection(driver).await {
                 Some(driver) => {
                     let _ = events.send(Event::Opened(id));
-                    serve(sender, driver, queue, clock, &codec, &events).await;
+                    serve(sender, driver, queue, clock, &codec, &memory, &events).await;
                     Event::Closed(id)
                 }
                 None => Event::ConnectFailed(id, ConnectFailure::Closed),
@@ -124,6 +124,7 @@
     mut queue: mpsc::Receiver<Job<K>>,
     clock: Clock,
     codec: &K,
+    memory: &Memory,
     events: &EventSender<K::Content>,
 ) {
     let mut driver = std::pin::pin!(driver);
@@ -135,7 +136,7 @@
         };
         let Some(job) = job else { return };
         let attempt = job.attempt;
-        let exchange = exchange(&mut sender, &job, clock, codec);
+        let exchange = exchange(&mut sender, &job, clock, codec, memory);
         tokio::pin!(exchange);
         let (answer, open) = tokio::select! {
             biased;
@@ -182,6 +183,7 @@
     job: &Job<K>,
     clock: Clock,
     codec: &K,
+    memory: &Memory,
 ) -> Answer<K::Content> {
     if sender.ready().await.is_err() {
         return Answer::Failed(Failure::NotSent);
@@ -202,8 +204,8 @@
         Err(_) => return Answer::Failed(Failure::Lost),
     };
     let (head, body) = response.into_parts();
-    match Limited::new(body, MAX_REPLY_BYTES).collect().await {
-        Ok(body) => codec.answer(job, &head, body.to_bytes()),
-        Err(_) => Answer::Failed(Failure::Mismatched),
+    match body::read(body, memory).await {
+        Some(body) => codec.answer(job, &head, body),
+        None => Answer::Failed(Failure::Mismatched),
     }
 }
--- a/crates/daemon/src/backend/connection/tests.rs
+++ b/crates/daemon/src/backend/connection/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the report on an attempt whose connection closes.
 
 use super::{Event, Failure, Job, QUEUED_JOBS, Send, serve};
-use crate::backend::Json;
+use crate::backend::{Json, Memory};
 use crate::client;
 use crate::clock::Clock;
 use bytes::Bytes;
@@ -82,7 +82,16 @@
     let (jobs, queue) = mpsc::channel(QUEUED_JOBS);
     let (events, mut received) = mpsc::unbounded_channel();
     jobs.try_send(job(ATTEMPT)).expect("the queue is empty");
-    let mut serving = pin!(serve(sender, driver, queue, Clock::start(), &Json, &events));
+    let memory = Memory::new(None);
+    let mut serving = pin!(serve(
+        sender,
+        driver,
+        queue,
+        Clock::start(),
+        &Json,
+        &memory,
+        &events
+    ));
     let mut context = Context::from_waker(Waker::noop());
     let mut is_done = serving.as_mut().poll(&mut context).is_ready();
     if let Some(job) = second {
--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -9,7 +9,7 @@
 use super::members;
 use super::relay::Relay;
 use super::state::{Instances, State};
-use crate::backend::Codec;
+use crate::backend::{Codec, Memory};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::route::Facts;
@@ -50,6 +50,8 @@
     pub(super) remote_tx: watch::Sender<BTreeSet<DataCentreId>>,
     /// Facts that homes share with other hosts.
     pub(super) facts: Facts,
+    /// Memory for incomplete responses of backend servers.
+    pub(super) memory: Arc<Memory>,
 }
 
 /// Channels that the control task receives from.
--- a/crates/daemon/src/gateway/control/home.rs
+++ b/crates/daemon/src/gateway/control/home.rs
@@ -216,6 +216,7 @@
             log: settings.log.clone(),
             metrics: settings.metrics.clone(),
             facts: settings.facts.clone(),
+            memory: settings.memory.clone(),
             // Decisions are only logged; operators can't query them here.
             history: None,
         });
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -8,6 +8,7 @@
 use super::state::{Instances, State};
 use super::{Ingress, Update, control, front, members, ready};
 use crate::backend::Codec;
+use crate::backend::Memory;
 use crate::clock::{Clock, start_number};
 use crate::metrics::label::Side;
 use crate::run::{Telemetry, listen, listen_datagrams, signals};
@@ -80,6 +81,8 @@
     pub extra_attempts: f64,
     /// CPU capacity of this host in hundredths of a core; 0 if unknown.
     pub strength: Centicores,
+    /// Memory limit of the process in bytes, if known.
+    pub memory_limit: Option<usize>,
     /// Hosts to contact for discovery, by their address for hosts.
     pub seeds: Vec<SocketAddr>,
     /// Time between "not ready" and the end of accepting connections in a planned stop.
@@ -249,6 +252,7 @@
             log: log.clone(),
             metrics: metrics.clone(),
             facts,
+            memory: Arc::new(Memory::new(settings.memory_limit)),
         };
         let sources = control::Sources {
             updates: adapter.updates,
--- a/crates/daemon/src/node/start.rs
+++ b/crates/daemon/src/node/start.rs
@@ -5,7 +5,7 @@
 use super::history::History;
 use super::routes::{Routes, spawner};
 use super::{Front, Node, stop};
-use crate::backend::Json;
+use crate::backend::{Json, Memory};
 use crate::clock::{Clock, start_number};
 use crate::metrics::Metrics;
 use crate::peer::{self, Pool};
@@ -135,6 +135,7 @@
     let Telemetry { log, metrics } = telemetry;
     let route_log = log.clone();
     let policy = baseline.policy();
+    let memory = Arc::new(Memory::new(None));
     let spawn = spawner(move |route, homes| route::Settings {
         codec: Json,
         management: route::Management::Endpoints,
@@ -146,6 +147,7 @@
         log: route_log.clone(),
         metrics: metrics.clone(),
         facts: facts.clone(),
+        memory: memory.clone(),
         history: Some(history.clone()),
     });
     Routes::new(own.id, log, spawn, baseline.homes())
--- a/crates/daemon/src/route/controller.rs
+++ b/crates/daemon/src/route/controller.rs
@@ -3,7 +3,7 @@
 use super::gauges::Gauges;
 use super::handle::{Handle, Input};
 use super::management::{self, Management};
-use crate::backend::{self, Codec, Connection};
+use crate::backend::{self, Codec, Connection, Memory};
 use crate::clock::Clock;
 use crate::log;
 use crate::metrics::Metrics;
@@ -56,6 +56,8 @@
     pub(crate) log: Logger,
     pub(crate) metrics: Arc<Metrics>,
     pub(crate) facts: Facts,
+    /// Memory for incomplete responses, shared by all routes.
+    pub(crate) memory: Arc<Memory>,
     /// History in which decisions are recorded for operators, if operators can query it.
     pub(crate) history: Option<History>,
 }
@@ -131,6 +133,7 @@
     log: Logger,
     metrics: Arc<Metrics>,
     facts: Facts,
+    memory: Arc<Memory>,
     history: Option<History>,
     route: RouteId,
     events: backend::EventSender<K::Content>,
@@ -155,6 +158,7 @@
             log: settings.log,
             metrics: settings.metrics,
             facts: settings.facts,
+            memory: settings.memory,
             history: settings.history,
             route: settings.route.name.clone(),
             events,
@@ -216,8 +220,9 @@
         match action {
             Action::Open(id, backend_server) => {
                 let events = self.events.clone();
+                let (codec, memory) = (self.codec.clone(), self.memory.clone());
                 let connection =
-                    backend::spawn(id, backend_server, self.clock, self.codec.clone(), events);
+                    backend::spawn(id, backend_server, self.clock, codec, memory, events);
                 self.connections.insert(id, connection);
             }
             Action::Close(id) => drop(self.connections.remove(&id)),
--- a/crates/monsoonringd/tests/endless.rs
+++ b/crates/monsoonringd/tests/endless.rs
@@ -34,7 +34,7 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 
 /// Memory limit of a host.
-const MEMORY_KIB: u64 = 260 * 1_024;
+const MEMORY_KIB: u64 = host::MEMORY_MIB * 1_024;
 
 /// Bytes of a response that the host may read before it closes the connection: the longest body that it accepts, with
 /// the socket buffers of both sides.
@@ -146,6 +146,9 @@
 #[test_case(9, Form::Chunks, Some(5), Load::Search { shards: 4 }; "chunks_slow_in_searches")]
 #[test_case(10, Form::LongBody, None, Load::Single { servers: 8, endless: 1 }; "long_body")]
 #[test_case(11, Form::LongBody, None, Load::Single { servers: 3, endless: 2 }; "long_body_of_most_servers")]
+#[test_case(12, Form::LongBody, None, Load::Search { shards: 4 }; "long_body_in_searches")]
+#[test_case(13, Form::Chunks, None, Load::Search { shards: 4 }; "chunks_in_searches")]
+#[test_case(14, Form::LongBody, Some(1), Load::Search { shards: 4 }; "long_body_slow_in_searches")]
 #[tokio::test(flavor = "multi_thread")]
 async fn response_without_end_is_cut(number: u8, form: Form, pause_ms: Option<u64>, load: Load) {
     let store = Store::start().await;
--- a/crates/monsoonringd/tests/soak/host.rs
+++ b/crates/monsoonringd/tests/soak/host.rs
@@ -19,6 +19,9 @@
 /// Time beyond the grace period after which a planned stop has failed.
 const STOP_MARGIN: Duration = Duration::from_secs(3);
 
+/// Memory limit of a host.
+pub(crate) const MEMORY_MIB: u64 = 260;
+
 /// Grace period of a planned stop, in seconds. Short, because a soak stops many hosts.
 const GRACE_S: u64 = 2;
 
@@ -67,7 +70,7 @@
         let text = format!(
             "nodeName=edge-{number}\nzone={data_centre}\nzones.hall=tunis\nzones.yard=tunis\nserves=edge\n\
              listen.front={}\nlisten.readinessAddr={}\nlisten.control={}\nseeds={}\n\
-             platform.address={store}\nlimits.maxFds=4100\nlimits.cpuShare={cores}\n\
+             platform.address={store}\nlimits.maxFds=4100\nlimits.cpuShare={cores}\nlimits.memoryMb={MEMORY_MIB}\n\
              bounds.graceS={GRACE_S}\nbounds.retrySlack=58\n",
             address(number, front),
             address(number, ready),
