Refuse by no estimate that nothing can prove wrong

Cause: the time until a cancellation was taken for a measured service time, one service time stood for all kinds of work, and admission refused by it without ever asking a server again.

Ruled out: configuration, connections, the limit on requests in flight.

Change: a cancellation is a lower bound; the deadline is judged by the shortest plausible time of the request's own kind; of what is ruled out, one request is let in after pauses that grow to a second for each home.

--- a/crates/decision/src/admission/mod.rs
+++ b/crates/decision/src/admission/mod.rs
@@ -3,7 +3,8 @@
 //! A request is admitted if it can meet its deadline behind the work already queued at the backend
 //! servers, if its class still fits within the limit on requests in flight (`limit`), and if it
 //! exceeds no queueing delay budget (`rank`). Otherwise it is refused with the time after which to
-//! retry (`pace`). Refusals cost the backend servers nothing, so their throughput stays the same in an
+//! retry (`pace`). A request that can't meet its deadline by an estimate is admitted now and then to test the estimate
+//! (`probe`). Refusals cost the backend servers nothing, so their throughput stays the same in an
 //! overload.
 //!
 //! Requests are never queued here: a queue in front of the servers' own queues would only add delay.
@@ -11,6 +12,7 @@
 mod limit;
 pub mod overload;
 mod pace;
+mod probe;
 mod rank;
 
 use crate::backend::{self, GroupLoad};
@@ -20,6 +22,7 @@
 use monsoonring_configuration::document::{Class, Route};
 pub use overload::Overload;
 use pace::Pace;
+use probe::Probes;
 use rank::Ranks;
 pub use rank::{Rank, Urgency};
 use std::time::Duration;
@@ -80,6 +83,9 @@
     limit: Limit,
     pace: Pace,
     ranks: Ranks,
+    probes: Probes,
+    /// Number of homes that send as much to the backend servers as this one, itself included.
+    homes: f64,
     target_latency: Duration,
     in_flight: usize,
     /// Whether requests were queued at the backend servers at the last admission decision.
@@ -93,6 +99,8 @@
             limit: Limit::new(),
             pace: Pace::default(),
             ranks: Ranks::default(),
+            probes: Probes::default(),
+            homes: 1.0,
             target_latency: target_latency(route),
             in_flight: 0,
             has_queue: false,
@@ -104,6 +112,11 @@
         self.target_latency = target_latency(route);
     }
 
+    /// Sets the number of homes that send as much to the backend servers as this one, itself included.
+    pub fn set_homes(&mut self, homes: f64) {
+        self.homes = homes;
+    }
+
     /// Decides about a request that must be answered by `deadline`. An admitted request counts as in
     /// flight until [`Self::finished`].
     pub fn admit(
@@ -131,14 +144,21 @@
             self.ranks.record_request(ranked, now);
         }
         let remaining = deadline.saturating_sub(now);
+        let work = ranked.map_or(WorkKind::default(), |ranked| ranked.work);
         if remaining <= load.service_time {
+            if self.probes.admit(work, self.homes, now) {
+                self.in_flight += 1;
+                return Admission::Admit;
+            }
             // A retry would have even less time left.
             return Admission::Refuse {
                 reason: Reason::Deadline,
                 retry_after: None,
             };
         }
-        let can_meet_deadline = load.wait + load.service_time < remaining;
+        // Replies carry the servers' load; with nothing in flight, only a probe brings one.
+        let can_meet_deadline = load.wait + load.service_time < remaining
+            || (self.in_flight == 0 && self.probes.admit(work, self.homes, now));
         let allowed = self.allowed(class, ranked, now);
         // Load reports cover the requests of all hosts. The adaptive limit only sees those of this
         // host, so it is ignored while there are reports.
--- a/crates/decision/src/backend/baseline.rs
+++ b/crates/decision/src/backend/baseline.rs
@@ -16,6 +16,12 @@
 }
 
 impl Baseline {
+    /// Returns the service time of an attempt with this latency that was sent when the server had `load` others: each
+    /// slot completes `load / slots` of them before it ends.
+    pub(crate) fn service_time_of(&self, latency: Duration, load: f64) -> Duration {
+        latency.div_f64(((load + 1.0) / self.slots).max(1.0))
+    }
+
     /// Returns the queueing delay at a server with `load` attempts: a new one starts when all but
     /// `slots - 1` of them have ended.
     pub(crate) fn wait(&self, load: f64) -> Duration {
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -4,6 +4,7 @@
 use super::fleet::{Attempt, Fleet, MAX_WORK_KINDS};
 use super::latency::Latency;
 use super::ramp::Ramp;
+use super::server::End;
 use super::verdict::{StatusChange, Verdict};
 use crate::attempt::{AttemptId, Failure, Refusal};
 use crate::reply::Report;
@@ -121,7 +122,7 @@
             state.cancelling += 1;
         }
         if !stale && elapsed > self.quantile(server, 0.5) {
-            self.record_latency(server, work, elapsed, load, now);
+            self.record_latency(server, work, End::Cancelled, elapsed, load, now);
         }
     }
 
@@ -135,7 +136,10 @@
         }
         if record.cancelled.is_none() {
             let elapsed = now.saturating_sub(record.sent);
-            self.record_latency(record.server, record.work, elapsed, record.load, now);
+            let Attempt {
+                server, work, load, ..
+            } = record;
+            self.record_latency(server, work, End::Answered, elapsed, load, now);
             self.record_prediction(&record, elapsed);
         }
         self.advance_ramp(record.server);
@@ -290,6 +294,7 @@
         &mut self,
         server: BackendServerId,
         work: WorkKind,
+        end: End,
         elapsed: Duration,
         load: f64,
         now: Time,
@@ -297,7 +302,12 @@
         let group = self.servers.get(&server).map(|state| state.group);
         let baseline = group.map(|group| self.baseline(group));
         if let (Some(state), Some(baseline)) = (self.servers.get_mut(&server), baseline) {
-            state.record_latency(elapsed, load, baseline, now);
+            state.record_latency(end, elapsed, load, baseline, now);
+            let service_time = baseline.service_time_of(elapsed, load);
+            match end {
+                End::Answered => self.service_times.record_answer(work, service_time),
+                End::Cancelled => self.service_times.record_cancellation(work, service_time),
+            }
             let group = &mut self.groups[state.group];
             group.latency.record(elapsed);
             group.baseline.set(None);
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -7,6 +7,7 @@
 use super::leaving::LeavingServers;
 use super::ramp::Ramp;
 use super::server::Server;
+use super::service_time::ServiceTimes;
 use crate::attempt::AttemptId;
 use crate::placement::{Division, Homes};
 use crate::policy::Policy;
@@ -64,6 +65,7 @@
     pub(super) latency: Latency,
     /// Latency by kind of work, over all servers.
     pub(super) latency_by_work: FxHashMap<WorkKind, Latency>,
+    pub(super) service_times: ServiceTimes,
     pub(super) attempts: FxHashMap<AttemptId, Attempt>,
     pub(super) leaving: LeavingServers,
     /// Rate limits of all cold servers, including those of other routes.
@@ -128,6 +130,7 @@
             groups: Vec::new(),
             latency: Latency::new(),
             latency_by_work: FxHashMap::default(),
+            service_times: ServiceTimes::default(),
             attempts: FxHashMap::default(),
             leaving: LeavingServers::default(),
             cold: BTreeMap::new(),
@@ -319,6 +322,16 @@
         self.latency_by_work.get(&work)?.quantile(quantile)
     }
 
+    /// Returns the shortest plausible service time of a kind of work, zero if none is known.
+    pub fn service_time_of(&self, work: WorkKind) -> Duration {
+        self.service_times.get(work)
+    }
+
+    /// Returns the number of homes that send as much to the servers as this one, itself included.
+    pub fn similar_homes(&self) -> f64 {
+        self.division.similar_homes()
+    }
+
     fn clamp_hedge_delay(&self, quantile: Duration) -> Duration {
         if let Some(fixed) = self.policy.hedge_after {
             return fixed;
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -22,6 +22,7 @@
 mod probe;
 mod ramp;
 mod server;
+mod service_time;
 mod snapshot;
 pub mod suspect;
 mod verdict;
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -51,6 +51,13 @@
     pub(crate) at: Time,
 }
 
+/// How an attempt ended whose latency is recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum End {
+    Answered,
+    Cancelled,
+}
+
 /// State of one backend server.
 #[derive(Clone, Debug)]
 pub(crate) struct Server {
@@ -167,17 +174,19 @@
     /// homes.
     pub(crate) fn record_latency(
         &mut self,
+        end: End,
         latency: Duration,
         load: f64,
         baseline: Baseline,
         now: Time,
     ) {
         self.latency.record(latency);
-        let slots = baseline.slots;
         let seconds = latency.as_secs_f64();
-        // Each slot completes `load / slots` other attempts before this one ends.
-        let service_time = seconds / ((load + 1.0) / slots).max(1.0);
-        self.service_time = Some(ewma(self.service_time, service_time, SERVICE_TIME_GAIN));
+        // The time until a cancellation is only a lower bound. It can raise a mean but not replace one.
+        if end == End::Answered || self.service_time.is_some() {
+            let service_time = baseline.service_time_of(latency, load).as_secs_f64();
+            self.service_time = Some(ewma(self.service_time, service_time, SERVICE_TIME_GAIN));
+        }
         let recent = self.recent_latency.map(|(recent, _)| recent);
         let is_outlier = seconds > OUTLIER_RATIO * baseline.median.as_secs_f64();
         let gain = match is_outlier && self.last_was_outlier {
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -315,7 +315,11 @@
             return None;
         }
         let dispensable = self.dispensable(request);
-        let load = self.fleet.busiest_group_without(dispensable, now);
+        let load = GroupLoad {
+            service_time: self.fleet.service_time_of(self.params(request).work),
+            ..self.fleet.busiest_group_without(dispensable, now)
+        };
+        self.gate.set_homes(self.fleet.similar_homes());
         let ranked = self.ranked_request(request, now);
         let (class, deadline) = (request.class, request.deadline);
         match self
