Bound the age of what a host knows by the window for silent connections

Cause: a watch that went silent was given up after 3.8 s; the pause before it, the backoff and the new connection came on top, 4.46 s since the store's last answer.

Ruled out: the pause alone, hosts that poll readers (3.5 s).

Change: the time-out of a watch is what the deployment's stableWindowMs leaves after the age of the last answer; all summands are named constants, their sum is checked at the start. After a silent connection the next call goes to the store again.

--- a/crates/daemon/src/gateway/mirror.rs
+++ b/crates/daemon/src/gateway/mirror.rs
@@ -14,7 +14,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use monsoonring_decision::Time;
 use monsoonring_decision::gateway::mirror::{Answer, Batch, DeclineReason, Log, Outage, Position};
-use monsoonring_decision::gateway::timing::Timing;
+use monsoonring_decision::gateway::timing::{READER_CONNECT_TIMEOUT, Timing};
 use monsoonring_decision::member::MemberId;
 use snafu::{ResultExt, Snafu};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -39,9 +39,6 @@
 const OUTAGES: HeaderName = HeaderName::from_static("monsoonring-outages");
 const OUTAGE_ENDED_AGO: HeaderName = HeaderName::from_static("monsoonring-outage-ended-ms");
 
-/// Limit for connecting to a host in the same data centre, and for its acknowledgement of sent data.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
-
 /// Largest accepted response, in bytes: the registry of a thousand shards, with headroom.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
 
@@ -289,7 +286,7 @@
     ///
     /// Fails if the connect fails or times out.
     pub async fn open(host: MemberId) -> Result<Self> {
-        let (step, limit) = ("connecting", CONNECT_TIMEOUT);
+        let (step, limit) = ("connecting", READER_CONNECT_TIMEOUT);
         let opened = timeout(limit, client::open_with_keepalive(host, limit)).await;
         let timed_out = |_| Error::Timeout { host, step, limit };
         let (sender, driver) = opened.map_err(timed_out)?.context(ConnectSnafu)?;
--- a/crates/decision/tests/mirror_timing.rs
+++ b/crates/decision/tests/mirror_timing.rs
@@ -103,7 +103,7 @@
         }
         let Some((began, until)) = self.call else {
             let limit = match self.position {
-                Some(_) => timing.reader_watch() + WATCH_SLACK,
+                Some(_) => timing.reader_watch(Time::ZERO) + WATCH_SLACK,
                 None => READ_TIMEOUT,
             };
             self.call = Some((now, local + limit));
@@ -126,7 +126,7 @@
             self.call = None;
             return;
         };
-        if store == after && now < began + timing.reader_watch() {
+        if store == after && now < began + timing.reader_watch(Time::ZERO) {
             return;
         }
         let body = Arc::from([]);
@@ -166,7 +166,7 @@
                 true
             }
             Source::Store => {
-                let is_done = store > self.revision || now >= since + timing.watch();
+                let is_done = store > self.revision || now >= since + timing.watch(Time::ZERO);
                 if is_done {
                     self.on_store_reply(store);
                 }
@@ -232,7 +232,7 @@
 /// Runs a simulation. Returns the longest time that a change took to reach the host.
 fn simulate(seed: u64, bound: Duration) -> Time {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let timing = Timing::new(bound);
+    let timing = Timing::new(bound, bound * 2);
     let mut readers: Vec<Reader> = (0..2).map(|_| Reader::new(timing, &mut rng)).collect();
     let mut poller = Poller {
         selector: Selector::default(),
