Share the quota of cold servers among the homes of a process

Cause: every set of shards has a home in each host, and each took the host's whole quota unless a larger set contained its service when it started. Later versions, sets of which neither is larger, ended sets with requests left and new homes all sent on top.

Ruled out: the division among hosts.

Change: the homes of a process share one quota through a ledger of what all of them send to each cold server.

What it costs can't be measured on the deployments: warmupPerS is 0 in all of them.

--- a/crates/daemon/src/gateway/control.rs
+++ b/crates/daemon/src/gateway/control.rs
@@ -15,6 +15,7 @@
 use crate::route::Facts;
 use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::Time;
+use monsoonring_decision::backend::Ledger;
 use monsoonring_decision::backend::suspect::Announcement;
 use monsoonring_decision::fact;
 use monsoonring_decision::gateway::source::Readers;
@@ -50,6 +51,8 @@
     pub(super) remote_tx: watch::Sender<BTreeSet<DataCentreId>>,
     /// Facts that homes share with other hosts.
     pub(super) facts: Facts,
+    /// Attempts of all homes to cold backend servers.
+    pub(super) cold: Ledger,
     /// Memory for incomplete responses of backend servers.
     pub(super) memory: Arc<Memory>,
 }
--- a/crates/daemon/src/gateway/control/home.rs
+++ b/crates/daemon/src/gateway/control/home.rs
@@ -203,6 +203,7 @@
             allocation: Allocation {
                 division: self.division(set, table),
                 remote_servers,
+                cold: settings.cold.clone(),
             },
             // Each host sends only a small share of a server's requests, so a lost connection counts as a crash only if
             // a connect fails afterwards.
--- a/crates/daemon/src/gateway/run.rs
+++ b/crates/daemon/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use futures::StreamExt;
 use monsoonring_configuration::id::DataCentreId;
 use monsoonring_decision::Time;
+use monsoonring_decision::backend::Ledger;
 use monsoonring_decision::gateway::Members;
 use monsoonring_decision::gateway::delivery;
 use monsoonring_decision::gateway::helper::Centicores;
@@ -252,6 +253,7 @@
             log: log.clone(),
             metrics: metrics.clone(),
             facts,
+            cold: Ledger::default(),
             memory: Arc::new(Memory::new(settings.memory_limit)),
         };
         let sources = control::Sources {
--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -245,7 +245,7 @@
         }
         let mut open = Vec::new();
         for (id, server) in &mut self.servers {
-            if let Some(warm_up) = &mut server.warm_up {
+            if let Some(warm_up) = &server.warm_up {
                 // The quota may allow another attempt, or the cold period may have ended.
                 open.push(*id);
                 warm_up.tick(now);
--- a/crates/decision/src/backend/fleet.rs
+++ b/crates/decision/src/backend/fleet.rs
@@ -2,7 +2,7 @@
 
 use super::baseline::Baseline;
 use super::choice::{self, Choice, Repeat};
-use super::cold::{ColdLimit, WarmUp};
+use super::cold::{ColdLimit, Ledger, WarmUp};
 use super::latency::Latency;
 use super::leaving::LeavingServers;
 use super::ramp::Ramp;
@@ -70,6 +70,8 @@
     pub(super) leaving: LeavingServers,
     /// Rate limits of all cold servers, including those of other routes.
     cold: BTreeMap<BackendServerId, ColdLimit>,
+    /// Attempts that the homes of the process send to cold servers.
+    ledger: Ledger,
     pub(super) capacity: Capacity,
     pub(super) division: Division,
     pub(super) deadline: Duration,
@@ -134,6 +136,7 @@
             attempts: FxHashMap::default(),
             leaving: LeavingServers::default(),
             cold: BTreeMap::new(),
+            ledger: Ledger::default(),
             capacity: route.capacity,
             division: division.into(),
             deadline: Duration::from_millis(route.deadline_ms),
@@ -162,6 +165,11 @@
         self.division = self.division.with_homes(homes);
     }
 
+    /// Shares a ledger of attempts to cold servers. Call before any server is known to be cold.
+    pub fn share_ledger(&mut self, ledger: Ledger) {
+        self.ledger = ledger;
+    }
+
     /// Sets which servers are in other data centres.
     pub fn set_remote(&mut self, remote: &BTreeSet<BackendServerId>) {
         for (id, server) in &mut self.servers {
@@ -177,7 +185,10 @@
             if let Some(state) = self.servers.get_mut(&server) {
                 match &mut state.warm_up {
                     Some(warm_up) if !warm_up.is_over(now) => warm_up.set_limit(limit),
-                    warm_up => *warm_up = Some(WarmUp::in_use(limit, queued, now)),
+                    warm_up => {
+                        let ledger = self.ledger.clone();
+                        *warm_up = Some(WarmUp::in_use(server, limit, ledger, queued, now));
+                    }
                 }
             }
         }
@@ -231,7 +242,8 @@
         let queued = self.queued(server);
         let limit = self.cold.get(&server).copied();
         if let (Some(state), Some(limit)) = (self.servers.get_mut(&server), limit) {
-            state.warm_up = Some(WarmUp::in_use(limit, queued, now));
+            let ledger = self.ledger.clone();
+            state.warm_up = Some(WarmUp::in_use(server, limit, ledger, queued, now));
         }
         self.leaving.remove(server);
         let at_server = |record: &&mut Attempt| record.server == server;
@@ -527,7 +539,8 @@
         let mut groups: Vec<Group> = Vec::with_capacity(route.groups.len());
         for (index, group) in route.groups.iter().enumerate() {
             for id in &group.backend_servers {
-                let warm_up = self.cold.get(id).copied().map(WarmUp::new);
+                let limit = self.cold.get(id).copied();
+                let warm_up = limit.map(|limit| WarmUp::new(*id, limit, self.ledger.clone()));
                 let new = || Server::new(index, ramp).with_warm_up(warm_up);
                 let server = self.servers.entry(*id).or_insert_with(new);
                 server.group = index;
--- a/crates/decision/src/backend/mod.rs
+++ b/crates/decision/src/backend/mod.rs
@@ -28,7 +28,7 @@
 mod verdict;
 
 pub use choice::{Choice, Repeat};
-pub use cold::ColdLimit;
+pub use cold::{ColdLimit, Ledger};
 pub use fleet::Fleet;
 pub use group_load::{GroupLoad, Wait, Waits};
 pub use snapshot::Snapshot;
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -59,7 +59,7 @@
 }
 
 /// State of one backend server.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) group: usize,
     /// Whether the server is in the configuration. One that was removed only finishes its attempts.
--- a/crates/decision/src/home/state.rs
+++ b/crates/decision/src/home/state.rs
@@ -110,6 +110,7 @@
         let Allocation {
             division,
             remote_servers,
+            cold,
         } = allocation.into();
         let mut home = Self {
             policy,
@@ -144,6 +145,7 @@
             route,
         };
         home.fleet.set_policy(policy);
+        home.fleet.share_ledger(cold);
         home.pool.set_identity(seed);
         home.set_remote(remote_servers);
         let actions = home.finish_event(now);
--- a/crates/decision/src/placement.rs
+++ b/crates/decision/src/placement.rs
@@ -12,6 +12,7 @@
 pub use difference::Difference;
 
 use crate::RequestId;
+use crate::backend::Ledger;
 use crate::member::MemberId;
 use monsoonring_configuration::document::Capacity;
 use monsoonring_configuration::id::{BackendServerId, DataCentreId};
@@ -244,18 +245,14 @@
         self.slack.map(|slack| slack * share)
     }
 
-    /// Returns the number of requests per second that this home may send to a cold backend server in its
-    /// data centre that accepts `max_rate` requests per second from all homes.
+    /// Returns the number of requests per second that the homes of a process may together send to a cold
+    /// backend server in their data centre that accepts `max_rate` requests per second from all homes.
     ///
     /// The homes of the data centre share half of the rate, so that two disjoint membership views still
     /// fit; strong homes get the larger part. If there are more homes than requests, some homes get one
     /// request and the others none. Which homes these are differs by server, so that a home is not
     /// excluded from all cold servers at the same time.
     pub fn cold_quota(&self, max_rate: f64, server: BackendServerId) -> usize {
-        if self.min_idle == 0 {
-            // Another home in this process has the same servers and uses the whole quota.
-            return 0;
-        }
         let Homes { near, strong, .. } = self.homes;
         let (share, count) = match self.homes.role {
             Role::Even => (1.0, near),
@@ -310,6 +307,8 @@
     pub division: Division,
     /// Backend servers outside the home's data centre.
     pub remote_servers: BTreeSet<BackendServerId>,
+    /// Attempts that the homes of the process send to cold backend servers.
+    pub cold: Ledger,
 }
 
 impl<T: Into<Division>> From<T> for Allocation {
@@ -317,6 +316,7 @@
         Self {
             division: division.into(),
             remote_servers: BTreeSet::new(),
+            cold: Ledger::default(),
         }
     }
 }
--- a/crates/experiment/src/simulation/host.rs
+++ b/crates/experiment/src/simulation/host.rs
@@ -4,6 +4,7 @@
 use monsoonring_configuration::id::BackendServerId;
 use monsoonring_decision::Time;
 use monsoonring_decision::attempt::{AttemptId, ConnectionId, Failure};
+use monsoonring_decision::backend::Ledger;
 use monsoonring_decision::content::Content;
 use monsoonring_decision::gateway::{Registry, Table, shards};
 use monsoonring_decision::home::{Action, Event, Home, Wakeup};
@@ -58,6 +59,7 @@
         let allocation = Allocation {
             division,
             remote_servers,
+            cold: Ledger::default(),
         };
         let (home, actions) = Home::with_policy(route, allocation, seed, policy, Time::ZERO);
         let mut driver = Self {
