Tell the connection events around a refusal in the tests of partitions

part_data_centres_both_serve (both ways) fails now and then: "13 connections at once or refused, limit 12". Nothing told a server that hadn't yet seen a close from a home that opens too many. The stand-in now logs when it saw connections open, close and be refused, and the assertion prints what lies within 500 ms of a refusal.

--- a/crates/experiment/tests/processes/partition.rs
+++ b/crates/experiment/tests/processes/partition.rs
@@ -3,6 +3,7 @@
 use crate::cluster::{Cluster, search};
 use crate::wait::until;
 use monsoonring_experiment::sample::{Outcome, Sample};
+use monsoonring_fakes::backend_server::{ConnectionChange, ConnectionEvent};
 use monsoonring_fakes::relay::Link;
 use std::time::Duration;
 use test_case::test_case;
@@ -41,11 +42,42 @@
         let peak = counters.connections_peak + counters.connections_refused;
         assert!(
             peak <= limit,
-            "{peak} connections at once or refused, limit {limit}"
+            "{peak} connections at once or refused, limit {limit}: {}",
+            describe_refusals(&server.connection_events())
         );
     }
 }
 
+/// Time around a refused connection whose events are told.
+const AROUND: Duration = Duration::from_millis(500);
+
+/// Describes the connection events around each refusal. If a connection closes just after it, the limit was exceeded
+/// only while the server had not seen that yet.
+fn describe_refusals(events: &[ConnectionEvent]) -> String {
+    let refused = events
+        .iter()
+        .filter(|event| event.change == ConnectionChange::Refused);
+    let around = |refusal: &ConnectionEvent| {
+        let offset = |event: &ConnectionEvent| match event.at.checked_duration_since(refusal.at) {
+            Some(after) => after.as_secs_f64(),
+            None => -(refusal.at - event.at).as_secs_f64(),
+        };
+        let near = events
+            .iter()
+            .filter(|event| offset(event).abs() <= AROUND.as_secs_f64());
+        let near = near.map(|event| {
+            format!(
+                "{:+.1} ms {} {:?}",
+                offset(event) * 1_000.0,
+                event.connection,
+                event.change
+            )
+        });
+        near.collect::<Vec<_>>().join(", ")
+    };
+    refused.map(around).collect::<Vec<_>>().join("; ")
+}
+
 fn assert_true(samples: &[Sample]) {
     let untrue: Vec<_> = samples.iter().filter(|sample| sample.untrue).collect();
     assert_eq!(untrue, Vec::<&Sample>::new());
--- a/crates/fakes/src/backend_server/journal.rs
+++ b/crates/fakes/src/backend_server/journal.rs
@@ -5,6 +5,10 @@
 use monsoonring_configuration::id::{Incarnation, IndexVersion};
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+
+/// Maximum number of connection events kept.
+const MAX_CONNECTION_EVENTS: usize = 10_000;
 
 /// Event counters of a server, over all of its processes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -65,6 +69,28 @@
     pub start: Incarnation,
 }
 
+/// What happened to a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionChange {
+    /// It was accepted.
+    Opened,
+    /// It was refused because the limit was reached.
+    Refused,
+    /// It ended; a refused one is not recorded again.
+    Closed,
+}
+
+/// A change of a connection, in the order in which the server saw them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionEvent {
+    /// When the server saw it.
+    pub at: Instant,
+    /// Number of the connection within the process.
+    pub connection: ConnectionId,
+    /// What happened.
+    pub change: ConnectionChange,
+}
+
 /// How often requests with one idempotency key started and completed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Runs {
@@ -87,6 +113,7 @@
     pub(crate) counters: Counters,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) runs: RunsByKey,
+    pub(crate) connections: Vec<ConnectionEvent>,
 }
 
 impl Journal {
@@ -94,16 +121,42 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn record_connection(&self, connection: ConnectionId) {
+        let mut state = self.lock();
+        let counters = &mut state.counters;
+        counters.connections_open += 1;
+        counters.connections_peak = counters.connections_peak.max(counters.connections_open);
+        state.log_connection(connection, ConnectionChange::Opened);
+    }
+
+    pub(crate) fn record_refused_connection(&self, connection: ConnectionId) {
+        let mut state = self.lock();
+        state.counters.connections_refused += 1;
+        state.log_connection(connection, ConnectionChange::Refused);
+    }
+
+    pub(crate) fn record_closed_connection(&self, connection: ConnectionId) {
+        let mut state = self.lock();
+        state.counters.connections_open -= 1;
+        state.log_connection(connection, ConnectionChange::Closed);
+    }
+
     pub(crate) fn record_refusal(&self, reason: NotRun) {
         *self.lock().counters.refused.entry(reason).or_default() += 1;
     }
 }
 
 impl State {
-    pub(crate) fn record_connection(&mut self) {
-        let counters = &mut self.counters;
-        counters.connections_open += 1;
-        counters.connections_peak = counters.connections_peak.max(counters.connections_open);
+    /// Records a change of a connection; the oldest are dropped beyond [`MAX_CONNECTION_EVENTS`].
+    fn log_connection(&mut self, connection: ConnectionId, change: ConnectionChange) {
+        if self.connections.len() >= MAX_CONNECTION_EVENTS {
+            self.connections.drain(..MAX_CONNECTION_EVENTS / 2);
+        }
+        self.connections.push(ConnectionEvent {
+            at: Instant::now(),
+            connection,
+            change,
+        });
     }
 
     pub(crate) fn record_start(&mut self, key: Option<&str>, busy: u64) {
--- a/crates/fakes/src/backend_server/mod.rs
+++ b/crates/fakes/src/backend_server/mod.rs
@@ -21,7 +21,7 @@
 pub use crate::http::NotRun;
 pub use delay::Distribution;
 pub use fault::Fault;
-pub use journal::{Attempt, Counters, Runs, RunsByKey};
+pub use journal::{Attempt, ConnectionChange, ConnectionEvent, Counters, Runs, RunsByKey};
 pub use report::{Load, Status};
 pub use settings::{Cold, Crash, OverLimit, Settings};
 
@@ -163,6 +163,11 @@
         self.core.journal.lock().counters.clone()
     }
 
+    /// Returns the latest changes of connections, in order.
+    pub fn connection_events(&self) -> Vec<ConnectionEvent> {
+        self.core.journal.lock().connections.clone()
+    }
+
     /// Returns the attempts in the order received; empty if [`Settings::journal`] is off.
     pub fn attempts(&self) -> Vec<Attempt> {
         self.core.journal.lock().attempts.clone()
--- a/crates/fakes/src/backend_server/process.rs
+++ b/crates/fakes/src/backend_server/process.rs
@@ -212,10 +212,10 @@
             let settings = &self.core.settings;
             self.core.journal.lock().counters.connections_opened += 1;
             if !self.connections.open(connection) {
-                self.core.journal.lock().counters.connections_refused += 1;
+                self.core.journal.record_refused_connection(connection.id);
                 return settings.over_limit == OverLimit::Answer;
             }
-            self.core.journal.lock().record_connection();
+            self.core.journal.record_connection(connection.id);
             if settings.connect_cost > Duration::ZERO {
                 let _slot = match settings.connect_takes_slot {
                     true => self.queue.take().await,
@@ -229,7 +229,7 @@
 
     fn closed(&self, connection: ConnectionId) {
         if self.connections.close(connection) {
-            self.core.journal.lock().counters.connections_open -= 1;
+            self.core.journal.record_closed_connection(connection);
         }
     }
 
