--- a/crates/decision/src/backend/events.rs
+++ b/crates/decision/src/backend/events.rs
@@ -302,8 +302,8 @@
         let group = self.servers.get(&server).map(|state| state.group);
         let baseline = group.map(|group| self.baseline(group));
         if let (Some(state), Some(baseline)) = (self.servers.get_mut(&server), baseline) {
-            state.record_latency(end, elapsed, load, baseline, now);
             let service_time = baseline.service_time_of(elapsed, load);
+            state.record_latency(end, elapsed, service_time, baseline, now);
             match end {
                 End::Answered => self.service_times.record_answer(work, service_time),
                 End::Cancelled => self.service_times.record_cancellation(work, service_time),
--- a/crates/decision/src/backend/server.rs
+++ b/crates/decision/src/backend/server.rs
@@ -170,13 +170,12 @@
         self.service_time.map(Duration::from_secs_f64)
     }
 
-    /// Records the latency of an attempt that was sent when the server had `load` attempts from all
-    /// homes.
+    /// Records the latency of an attempt, and its service time without queueing.
     pub(crate) fn record_latency(
         &mut self,
         end: End,
         latency: Duration,
-        load: f64,
+        service_time: Duration,
         baseline: Baseline,
         now: Time,
     ) {
@@ -184,8 +183,8 @@
         let seconds = latency.as_secs_f64();
         // The time until a cancellation is only a lower bound. It can raise a mean but not replace one.
         if end == End::Answered || self.service_time.is_some() {
-            let service_time = baseline.service_time_of(latency, load).as_secs_f64();
-            self.service_time = Some(ewma(self.service_time, service_time, SERVICE_TIME_GAIN));
+            let sample = service_time.as_secs_f64();
+            self.service_time = Some(ewma(self.service_time, sample, SERVICE_TIME_GAIN));
         }
         let recent = self.recent_latency.map(|(recent, _)| recent);
         let is_outlier = seconds > OUTLIER_RATIO * baseline.median.as_secs_f64();
--- a/crates/decision/tests/cold.rs
+++ b/crates/decision/tests/cold.rs
@@ -164,16 +164,8 @@
 /// Returns the highest number of attempts that all homes sent to a server within a second.
 fn peak_rate(drivers: &[Driver], to: BackendServerId) -> usize {
     let sent = drivers.iter().flat_map(|driver| &driver.sent);
-    let mut times: Vec<Time> = sent
-        .filter(|(_, server)| *server == to)
-        .map(|(at, _)| *at)
-        .collect();
-    times.sort_unstable();
-    let within = |from: Time| {
-        let is_within = |at: &&Time| **at >= from && **at < from + SECOND;
-        times.iter().filter(is_within).count()
-    };
-    times.iter().map(|from| within(*from)).max().unwrap_or(0)
+    let to_server = sent.filter(|(_, server)| *server == to);
+    session::peak_rate(to_server.map(|(at, _)| *at).collect())
 }
 
 /// Simulates `per_second` requests per second at each home.
--- a/crates/decision/tests/cold_shared.rs
+++ b/crates/decision/tests/cold_shared.rs
@@ -227,16 +227,7 @@
     /// Returns the most arrivals at a server within a second.
     fn peak(&self, to: BackendServerId) -> usize {
         let times = self.arrivals.iter().filter(|(_, server)| *server == to);
-        let mut times: Vec<Time> = times.map(|(at, _)| *at).collect();
-        times.sort_unstable();
-        let within = |from: &Time| {
-            let end = *from + ms(1_000);
-            times
-                .iter()
-                .filter(|at| **at >= *from && **at < end)
-                .count()
-        };
-        times.iter().map(within).max().unwrap_or_default()
+        session::peak_rate(times.map(|(at, _)| *at).collect())
     }
 }
 
--- a/crates/decision/tests/session/mod.rs
+++ b/crates/decision/tests/session/mod.rs
@@ -155,6 +155,16 @@
     }
 }
 
+/// Returns the highest number of times within a second.
+pub(crate) fn peak_rate(mut times: Vec<Time>) -> usize {
+    times.sort_unstable();
+    let within = |from: &Time| {
+        let is_within = |at: &&Time| **at >= *from && **at < *from + Time::from_secs(1);
+        times.iter().filter(is_within).count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
 /// A home and the actions that it has returned.
 pub(crate) struct Session {
     pub(crate) home: Home,
